--- /dev/null
+++ b/internal/wire/limit.go
@@ -0,0 +1,44 @@
+package wire
+
+import (
+	"net"
+	"sync"
+)
+
+// LimitListener returns a listener that closes connections beyond n at once, so
+// that a flood of connections cannot exhaust file descriptors.
+func LimitListener(l net.Listener, n int) net.Listener {
+	return &limitListener{Listener: l, slots: make(chan struct{}, n)}
+}
+
+type limitListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return &limitConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
+		default:
+			c.Close()
+		}
+	}
+}
+
+type limitConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/wire/node.go
@@ -0,0 +1,145 @@
+package wire
+
+import "time"
+
+// UpstreamState is the state that an upstream announces.
+type UpstreamState string
+
+// States of an upstream.
+const (
+	Starting UpstreamState = "Starting"
+	Serving  UpstreamState = "Serving"
+	Leaving  UpstreamState = "Leaving"
+)
+
+// Upstream is one announced upstream as other nodes see it.
+type Upstream struct {
+	Name        string        `cbor:"1,keyasint"`
+	Service     string        `cbor:"2,keyasint"`
+	State       UpstreamState `cbor:"3,keyasint"`
+	Slots       int           `cbor:"4,keyasint"`
+	Connections int           `cbor:"5,keyasint"`
+	// Since is when the upstream entered State, for the warm-up ramp.
+	Since time.Time `cbor:"6,keyasint"`
+}
+
+// NodeRecord is what the fleet knows of one node. Only the node itself raises
+// (Incarnation, Sequence); of two records the higher pair wins.
+type NodeRecord struct {
+	Node             string     `cbor:"1,keyasint"`
+	AvailabilityZone string     `cbor:"2,keyasint"`
+	PeerAddress      string     `cbor:"3,keyasint"`
+	Incarnation      uint64     `cbor:"4,keyasint"`
+	Sequence         uint64     `cbor:"5,keyasint"`
+	Gone             bool       `cbor:"6,keyasint,omitempty"`
+	Upstreams        []Upstream `cbor:"7,keyasint,omitempty"`
+}
+
+// Newer reports whether r replaces o.
+func (r NodeRecord) Newer(o NodeRecord) bool {
+	if r.Incarnation != o.Incarnation {
+		return r.Incarnation > o.Incarnation
+	}
+	if r.Sequence != o.Sequence {
+		return r.Sequence > o.Sequence
+	}
+	return r.Gone && !o.Gone
+}
+
+// Resource is one named part of a customer's configuration in its encoded form.
+type Resource struct {
+	Kind string `cbor:"1,keyasint"`
+	Name string `cbor:"2,keyasint"`
+	Data []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// CustomerChange is the difference of one customer between two versions. The
+// node applies Upsert in order, then Remove in order.
+type CustomerChange struct {
+	Customer string     `cbor:"1,keyasint"`
+	Upsert   []Resource `cbor:"2,keyasint,omitempty"`
+	Remove   []Resource `cbor:"3,keyasint,omitempty"`
+}
+
+// ConfigUpdate moves a node from one version to another. From is zero for a
+// snapshot.
+type ConfigUpdate struct {
+	From    uint64           `cbor:"1,keyasint"`
+	To      uint64           `cbor:"2,keyasint"`
+	Changes []CustomerChange `cbor:"3,keyasint"`
+	// Digest is the hash of all resources at version To.
+	Digest uint64 `cbor:"4,keyasint"`
+}
+
+// NodeMessage is what a node sends on its stream; exactly one field is set.
+type NodeMessage struct {
+	Hello  *Hello      `cbor:"1,keyasint,omitempty"`
+	Report *NodeRecord `cbor:"2,keyasint,omitempty"`
+	Ack    *Ack        `cbor:"3,keyasint,omitempty"`
+	Ping   *Ping       `cbor:"4,keyasint,omitempty"`
+}
+
+// Hello opens a node's stream.
+type Hello struct {
+	Record  NodeRecord `cbor:"1,keyasint"`
+	Lineage string     `cbor:"2,keyasint,omitempty"`
+	Version uint64     `cbor:"3,keyasint"`
+	// Buckets are the registry digests the node holds, so that it gets only
+	// the records that differ.
+	Buckets []uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Ack tells which version is in force, or why a version was refused.
+type Ack struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Refused uint64 `cbor:"2,keyasint,omitempty"`
+	Reason  string `cbor:"3,keyasint,omitempty"`
+}
+
+// Ping renews the node's lease.
+type Ping struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Leaving is set on the last message of a planned stop.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
+	// PeerVersion is the highest version the node saw at any peer.
+	PeerVersion uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// ControlMessage is what a control sends on a node's stream; exactly one field
+// is set.
+type ControlMessage struct {
+	Welcome   *Welcome     `cbor:"1,keyasint,omitempty"`
+	Config    *ConfigChunk `cbor:"2,keyasint,omitempty"`
+	Endpoints *Endpoints   `cbor:"3,keyasint,omitempty"`
+	Pong      *Pong        `cbor:"4,keyasint,omitempty"`
+	Fault     *Fault       `cbor:"5,keyasint,omitempty"`
+}
+
+// Welcome accepts a node.
+type Welcome struct {
+	Lineage string        `cbor:"1,keyasint"`
+	Control string        `cbor:"2,keyasint"`
+	Lease   time.Duration `cbor:"3,keyasint"`
+}
+
+// ConfigChunk is a part of one encoded ConfigUpdate. The update is complete
+// with the chunk that has Last set.
+type ConfigChunk struct {
+	To         uint64 `cbor:"1,keyasint"`
+	Compressed bool   `cbor:"2,keyasint,omitempty"`
+	Data       []byte `cbor:"3,keyasint"`
+	Last       bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// Endpoints carries node records that changed.
+type Endpoints struct {
+	Records []NodeRecord `cbor:"1,keyasint"`
+	// Synced is set when the node now holds every record of the control.
+	Synced bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Pong answers Ping.
+type Pong struct {
+	// Committed is the newest version that the control knows to be committed.
+	Committed uint64 `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,115 @@
+// Package wire is the inner protocol: the messages that control and node
+// processes exchange over drpc, their CBOR encoding, and small helpers to serve
+// and call methods.
+//
+// # Usage
+//
+// A server registers handlers by method name and serves a listener:
+//
+//	m := wire.NewMux()
+//	wire.HandleUnary(m, wire.MethodClaim, s.claim)
+//	m.HandleStream(wire.MethodSubscribe, s.subscribe)
+//	err := wire.Serve(ctx, listener, m, wire.ServeOptions{Log: l})
+//
+// A client invokes a unary method on a connection:
+//
+//	a, err := wire.Call[wire.ClaimRequest, wire.ClaimResponse](ctx, conn, wire.MethodClaim, &r)
+//
+// Errors with a kind travel as a Fault inside the answer, so that the caller
+// gets the same kind and the same statement about execution.
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// MaxMessageBytes bounds one message on every inner stream.
+const MaxMessageBytes = 4 << 20
+
+// Method names.
+const (
+	MethodSubscribe    = "/node/Subscribe"
+	MethodClaim        = "/node/Claim"
+	MethodComplete     = "/node/Complete"
+	MethodRelease      = "/node/Release"
+	MethodForward      = "/peer/Forward"
+	MethodRaft         = "/control/Raft"
+	MethodPropose      = "/control/Propose"
+	MethodJoin         = "/control/Join"
+	MethodProbe        = "/control/Probe"
+	MethodBootstrap    = "/control/Bootstrap"
+	MethodRegistrySync = "/control/RegistrySync"
+	MethodNodeReports  = "/control/NodeReports"
+)
+
+// Encoding is the drpc encoding of all inner messages: CBOR with integer keys.
+type Encoding struct{}
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+	if err != nil {
+		panic(err) // the options above are constant
+	}
+	return m
+}
+
+func newDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16}.DecMode()
+	if err != nil {
+		panic(err) // the options above are constant
+	}
+	return m
+}
+
+// Marshal implements drpc.Encoding.
+func (Encoding) Marshal(m drpc.Message) ([]byte, error) { return Marshal(m) }
+
+// Unmarshal implements drpc.Encoding.
+func (Encoding) Unmarshal(b []byte, m drpc.Message) error { return Unmarshal(b, m) }
+
+// Marshal encodes m.
+func Marshal(m any) ([]byte, error) {
+	b, err := encoder.Marshal(m)
+	return b, errors.Wrap(err, "encode message")
+}
+
+// Unmarshal decodes b into m.
+func Unmarshal(b []byte, m any) error {
+	if len(b) > MaxMessageBytes {
+		return errors.Errorf("message of %d bytes exceeds %d", len(b), MaxMessageBytes)
+	}
+	return errors.Wrap(decoder.Unmarshal(b, m), "decode message")
+}
+
+// Fault carries an error with its kind between processes.
+type Fault struct {
+	Kind      errkind.Kind      `cbor:"1,keyasint"`
+	Execution errkind.Execution `cbor:"2,keyasint"`
+	Reason    string            `cbor:"3,keyasint"`
+}
+
+// NewFault returns the Fault for err, or nil for nil.
+func NewFault(err error) *Fault {
+	if err == nil {
+		return nil
+	}
+	e := errkind.From(err)
+	return &Fault{Kind: e.Kind, Execution: e.Execution, Reason: e.Error()}
+}
+
+// Err returns the error that f carries, or nil for nil.
+func (f *Fault) Err() error {
+	if f == nil {
+		return nil
+	}
+	return errkind.New(f.Kind, "%s", f.Reason).WithExecution(f.Execution)
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,77 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// A kind that is lost between processes would turn a provable not-run into
+// unknown, or the reverse.
+func TestFaultKeepsKindAndExecution(t *testing.T) {
+	m := wire.NewMux()
+	wire.HandleUnary(m, wire.MethodClaim, func(context.Context, *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+		return nil, errkind.New(errkind.NoQuorum, "2 of 3 members unreachable")
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go wire.Serve(t.Context(), l, m, wire.ServeOptions{Log: logr.Discard()})
+
+	c, err := wire.Dial(t.Context(), wire.DialTCP, l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, err = wire.Call[wire.ClaimRequest, wire.ClaimResponse](t.Context(), c, wire.MethodClaim, &wire.ClaimRequest{})
+	got, want := errkind.From(err), errkind.New(errkind.NoQuorum, "2 of 3 members unreachable")
+	if got.Kind != want.Kind || got.Execution != want.Execution || got.Reason != want.Reason {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// An update whose parts go missing in transit would be applied in part.
+func TestNodeMessageRoundTrip(t *testing.T) {
+	want := wire.NodeMessage{Ack: &wire.Ack{Version: 7, Refused: 8, Reason: "digest differs"}}
+	b, err := wire.Marshal(&want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got wire.NodeMessage
+	if err := wire.Unmarshal(b, &got); err != nil {
+		t.Fatal(err)
+	}
+	if got.Ack == nil || *got.Ack != *want.Ack || got.Hello != nil {
+		t.Errorf("got %+v, want %+v", got.Ack, want.Ack)
+	}
+}
+
+// FuzzUnmarshal guards against messages of a broken or hostile peer that crash
+// the process.
+func FuzzUnmarshal(f *testing.F) {
+	for _, m := range []any{
+		&wire.NodeMessage{Ping: &wire.Ping{Version: 3}},
+		&wire.ControlMessage{Config: &wire.ConfigChunk{To: 1, Data: []byte("x"), Last: true}},
+		&wire.ForwardRequest{Head: &wire.RequestHead{RequestID: "r", Header: map[string][]string{"A": {"b"}}}},
+	} {
+		b, err := wire.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		for _, m := range []any{
+			&wire.NodeMessage{}, &wire.ControlMessage{}, &wire.ForwardRequest{}, &wire.ForwardResponse{},
+			&wire.ClaimRequest{}, &wire.CompleteRequest{}, &wire.ConfigUpdate{},
+		} {
+			_ = wire.Unmarshal(b, m) // an error is fine, a panic is not
+		}
+	})
+}
--- /dev/null
+++ b/pkg/errkind/errkind.go
@@ -0,0 +1,192 @@
+// Package errkind holds the closed list of error kinds of gooseberrypick and
+// the table from each kind to the answer that a caller, an operator or the
+// command line gives for it.
+//
+// # Usage
+//
+// Create an error with New or Wrap, and read it back at the edge of the
+// process:
+//
+//	err := errkind.New(errkind.QueueFull, "rank %s has %d requests waiting", r, n)
+//	answer := errkind.Of(err).Answer()
+//	w.WriteHeader(answer.HTTPStatus)
+//
+// Of finds the kind through any number of wrapped errors. An error without a
+// kind counts as Internal, whose execution is unknown.
+package errkind
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind names one cause of failure.
+type Kind string
+
+// The closed list of kinds.
+const (
+	BadRequest       Kind = "BadRequest"
+	Unauthorized     Kind = "Unauthorized"
+	NotFound         Kind = "NotFound"
+	TooLarge         Kind = "TooLarge"
+	NoRoute          Kind = "NoRoute"
+	NoUpstream       Kind = "NoUpstream"
+	KeyRequired      Kind = "KeyRequired"
+	KeyReused        Kind = "KeyReused"
+	InProgress       Kind = "InProgress"
+	OutcomeUnknown   Kind = "OutcomeUnknown"
+	QueueFull        Kind = "QueueFull"
+	DeadlineTooShort Kind = "DeadlineTooShort"
+	DeadlineExceeded Kind = "DeadlineExceeded"
+	Canceled         Kind = "Canceled"
+	Leaving          Kind = "Leaving"
+	NotReady         Kind = "NotReady"
+	ConnectFailed    Kind = "ConnectFailed"
+	UpstreamFailed   Kind = "UpstreamFailed"
+	AnswerIncomplete Kind = "AnswerIncomplete"
+	NotLeader        Kind = "NotLeader"
+	NoQuorum         Kind = "NoQuorum"
+	NotCurrent       Kind = "NotCurrent"
+	Conflict         Kind = "Conflict"
+	InvalidFile      Kind = "InvalidFile"
+	DiskFull         Kind = "DiskFull"
+	Corrupt          Kind = "Corrupt"
+	Usage            Kind = "Usage"
+	Unreachable      Kind = "Unreachable"
+	Internal         Kind = "Internal"
+)
+
+// Execution says whether a request can have reached an upstream's handler.
+type Execution string
+
+// Executions that an answer of the system itself can state.
+const (
+	NotRun  Execution = "not-run"
+	Unknown Execution = "unknown"
+)
+
+// Exit codes of the command line.
+const (
+	ExitDone    = 0
+	ExitRefused = 1
+	ExitUsage   = 2
+	ExitUnknown = 3
+)
+
+// Answer is what the edge of the process makes of a kind.
+type Answer struct {
+	HTTPStatus int
+	// Execution is the weakest statement that always holds for the kind. An
+	// error carries NotRun only where the code that made it could prove it.
+	Execution Execution
+	ExitCode  int
+	// RetryAfter is zero where waiting does not help.
+	RetryAfter time.Duration
+}
+
+const (
+	shortRetry = time.Second
+	longRetry  = 5 * time.Second
+)
+
+var answers = map[Kind]Answer{
+	BadRequest:       {http.StatusBadRequest, NotRun, ExitRefused, 0},
+	Unauthorized:     {http.StatusUnauthorized, NotRun, ExitRefused, 0},
+	NotFound:         {http.StatusNotFound, NotRun, ExitRefused, 0},
+	TooLarge:         {http.StatusRequestEntityTooLarge, NotRun, ExitRefused, 0},
+	NoRoute:          {http.StatusNotFound, NotRun, ExitRefused, 0},
+	NoUpstream:       {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
+	KeyRequired:      {http.StatusBadRequest, NotRun, ExitRefused, 0},
+	KeyReused:        {http.StatusUnprocessableEntity, NotRun, ExitRefused, 0},
+	InProgress:       {http.StatusConflict, Unknown, ExitUnknown, shortRetry},
+	OutcomeUnknown:   {http.StatusConflict, Unknown, ExitUnknown, 0},
+	QueueFull:        {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
+	DeadlineTooShort: {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
+	DeadlineExceeded: {http.StatusGatewayTimeout, Unknown, ExitUnknown, 0},
+	Canceled:         {499, Unknown, ExitUnknown, 0}, // 499: the status usual for a closed client connection
+	Leaving:          {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
+	NotReady:         {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
+	ConnectFailed:    {http.StatusBadGateway, NotRun, ExitRefused, shortRetry},
+	UpstreamFailed:   {http.StatusBadGateway, Unknown, ExitUnknown, 0},
+	AnswerIncomplete: {http.StatusBadGateway, Unknown, ExitUnknown, 0},
+	NotLeader:        {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
+	NoQuorum:         {http.StatusServiceUnavailable, NotRun, ExitRefused, longRetry},
+	NotCurrent:       {http.StatusServiceUnavailable, NotRun, ExitRefused, longRetry},
+	Conflict:         {http.StatusConflict, NotRun, ExitRefused, 0},
+	InvalidFile:      {http.StatusUnprocessableEntity, NotRun, ExitRefused, 0},
+	DiskFull:         {http.StatusInsufficientStorage, NotRun, ExitRefused, longRetry},
+	Corrupt:          {http.StatusInternalServerError, Unknown, ExitRefused, 0},
+	Usage:            {http.StatusBadRequest, NotRun, ExitUsage, 0},
+	Unreachable:      {http.StatusBadGateway, Unknown, ExitUnknown, 0},
+	Internal:         {http.StatusInternalServerError, Unknown, ExitUnknown, 0},
+}
+
+// Answer returns the table entry of k.
+func (k Kind) Answer() Answer {
+	if a, ok := answers[k]; ok {
+		return a
+	}
+	return answers[Internal]
+}
+
+// Error is an error with a kind and a statement about execution.
+type Error struct {
+	Kind      Kind
+	Execution Execution
+	Reason    string
+	cause     error
+}
+
+// New returns an error of kind k with the execution of the table.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Execution: k.Answer().Execution, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error of kind k that keeps err as its cause.
+func Wrap(err error, k Kind, format string, args ...any) *Error {
+	e := New(k, format, args...)
+	e.cause = err
+	return e
+}
+
+// WithExecution returns a copy of e that states x.
+func (e *Error) WithExecution(x Execution) *Error {
+	c := *e
+	c.Execution = x
+	return &c
+}
+
+// Error returns the reason and the cause.
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return e.Reason
+	}
+	return e.Reason + ": " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// From returns the first Error in the chain of err, or an Internal error that
+// wraps err. It returns nil for nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, Internal, "internal error")
+}
+
+// Of returns the kind of err.
+func Of(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	return From(err).Kind
+}
