Add the compiled customer configuration and its differences

Cause: control and nodes need one form of a customer's configuration that can be compared, sent in part and checked whole.

--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -1,6 +1,10 @@
 package wire
 
-import "time"
+import (
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+)
 
 // UpstreamState is the state that an upstream announces.
 type UpstreamState string
@@ -46,27 +50,12 @@
 	return r.Gone && !o.Gone
 }
 
-// Resource is one named part of a customer's configuration in its encoded form.
-type Resource struct {
-	Kind string `cbor:"1,keyasint"`
-	Name string `cbor:"2,keyasint"`
-	Data []byte `cbor:"3,keyasint,omitempty"`
-}
-
-// CustomerChange is the difference of one customer between two versions. The
-// node applies Upsert in order, then Remove in order.
-type CustomerChange struct {
-	Customer string     `cbor:"1,keyasint"`
-	Upsert   []Resource `cbor:"2,keyasint,omitempty"`
-	Remove   []Resource `cbor:"3,keyasint,omitempty"`
-}
-
 // ConfigUpdate moves a node from one version to another. From is zero for a
 // snapshot.
 type ConfigUpdate struct {
-	From    uint64           `cbor:"1,keyasint"`
-	To      uint64           `cbor:"2,keyasint"`
-	Changes []CustomerChange `cbor:"3,keyasint"`
+	From    uint64            `cbor:"1,keyasint"`
+	To      uint64            `cbor:"2,keyasint"`
+	Changes []customer.Change `cbor:"3,keyasint"`
 	// Digest is the hash of all resources at version To.
 	Digest uint64 `cbor:"4,keyasint"`
 }
--- /dev/null
+++ b/pkg/customer/config.go
@@ -0,0 +1,128 @@
+package customer
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Execution says how often a request on a route may run.
+type Execution string
+
+// Executions of a route.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Execution = "Idempotent"
+	// AtMostOnce requests carry an idempotency key and run at most once.
+	AtMostOnce Execution = "AtMostOnce"
+	// Once requests have no key and are never tried twice.
+	Once Execution = "Once"
+)
+
+// Service is a named set of upstreams that run the same work.
+type Service struct {
+	Name        string        `cbor:"1,keyasint"`
+	Slots       int           `cbor:"2,keyasint"`
+	Connections int           `cbor:"3,keyasint"`
+	ColdStart   time.Duration `cbor:"4,keyasint"`
+}
+
+// Rank is a class of work.
+type Rank struct {
+	Name string `cbor:"1,keyasint"`
+	// Order is 1 for the most urgent rank.
+	Order  int           `cbor:"2,keyasint"`
+	Target time.Duration `cbor:"3,keyasint"`
+	Worth  float64       `cbor:"4,keyasint"`
+	// Floor is the share of an upstream's capacity from 0 to 1 that the rank
+	// keeps while any of its work waits.
+	Floor float64 `cbor:"5,keyasint"`
+}
+
+// Route maps requests to a service and a rank.
+type Route struct {
+	Host      string        `cbor:"1,keyasint"`
+	Method    string        `cbor:"2,keyasint"`
+	Path      string        `cbor:"3,keyasint"`
+	Service   string        `cbor:"4,keyasint"`
+	Rank      string        `cbor:"5,keyasint"`
+	Deadline  time.Duration `cbor:"6,keyasint"`
+	Execution Execution     `cbor:"7,keyasint"`
+}
+
+// Name returns the match of r, which is unique within a customer.
+func (r Route) Name() string { return r.Method + " " + r.Host + r.Path }
+
+// Config is the compiled, immutable configuration of one customer.
+type Config struct {
+	customer string
+	services map[string]Service
+	ranks    map[string]Rank
+	routes   map[string]Route
+}
+
+// NewConfig returns an empty configuration of the named customer.
+func NewConfig(name string) *Config {
+	return &Config{
+		customer: name,
+		services: map[string]Service{},
+		ranks:    map[string]Rank{},
+		routes:   map[string]Route{},
+	}
+}
+
+// Customer returns the customer's name.
+func (c *Config) Customer() string { return c.customer }
+
+// Service returns the named service.
+func (c *Config) Service(name string) (Service, bool) { s, ok := c.services[name]; return s, ok }
+
+// Rank returns the named rank.
+func (c *Config) Rank(name string) (Rank, bool) { r, ok := c.ranks[name]; return r, ok }
+
+// Services returns all services by name.
+func (c *Config) Services() []Service { return sorted(c.services) }
+
+// Ranks returns all ranks by name.
+func (c *Config) Ranks() []Rank { return sorted(c.ranks) }
+
+// Routes returns all routes by name.
+func (c *Config) Routes() []Route { return sorted(c.routes) }
+
+// WithService returns a copy of c with s.
+func (c *Config) WithService(s Service) *Config {
+	n := c.clone()
+	n.services[s.Name] = s
+	return n
+}
+
+// WithRank returns a copy of c with r.
+func (c *Config) WithRank(r Rank) *Config {
+	n := c.clone()
+	n.ranks[r.Name] = r
+	return n
+}
+
+// WithRoute returns a copy of c with r.
+func (c *Config) WithRoute(r Route) *Config {
+	n := c.clone()
+	n.routes[r.Name()] = r
+	return n
+}
+
+func (c *Config) clone() *Config {
+	return &Config{
+		customer: c.customer,
+		services: maps.Clone(c.services),
+		ranks:    maps.Clone(c.ranks),
+		routes:   maps.Clone(c.routes),
+	}
+}
+
+func sorted[T any](m map[string]T) []T {
+	l := make([]T, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		l = append(l, m[k])
+	}
+	return l
+}
--- /dev/null
+++ b/pkg/customer/resource.go
@@ -0,0 +1,162 @@
+package customer
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// ResourceKind names the kind of a resource.
+type ResourceKind string
+
+// Kinds of resources, in the order in which they are added.
+const (
+	KindService ResourceKind = "Service"
+	KindRank    ResourceKind = "Rank"
+	KindRoute   ResourceKind = "Route"
+)
+
+// Resource is one named part of a configuration in its encoded form.
+type Resource struct {
+	Kind ResourceKind `cbor:"1,keyasint"`
+	Name string       `cbor:"2,keyasint"`
+	Data []byte       `cbor:"3,keyasint,omitempty"`
+}
+
+// Change is the difference of one customer between two versions. Upserts come
+// with services and ranks before routes, removals with routes first, so that no
+// intermediate state has a route without its service.
+type Change struct {
+	Customer string     `cbor:"1,keyasint"`
+	Upsert   []Resource `cbor:"2,keyasint,omitempty"`
+	Remove   []Resource `cbor:"3,keyasint,omitempty"`
+}
+
+// Resources returns all resources of c, services and ranks before routes.
+func (c *Config) Resources() []Resource {
+	l := make([]Resource, 0, len(c.services)+len(c.ranks)+len(c.routes))
+	for _, s := range c.Services() {
+		l = append(l, encode(KindService, s.Name, s))
+	}
+	for _, r := range c.Ranks() {
+		l = append(l, encode(KindRank, r.Name, r))
+	}
+	for _, r := range c.Routes() {
+		l = append(l, encode(KindRoute, r.Name(), r))
+	}
+	return l
+}
+
+func encode(k ResourceKind, name string, v any) Resource {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // Service, Rank and Route hold only encodable fields
+	}
+	return Resource{Kind: k, Name: name, Data: b}
+}
+
+// Digest returns a hash over all resources of c.
+func (c *Config) Digest() uint64 {
+	h := xxhash.New()
+	for _, r := range c.Resources() {
+		_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d\x00", r.Kind, r.Name, len(r.Data))
+		_, _ = h.Write(r.Data)
+	}
+	return h.Sum64()
+}
+
+// Diff returns the change from o to n. A nil o stands for a customer that does
+// not exist yet.
+func Diff(o, n *Config) Change {
+	if o == nil {
+		o = NewConfig(n.customer)
+	}
+	old := map[string]Resource{}
+	for _, r := range o.Resources() {
+		old[key(r)] = r
+	}
+	d := Change{Customer: n.customer}
+	for _, r := range n.Resources() {
+		if p, ok := old[key(r)]; !ok || !bytes.Equal(p.Data, r.Data) {
+			d.Upsert = append(d.Upsert, r)
+		}
+		delete(old, key(r))
+	}
+	for _, k := range slices.Backward(slices.Sorted(maps.Keys(old))) {
+		d.Remove = append(d.Remove, Resource{Kind: old[k].Kind, Name: old[k].Name})
+	}
+	slices.SortStableFunc(d.Remove, func(a, b Resource) int { return removalOrder(a.Kind) - removalOrder(b.Kind) })
+	return d
+}
+
+func key(r Resource) string { return string(r.Kind) + "\x00" + r.Name }
+
+func removalOrder(k ResourceKind) int {
+	if k == KindRoute {
+		return 0
+	}
+	return 1
+}
+
+// WithChange returns a copy of c with d applied. It does not check references;
+// call Check on the result.
+func (c *Config) WithChange(d Change) (*Config, error) {
+	n := c.clone()
+	for _, r := range d.Upsert {
+		if err := n.upsert(r); err != nil {
+			return nil, errors.Wrapf(err, "%s %q", r.Kind, r.Name)
+		}
+	}
+	for _, r := range d.Remove {
+		switch r.Kind {
+		case KindService:
+			delete(n.services, r.Name)
+		case KindRank:
+			delete(n.ranks, r.Name)
+		case KindRoute:
+			delete(n.routes, r.Name)
+		default:
+			return nil, errors.Errorf("unknown resource kind %q", r.Kind)
+		}
+	}
+	return n, nil
+}
+
+func (c *Config) upsert(r Resource) error {
+	switch r.Kind {
+	case KindService:
+		return decode(c.services, r)
+	case KindRank:
+		return decode(c.ranks, r)
+	case KindRoute:
+		return decode(c.routes, r)
+	}
+	return errors.New("unknown resource kind")
+}
+
+func decode[T any](m map[string]T, r Resource) error {
+	var v T
+	if err := cbor.Unmarshal(r.Data, &v); err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	m[r.Name] = v
+	return nil
+}
+
+// Check reports the first route that refers to a service or rank that c lacks.
+func (c *Config) Check() error {
+	for _, r := range c.Routes() {
+		if _, ok := c.services[r.Service]; !ok {
+			return errors.Errorf("route %q needs service %q, which customer %q lacks", r.Name(), r.Service, c.customer)
+		}
+		if _, ok := c.ranks[r.Rank]; !ok {
+			return errors.Errorf("route %q needs rank %q, which customer %q lacks", r.Name(), r.Rank, c.customer)
+		}
+	}
+	return nil
+}
