--- /dev/null
+++ b/internal/operator/convert.go
@@ -0,0 +1,149 @@
+package operator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// Parse parses a customer file. Its error has kind InvalidFile unless the
+// parser gave another one.
+func Parse(name string, file []byte) (*customer.Config, error) {
+	c, err := customer.Parse(name, file)
+	if err == nil {
+		return c, nil
+	}
+	if e := (*errkind.Error)(nil); errors.As(err, &e) {
+		return nil, err
+	}
+	return nil, errkind.New(errkind.InvalidFile, "%s", err.Error())
+}
+
+// Compile returns the command that accepts the file of r.
+func Compile(author string, r AcceptRequest, now time.Time) (versions.Accept, error) {
+	c, err := Parse(r.FileName, []byte(r.File))
+	if err != nil {
+		return versions.Accept{}, err
+	}
+	return versions.Accept{
+		Customer: c.Customer(), Base: r.Base, RequestID: r.RequestID, Author: author, Time: now,
+		FileName: r.FileName, File: []byte(r.File), Resources: c.Resources(),
+	}, nil
+}
+
+// NewPlan compares the file of r with v.
+func NewPlan(v *versions.View, r PlanRequest) (Plan, error) {
+	c, err := Parse(r.FileName, []byte(r.File))
+	if err != nil {
+		return Plan{}, err
+	}
+	return Compare(v, c), nil
+}
+
+// Compare returns the plan that replaces the customer of c by c.
+func Compare(v *versions.View, c *customer.Config) Plan {
+	p := Plan{Customer: c.Customer(), Base: v.Version()}
+	if e, ok := v.Newest(c.Customer()); ok {
+		p.Newest = e.Version
+	}
+	old, _ := v.Config(c.Customer())
+	known := map[[2]string]bool{}
+	if old != nil {
+		for _, r := range old.Resources() {
+			known[[2]string{string(r.Kind), r.Name}] = true
+		}
+	}
+	lists := map[customer.ResourceKind]*Difference{
+		customer.KindService: &p.Services, customer.KindRank: &p.Ranks, customer.KindRoute: &p.Routes,
+	}
+	d := customer.Diff(old, c)
+	for _, r := range d.Upsert {
+		l := lists[r.Kind]
+		if known[[2]string{string(r.Kind), r.Name}] {
+			l.Changed = append(l.Changed, r.Name)
+		} else {
+			l.Added = append(l.Added, r.Name)
+		}
+	}
+	for _, r := range d.Remove {
+		lists[r.Kind].Removed = append(lists[r.Kind].Removed, r.Name)
+	}
+	for _, l := range lists {
+		slices.Sort(l.Removed)
+	}
+	return p
+}
+
+// NewHistory lists the versions of v that r selects.
+func NewHistory(v *versions.View, r HistoryRequest) History {
+	h := History{Versions: []Metadata{}}
+	for _, m := range v.History() {
+		if len(h.Versions) == r.Limit {
+			break
+		}
+		if r.Customer == "" || r.Customer == m.Customer {
+			h.Versions = append(h.Versions, newMetadata(m))
+		}
+	}
+	return h
+}
+
+// NewVersion returns the version of v that r selects.
+func NewVersion(v *versions.View, r VersionRequest) (Version, error) {
+	n := r.Number
+	if n == 0 {
+		n = v.Version()
+	}
+	e, ok := v.Entry(n)
+	if r.Customer != "" {
+		e, ok = v.Newest(r.Customer)
+	}
+	switch {
+	case ok:
+		return Version{Metadata: newMetadata(e.Metadata), FileKept: e.FileKept, File: string(e.File)}, nil
+	case r.Customer != "":
+		return Version{}, errkind.New(errkind.NotFound, "customer %q has no version", r.Customer)
+	case v.Version() == 0:
+		return Version{}, errkind.New(errkind.NotFound, "no version was accepted yet; start with accept FILE --base 0")
+	case n > v.Version():
+		return Version{}, errkind.New(errkind.NotFound, "version %d does not exist; the latest is %d", n, v.Version())
+	}
+	return Version{}, errkind.New(errkind.NotFound, "version %d is no longer kept; run history to see which are", n)
+}
+
+func newMetadata(m versions.Metadata) Metadata {
+	return Metadata{
+		Version: m.Version, Customer: m.Customer, Author: m.Author, Time: m.Time.UTC(), Base: m.Base,
+		RequestID: m.RequestID, FileName: m.FileName, Digest: fmt.Sprintf("%016x", m.Digest),
+		Services: m.Services, Ranks: m.Ranks, Routes: m.Routes,
+	}
+}
+
+// NewNodes lists the known nodes and those that reports name. Of several
+// reports of one node the one last heard counts. A node without a report is
+// listed as not heard. BehindBy is set from latest.
+func NewNodes(known []versions.Node, reports []Node, latest uint64) []Node {
+	m := map[string]Node{}
+	for _, n := range known {
+		m[n.Name] = Node{Name: n.Name, AvailabilityZone: n.AvailabilityZone}
+	}
+	for _, r := range reports {
+		if o := m[r.Name]; !o.Heard || r.LastHeard.After(o.LastHeard) {
+			r.Heard = true
+			m[r.Name] = r
+		}
+	}
+	l := slices.SortedFunc(maps.Values(m), func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	for i, n := range l {
+		l[i].BehindBy = latest - min(latest, n.Version)
+	}
+	return l
+}
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -151,7 +151,7 @@
 		return Result{Version: r.Version, Repeated: true}
 	}
 	v := m.current.Load()
-	if err := v.CheckBase(a.Customer, a.Base); err != nil {
+	if err := v.checkBase(a.Customer, a.Base); err != nil {
 		return refusal(err)
 	}
 	n, err := a.config()
--- a/internal/versions/view.go
+++ b/internal/versions/view.go
@@ -136,9 +136,10 @@
 	return r.entry(), true
 }
 
-// CheckBase reports whether an accept for the named customer against base can
-// succeed on v.
-func (v *View) CheckBase(name string, base uint64) error {
+// checkBase reports whether an accept for the named customer against base can
+// succeed on v. It is not exported: a check before the request ID is looked up
+// would refuse a resend with the version that the first attempt made.
+func (v *View) checkBase(name string, base uint64) error {
 	if base > v.version {
 		return errkind.New(errkind.BadRequest, "base %d is above the latest version %d; run plan to get the base", base, v.version)
 	}
