--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,335 @@
+package operator_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/operator"
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// backend answers accepts with a function and counts them.
+type backend struct {
+	operator.Backend
+	accept  func(author string, r operator.AcceptRequest) (operator.Accepted, error)
+	status  operator.Status
+	accepts int
+}
+
+func (b *backend) Accept(_ context.Context, author string, r operator.AcceptRequest) (operator.Accepted, error) {
+	b.accepts++
+	if b.accept == nil {
+		return operator.Accepted{Customer: author}, nil
+	}
+	return b.accept(author, r)
+}
+
+func (b *backend) Status(context.Context) (operator.Status, error) { return b.status, nil }
+
+func newHandler(t *testing.T, b operator.Backend, o ...operator.Operator) http.Handler {
+	t.Helper()
+	h, err := operator.NewHandler(operator.HandlerConfig{Backend: b, Operators: o, Log: logr.Discard(), MaxConcurrent: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func serve(h http.Handler, remote, method, path, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.RemoteAddr = remote
+	if body != "" {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+const (
+	loopback = "127.0.0.1:4000"
+	valid    = `{"Base":1,"RequestId":"r1","FileName":"f","File":"{}"}`
+)
+
+// A request that passes without its operator's token would let anybody on the
+// network change the mesh, and a wrong author would be blamed for it.
+func TestAuthorization(t *testing.T) {
+	hash := sha256.Sum256([]byte("secret"))
+	operators := []operator.Operator{
+		{Name: "anna", TokenHash: hex.EncodeToString(hash[:])},
+		{Name: "ben", TokenHash: strings.Repeat("00", 32)},
+	}
+	for name, tc := range map[string]struct {
+		operators  []operator.Operator
+		remote     string
+		header     []string
+		wantAuthor string
+	}{
+		"token":                        {operators, "10.0.0.9:1", []string{"Authorization", "Bearer secret"}, "anna"},
+		"no token":                     {operators, loopback, nil, ""},
+		"wrong token":                  {operators, loopback, []string{"Authorization", "Bearer secre"}, ""},
+		"hash as token":                {operators, loopback, []string{"Authorization", "Bearer " + operators[0].TokenHash}, ""},
+		"other scheme":                 {operators, loopback, []string{"Authorization", "Basic secret"}, ""},
+		"loopback without operators":   {nil, loopback, []string{"Author", "mallory"}, "loopback"},
+		"IPv6 loopback":                {nil, "[::1]:4000", nil, "loopback"},
+		"other without operators":      {nil, "10.0.0.9:1", []string{"X-Forwarded-For", "127.0.0.1"}, ""},
+		"no address without operators": {nil, "", nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &backend{}
+			w := serve(newHandler(t, b, tc.operators...), tc.remote, "POST", "/v1/accept", valid, tc.header...)
+			var got operator.Accepted
+			_ = json.Unmarshal(w.Body.Bytes(), &got)
+			wantStatus := http.StatusOK
+			if tc.wantAuthor == "" {
+				wantStatus = http.StatusUnauthorized
+			}
+			if w.Code != wantStatus || got.Customer != tc.wantAuthor || (b.accepts == 1) != (tc.wantAuthor != "") {
+				t.Errorf("got %d %q, want %d %q", w.Code, w.Body, wantStatus, tc.wantAuthor)
+			}
+		})
+	}
+	if _, err := operator.NewHandler(operator.HandlerConfig{Operators: []operator.Operator{{Name: "anna", TokenHash: "secret"}}}); err == nil {
+		t.Error("an operator with a plain token was taken")
+	}
+}
+
+// A request that is read wrongly could change a customer in a way that nobody
+// asked for; one that is read without bound would exhaust the control's memory.
+func TestRequestChecks(t *testing.T) {
+	large := `{"Base":1,"RequestId":"r1","FileName":"f","File":"` + strings.Repeat("x", operator.MaxBodyBytes) + `"}`
+	for name, tc := range map[string]struct {
+		method, path, body string
+		header             []string
+		want               errkind.Kind
+	}{
+		"method":             {"GET", "/v1/accept", "", nil, errkind.BadRequest},
+		"read by POST":       {"POST", "/v1/status", valid, nil, errkind.BadRequest},
+		"path":               {"GET", "/v2/status", "", nil, errkind.NotFound},
+		"content type":       {"POST", "/v1/accept", valid, []string{"Content-Type", "text/plain"}, errkind.BadRequest},
+		"body too large":     {"POST", "/v1/accept", large, nil, errkind.TooLarge},
+		"unknown key":        {"POST", "/v1/accept", `{"Bas":1}`, nil, errkind.BadRequest},
+		"second value":       {"POST", "/v1/accept", valid + valid, nil, errkind.BadRequest},
+		"not UTF-8":          {"POST", "/v1/accept", strings.Replace(valid, "{}", "\xff", 1), nil, errkind.BadRequest},
+		"no request ID":      {"POST", "/v1/accept", `{"Base":1,"File":"{}"}`, nil, errkind.BadRequest},
+		"no file":            {"POST", "/v1/plan", `{"FileName":"f"}`, nil, errkind.BadRequest},
+		"negative base":      {"POST", "/v1/accept", strings.Replace(valid, "1", "-1", 1), nil, errkind.BadRequest},
+		"version zero":       {"GET", "/v1/versions/0", "", nil, errkind.BadRequest},
+		"history limit":      {"GET", "/v1/history?Limit=1001", "", nil, errkind.BadRequest},
+		"unknown query key":  {"GET", "/v1/history?limit=1", "", nil, errkind.BadRequest},
+		"customer of number": {"GET", "/v1/versions/1?Customer=p", "", nil, errkind.BadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &backend{}
+			w := serve(newHandler(t, b), loopback, tc.method, tc.path, tc.body, append(tc.header, operator.HeaderRequestID, "id")...)
+			var got operator.Fault
+			if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+				t.Fatal(err)
+			}
+			if got.Kind != string(tc.want) || w.Code != tc.want.Answer().HTTPStatus || got.Reason == "" || got.RequestID != "id" {
+				t.Errorf("got %d %+v, want %s", w.Code, got, tc.want)
+			}
+			if h := w.Header().Get(operator.HeaderExecution); got.Execution != "not-run" || h != "not-run" || b.accepts != 0 {
+				t.Errorf("got execution %q, header %q and %d accepts, want not-run", got.Execution, h, b.accepts)
+			}
+		})
+	}
+}
+
+// Slow requests without a bound would pile up in the control.
+func TestConcurrentRequestsAreBounded(t *testing.T) {
+	entered, release, done := make(chan bool), make(chan bool), make(chan int)
+	b := &backend{accept: func(string, operator.AcceptRequest) (operator.Accepted, error) {
+		entered <- true
+		<-release
+		return operator.Accepted{}, nil
+	}}
+	h := newHandler(t, b)
+	go func() { done <- serve(h, loopback, "POST", "/v1/accept", valid).Code }()
+	<-entered
+	w := serve(h, loopback, "GET", "/v1/status", "")
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "1" || !strings.Contains(w.Body.String(), `"QueueFull"`) {
+		t.Errorf("got %d %v %s, want QueueFull", w.Code, w.Header(), w.Body)
+	}
+	release <- true
+	if got, want := <-done, http.StatusOK; got != want {
+		t.Errorf("got %d, want %d", got, want)
+	}
+	if got, want := serve(h, loopback, "GET", "/v1/status", "").Code, http.StatusOK; got != want {
+		t.Errorf("after release: got %d, want %d", got, want)
+	}
+}
+
+// control starts a stand-in control with the named behavior and returns its
+// address.
+func control(t *testing.T, name string) string {
+	t.Helper()
+	b := &backend{}
+	h, stop := newHandler(t, b), make(chan bool)
+	switch name {
+	case "ok":
+		b.accept = func(_ string, r operator.AcceptRequest) (operator.Accepted, error) {
+			return operator.Accepted{Version: 8, RequestID: r.RequestID}, nil
+		}
+	case "cut": // the connection ends after the request arrived
+		h = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, _ := w.(http.Hijacker).Hijack()
+			c.Close()
+		})
+	case "silent":
+		h = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop })
+	case "other server":
+		h = http.NotFoundHandler()
+	case "broken answer":
+		h = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{") })
+	default:
+		b.accept = func(string, operator.AcceptRequest) (operator.Accepted, error) {
+			return operator.Accepted{}, errkind.New(errkind.Kind(name), "%s", name)
+		}
+	}
+	s := httptest.NewServer(h)
+	if name == "down" {
+		s.Close()
+	} else {
+		t.Cleanup(s.Close)
+	}
+	t.Cleanup(func() { close(stop) }) // before Close, which waits for handlers
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// An accept reported as refused that took effect, or as accepted that did not,
+// leaves the operator with a wrong picture of the mesh.
+func TestAcceptTriesControlsInTurn(t *testing.T) {
+	for name, tc := range map[string]struct {
+		controls  string
+		kind      errkind.Kind
+		execution errkind.Execution
+	}{
+		"first answers":               {"ok,Internal", "", ""},
+		"down":                        {"down,ok", "", ""},
+		"not the leader":              {"NotLeader,NoQuorum,NotCurrent,ok", "", ""},
+		"answer lost, then accepted":  {"cut,ok", "", ""},
+		"no answer, then accepted":    {"silent,ok", "", ""},
+		"refused":                     {"Conflict,ok", errkind.Conflict, errkind.NotRun},
+		"invalid":                     {"down,InvalidFile,ok", errkind.InvalidFile, errkind.NotRun},
+		"all down":                    {"down,down", errkind.Unreachable, errkind.NotRun},
+		"no quorum":                   {"down,NoQuorum", errkind.NoQuorum, errkind.NotRun},
+		"answer lost":                 {"cut,down", errkind.OutcomeUnknown, errkind.Unknown},
+		"no answer":                   {"silent,NotLeader", errkind.OutcomeUnknown, errkind.Unknown},
+		"broken answer":               {"broken answer", errkind.OutcomeUnknown, errkind.Unknown},
+		"other server":                {"other server", errkind.OutcomeUnknown, errkind.Unknown},
+		"control does not know":       {"Internal,NoQuorum", errkind.OutcomeUnknown, errkind.Unknown},
+		"answer lost, then conflict":  {"cut,Conflict", errkind.Conflict, errkind.NotRun},
+		"answer lost, then key known": {"cut,KeyReused", errkind.KeyReused, errkind.NotRun},
+		"answer lost, then no access": {"cut,Unauthorized", errkind.OutcomeUnknown, errkind.Unknown},
+		"answer lost, then invalid":   {"cut,InvalidFile", errkind.OutcomeUnknown, errkind.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l []string
+			for n := range strings.SplitSeq(tc.controls, ",") {
+				l = append(l, control(t, n))
+			}
+			config := operator.ClientConfig{Control: l}
+			if strings.Contains(tc.controls, "silent") {
+				config.Timeout = 200 * time.Millisecond
+			}
+			c, err := operator.NewClient(config)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			got, err := c.Accept(t.Context(), operator.AcceptRequest{Base: 7, RequestID: "r1", File: "{}"})
+			if tc.kind == "" {
+				if err != nil || got.Version != 8 || got.RequestID != "r1" {
+					t.Errorf("got %+v, %v, want version 8", got, err)
+				}
+				return
+			}
+			if e := errkind.From(err); e == nil || e.Kind != tc.kind || e.Execution != tc.execution {
+				t.Errorf("got %+v, want %s %s", e, tc.kind, tc.execution)
+			}
+		})
+	}
+}
+
+// A control that is cut off would show an old version as the newest.
+func TestStatusPrefersCurrent(t *testing.T) {
+	start := func(s operator.Status) string {
+		h := httptest.NewServer(newHandler(t, &backend{status: s}))
+		t.Cleanup(h.Close)
+		return strings.TrimPrefix(h.URL, "http://")
+	}
+	old, current := start(operator.Status{Control: "old"}), start(operator.Status{Control: "current", Current: true})
+	for want, l := range map[string][]string{"current": {old, control(t, "down"), current}, "old": {control(t, "down"), old}} {
+		c, err := operator.NewClient(operator.ClientConfig{Control: l})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := c.Status(t.Context())
+		if err != nil || got.Control != want {
+			t.Errorf("got %q, %v, want %q", got.Control, err, want)
+		}
+		c.Close()
+	}
+}
+
+// A node that is missing from the list, or listed by an old report, would be
+// counted as caught up.
+func TestNewNodes(t *testing.T) {
+	at := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	known := []versions.Node{{Name: "silent", AvailabilityZone: "a"}, {Name: "moved", AvailabilityZone: "a"}}
+	got := operator.NewNodes(known, []operator.Node{
+		{Name: "moved", Version: 9, LastHeard: at, Control: "c1"},
+		{Name: "moved", Version: 4, LastHeard: at.Add(time.Second), Control: "c2"},
+		{Name: "new", Version: 10, LastHeard: at, Control: "c1"},
+	}, 9)
+	want := []operator.Node{
+		{Name: "moved", Heard: true, Version: 4, BehindBy: 5, LastHeard: at.Add(time.Second), Control: "c2"},
+		{Name: "new", Heard: true, Version: 10, LastHeard: at, Control: "c1"},
+		{Name: "silent", AvailabilityZone: "a", BehindBy: 9},
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if l := (operator.Status{Nodes: got}).Lagging(); len(l) != 2 || (operator.Node{}).CaughtUp() {
+		t.Errorf("got %+v, want moved and silent", l)
+	}
+}
+
+// A plan that hides a removal would let the operator accept an outage.
+func TestCompare(t *testing.T) {
+	c := customer.NewConfig("p").WithService(customer.Service{Name: "a"}).WithService(customer.Service{Name: "b"}).WithRank(customer.Rank{Name: "top"})
+	m := versions.New()
+	b, err := versions.Accept{Customer: "p", RequestID: "r", Resources: c.Resources()}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(1, b)
+	n := customer.NewConfig("p").WithService(customer.Service{Name: "b", Slots: 1}).WithService(customer.Service{Name: "c"}).WithRank(customer.Rank{Name: "top"}).
+		WithRoute(customer.Route{Method: "GET", Host: "h", Path: "/"})
+	got := operator.Compare(m.Current(), n)
+	want := operator.Plan{
+		Customer: "p", Base: 1, Newest: 1,
+		Services: operator.Difference{Added: []string{"c"}, Changed: []string{"b"}, Removed: []string{"a"}},
+		Routes:   operator.Difference{Added: []string{"GET h/"}},
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
