Run the client tests on in-memory connections

A time limit on the wall clock would make the failover tests depend on load. The client takes a dial function, and the tests run in a synctest bubble over net.Pipe; go test -race ./internal/operator passes.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -39,6 +39,8 @@
 	Token string
 	// Timeout bounds one attempt at one control; zero for DefaultTimeout.
 	Timeout time.Duration
+	// Dial opens connections; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls the controls in turn.
@@ -60,9 +62,12 @@
 	if c.Timeout <= 0 {
 		c.Timeout = DefaultTimeout
 	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &Client{config: c, http: &http.Client{
 		// No proxy: controls are reached by address within the mesh.
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, IdleConnTimeout: idleTimeout},
+		Transport: &http.Transport{DialContext: c.Dial, IdleConnTimeout: idleTimeout},
 		// A redirect would carry the token to an address nobody configured.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}, nil
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -5,12 +5,16 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -176,11 +180,68 @@
 	}
 }
 
-// control starts a stand-in control with the named behavior and returns its
-// address.
-func control(t *testing.T, name string) string {
+// listener accepts in-memory connections, which synctest needs.
+type listener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+	close       func()
+}
+
+func newListener() *listener {
+	l := &listener{connections: make(chan net.Conn), closed: make(chan struct{})}
+	l.close = sync.OnceFunc(func() { close(l.closed) })
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error   { l.close(); return nil }
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+func (l *listener) dial() (net.Conn, error) {
+	c, s := net.Pipe()
+	select {
+	case l.connections <- loopbackConn{s}:
+		return c, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	}
+}
+
+type loopbackConn struct{ net.Conn }
+
+func (loopbackConn) RemoteAddr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 4000}
+}
+
+// newClient returns a client of stand-in controls, which behave as named.
+func newClient(t *testing.T, names string) *operator.Client {
 	t.Helper()
-	b := &backend{}
+	config, controls := operator.ClientConfig{}, map[string]*listener{}
+	for i, n := range strings.Split(names, ",") {
+		a := fmt.Sprintf("control:%d", i)
+		config.Control, controls[a] = append(config.Control, a), control(t, n)
+	}
+	config.Dial = func(_ context.Context, _, address string) (net.Conn, error) { return controls[address].dial() }
+	c, err := operator.NewClient(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// control starts a stand-in control with the named behavior.
+func control(t *testing.T, name string) *listener {
+	t.Helper()
+	b := &backend{status: operator.Status{Control: name, Current: name == "current"}}
 	h, stop := newHandler(t, b), make(chan bool)
 	switch name {
 	case "ok":
@@ -203,14 +264,17 @@
 			return operator.Accepted{}, errkind.New(errkind.Kind(name), "%s", name)
 		}
 	}
-	s := httptest.NewServer(h)
+	l, s := newListener(), operator.NewServer(h)
 	if name == "down" {
-		s.Close()
-	} else {
-		t.Cleanup(s.Close)
+		l.Close()
+		return l
 	}
-	t.Cleanup(func() { close(stop) }) // before Close, which waits for handlers
-	return strings.TrimPrefix(s.URL, "http://")
+	go s.Serve(l)
+	t.Cleanup(func() {
+		close(stop)
+		s.Close()
+	})
+	return l
 }
 
 // An accept reported as refused that took effect, or as accepted that did not,
@@ -240,29 +304,16 @@
 		"answer lost, then no access": {"cut,Unauthorized", errkind.OutcomeUnknown, errkind.Unknown},
 		"answer lost, then invalid":   {"cut,InvalidFile", errkind.OutcomeUnknown, errkind.Unknown},
 	} {
-		t.Run(name, func(t *testing.T) {
-			var l []string
-			for n := range strings.SplitSeq(tc.controls, ",") {
-				l = append(l, control(t, n))
-			}
-			config := operator.ClientConfig{Control: l}
-			if strings.Contains(tc.controls, "silent") {
-				config.Timeout = 200 * time.Millisecond
-			}
-			c, err := operator.NewClient(config)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			got, err := c.Accept(t.Context(), operator.AcceptRequest{Base: 7, RequestID: "r1", File: "{}"})
+		synctest.Test(t, func(t *testing.T) {
+			got, err := newClient(t, tc.controls).Accept(t.Context(), operator.AcceptRequest{Base: 7, RequestID: "r1", File: "{}"})
 			if tc.kind == "" {
 				if err != nil || got.Version != 8 || got.RequestID != "r1" {
-					t.Errorf("got %+v, %v, want version 8", got, err)
+					t.Errorf("%s: got %+v, %v, want version 8", name, got, err)
 				}
 				return
 			}
 			if e := errkind.From(err); e == nil || e.Kind != tc.kind || e.Execution != tc.execution {
-				t.Errorf("got %+v, want %s %s", e, tc.kind, tc.execution)
+				t.Errorf("%s: got %+v, want %s %s", name, e, tc.kind, tc.execution)
 			}
 		})
 	}
@@ -270,22 +321,13 @@
 
 // A control that is cut off would show an old version as the newest.
 func TestStatusPrefersCurrent(t *testing.T) {
-	start := func(s operator.Status) string {
-		h := httptest.NewServer(newHandler(t, &backend{status: s}))
-		t.Cleanup(h.Close)
-		return strings.TrimPrefix(h.URL, "http://")
-	}
-	old, current := start(operator.Status{Control: "old"}), start(operator.Status{Control: "current", Current: true})
-	for want, l := range map[string][]string{"current": {old, control(t, "down"), current}, "old": {control(t, "down"), old}} {
-		c, err := operator.NewClient(operator.ClientConfig{Control: l})
-		if err != nil {
-			t.Fatal(err)
-		}
-		got, err := c.Status(t.Context())
-		if err != nil || got.Control != want {
-			t.Errorf("got %q, %v, want %q", got.Control, err, want)
-		}
-		c.Close()
+	for controls, want := range map[string]string{"old,down,current": "current", "down,old": "old", "silent,old": "old"} {
+		synctest.Test(t, func(t *testing.T) {
+			got, err := newClient(t, controls).Status(t.Context())
+			if err != nil || got.Control != want {
+				t.Errorf("%s: got %q, %v, want %q", controls, got.Control, err, want)
+			}
+		})
 	}
 }
 
