--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,102 @@
+package registry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func record(node string, incarnation, sequence uint64, state wire.UpstreamState) wire.NodeRecord {
+	return wire.NodeRecord{
+		Node: node, Incarnation: incarnation, Sequence: sequence,
+		Upstreams: []wire.Upstream{{Name: "u", Service: "s", State: state}},
+	}
+}
+
+func checkStates(t *testing.T, r *registry.Registry, want ...wire.UpstreamState) {
+	t.Helper()
+	l := r.Candidates("s")
+	if len(l) != len(want) {
+		t.Fatalf("got %d candidates, want %d", len(l), len(want))
+	}
+	for i, c := range l {
+		if got := c.Upstream.State; got != want[i] {
+			t.Errorf("candidate %d: got %s, want %s", i, got, want[i])
+		}
+	}
+}
+
+// An old record that arrives late must not bring a leaving upstream back.
+func TestPutOrdersRecords(t *testing.T) {
+	tests := []struct {
+		name string
+		puts []wire.NodeRecord
+		want []wire.UpstreamState
+	}{
+		{"late sequence", []wire.NodeRecord{record("n", 1, 2, wire.Leaving), record("n", 1, 1, wire.Serving)}, []wire.UpstreamState{wire.Leaving}},
+		{"twice", []wire.NodeRecord{record("n", 1, 1, wire.Serving), record("n", 1, 1, wire.Serving)}, []wire.UpstreamState{wire.Serving}},
+		{"restart", []wire.NodeRecord{record("n", 1, 9, wire.Leaving), record("n", 2, 1, wire.Serving)}, []wire.UpstreamState{wire.Serving}},
+		{"removal", []wire.NodeRecord{record("n", 1, 1, wire.Serving), {Node: "n", Incarnation: 1, Sequence: 1, Gone: true}}, nil},
+		{"removal after reconnect", []wire.NodeRecord{record("n", 1, 2, wire.Serving), {Node: "n", Incarnation: 1, Sequence: 1, Gone: true}}, []wire.UpstreamState{wire.Serving}},
+		{"return after removal", []wire.NodeRecord{record("n", 1, 1, wire.Serving), {Node: "n", Incarnation: 1, Sequence: 1, Gone: true}, record("n", 1, 2, wire.Serving)}, []wire.UpstreamState{wire.Serving}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry.New()
+			for _, n := range c.puts {
+				r.Put(start, []wire.NodeRecord{n})
+			}
+			checkStates(t, r, c.want...)
+		})
+	}
+}
+
+// A batch may hold two records of one node; both must not become candidates.
+func TestPutTwoRecordsOfOneNode(t *testing.T) {
+	r := registry.New()
+	r.Put(start, []wire.NodeRecord{record("n", 1, 1, wire.Starting), record("n", 1, 2, wire.Serving)})
+	checkStates(t, r, wire.Serving)
+}
+
+// A node that resumes must receive exactly what it lacks, whatever it missed.
+func TestDifferingConverges(t *testing.T) {
+	g := rand.New(rand.NewPCG(1, 2))
+	a, b := registry.New(), registry.New()
+	for i := range 2000 {
+		n := record(fmt.Sprintf("node-%d", g.IntN(300)), 1, uint64(i), wire.Serving)
+		n.Gone = g.IntN(10) == 0
+		a.Put(start, []wire.NodeRecord{n})
+		if g.IntN(3) > 0 {
+			b.Put(start, []wire.NodeRecord{n})
+		}
+	}
+	l, _ := a.Differing(b.Buckets())
+	b.Put(start, l)
+	if l, n := a.Differing(b.Buckets()); len(l) != 0 {
+		t.Errorf("got %d records in %d differing buckets, want none", len(l), len(n))
+	}
+	if got, want := b.Len(), a.Len(); got != want {
+		t.Errorf("got %d nodes, want %d", got, want)
+	}
+	if got, want := len(b.Candidates("s")), len(a.Candidates("s")); got != want {
+		t.Errorf("got %d candidates, want %d", got, want)
+	}
+}
+
+// A control that has just restarted knows no node; its empty list must not
+// remove anybody.
+func TestRetainDropsOnlyListedBuckets(t *testing.T) {
+	r := registry.New()
+	r.Put(start, []wire.NodeRecord{record("n", 1, 1, wire.Serving)})
+	r.Retain(start, nil, nil)
+	checkStates(t, r, wire.Serving)
+	_, all := r.Differing(nil)
+	r.Retain(start, all, nil)
+	checkStates(t, r)
+}
--- /dev/null
+++ b/internal/wire/control.go
@@ -0,0 +1,50 @@
+package wire
+
+import "time"
+
+// RegistrySyncRequest exchanges node records between two controls.
+type RegistrySyncRequest struct {
+	Control string `cbor:"1,keyasint"`
+	// Records changed at the sender since its last call.
+	Records []NodeRecord `cbor:"2,keyasint,omitempty"`
+	// Buckets are the sender's digests after Records; empty when the sender
+	// asks for no comparison.
+	Buckets []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// RegistrySyncResponse holds the receiver's records of differing buckets.
+type RegistrySyncResponse struct {
+	Records []NodeRecord `cbor:"1,keyasint,omitempty"`
+}
+
+// NodeReport is what a control knows of a node connected to it.
+type NodeReport struct {
+	Node             string        `cbor:"1,keyasint"`
+	AvailabilityZone string        `cbor:"2,keyasint"`
+	Version          uint64        `cbor:"3,keyasint"`
+	Refused          uint64        `cbor:"4,keyasint,omitempty"`
+	Reason           string        `cbor:"5,keyasint,omitempty"`
+	Control          string        `cbor:"6,keyasint"`
+	SinceHeard       time.Duration `cbor:"7,keyasint"`
+}
+
+// NodeReports answers MethodNodeReports.
+type NodeReports struct {
+	Reports []NodeReport `cbor:"1,keyasint"`
+	Member  MemberReport `cbor:"2,keyasint"`
+}
+
+// MemberReport is a control's view of itself.
+type MemberReport struct {
+	Name             string `cbor:"1,keyasint"`
+	AvailabilityZone string `cbor:"2,keyasint"`
+	Role             string `cbor:"3,keyasint"`
+	Current          bool   `cbor:"4,keyasint"`
+	Version          uint64 `cbor:"5,keyasint"`
+}
+
+// ProposeRequest forwards a command to the leader of a group.
+type ProposeRequest struct {
+	Group   string `cbor:"1,keyasint"`
+	Command []byte `cbor:"2,keyasint"`
+}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -37,6 +37,8 @@
 	Sequence         uint64     `cbor:"5,keyasint"`
 	Gone             bool       `cbor:"6,keyasint,omitempty"`
 	Upstreams        []Upstream `cbor:"7,keyasint,omitempty"`
+	// Home is the control that holds the node's lease.
+	Home string `cbor:"8,keyasint,omitempty"`
 }
 
 // Newer reports whether r replaces o.
@@ -123,8 +125,11 @@
 // Endpoints carries node records that changed.
 type Endpoints struct {
 	Records []NodeRecord `cbor:"1,keyasint"`
-	// Synced is set when the node now holds every record of the control.
-	Synced bool `cbor:"2,keyasint,omitempty"`
+	// Buckets lists the registry buckets of which Records holds every record.
+	Buckets []int `cbor:"2,keyasint,omitempty"`
+	// Authoritative is set when a record that is missing from Buckets no longer
+	// exists. A control that has just started does not know all nodes yet.
+	Authoritative bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Pong answers Ping.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -70,8 +70,17 @@
 	return m
 }
 
+// Raw is a message that is already encoded, so that one encoding serves many
+// streams.
+type Raw []byte
+
 // Marshal implements drpc.Encoding.
-func (Encoding) Marshal(m drpc.Message) ([]byte, error) { return Marshal(m) }
+func (Encoding) Marshal(m drpc.Message) ([]byte, error) {
+	if r, ok := m.(Raw); ok {
+		return r, nil
+	}
+	return Marshal(m)
+}
 
 // Unmarshal implements drpc.Encoding.
 func (Encoding) Unmarshal(b []byte, m drpc.Message) error { return Unmarshal(b, m) }
