Parse customer files and settings with positions of all faults

Cause: operators need every fault of a file at once, with line, column and key; pkg/customer had only a stub parser.

--- /dev/null
+++ b/internal/jsonc/decode.go
@@ -0,0 +1,227 @@
+package jsonc
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	rawType      = reflect.TypeFor[Raw]()
+)
+
+// Decode decodes the whole file into the struct that v points to.
+func (d *Document) Decode(v any) {
+	if !d.broken {
+		d.value("", d.root, reflect.ValueOf(v).Elem())
+	}
+}
+
+// DecodeKey decodes only the value of a key of the file's outermost object, if
+// present.
+func (d *Document) DecodeKey(key string, v any) {
+	o, ok := d.root.Value.(*hujson.Object)
+	if d.broken || !ok {
+		return
+	}
+	for _, m := range o.Members {
+		if nameOf(m) == key {
+			d.value(Path("", key), m.Value, reflect.ValueOf(v).Elem())
+			return
+		}
+	}
+}
+
+// DecodeAt decodes the value at the path of a Raw field. It returns whether
+// the value is present and valid.
+func (d *Document) DecodeAt(path string, v any) bool {
+	p, ok := d.places[path]
+	return ok && p.valid && d.value(path, p.value, reflect.ValueOf(v).Elem())
+}
+
+// value decodes n into v and keeps its place.
+func (d *Document) value(path string, n hujson.Value, v reflect.Value) bool {
+	ok := d.decode(path, n, v)
+	d.places[path] = place{n, ok}
+	return ok
+}
+
+func (d *Document) decode(path string, n hujson.Value, v reflect.Value) bool {
+	if name, ok := reference(n); ok && d.parameters != nil {
+		return d.refer(path, name, n, v)
+	}
+	switch {
+	case v.Type() == rawType:
+		return true
+	case kindOf(n) != wantKind(v.Type()):
+		d.addAt(n.StartOffset, path, "wrong type "+kindName(n), expectedOf(v.Type()))
+		return false
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		return d.object(path, n, v)
+	case reflect.Map:
+		return d.mapping(path, n, v)
+	case reflect.Slice:
+		return d.list(path, n, v)
+	}
+	return d.scalar(path, n, v)
+}
+
+// field is one key of a struct.
+type field struct {
+	name     string
+	index    int
+	optional bool
+	limit    int
+}
+
+func fieldsOf(t reflect.Type) []field {
+	l := make([]field, 0, t.NumField())
+	for i := range t.NumField() {
+		f := field{name: t.Field(i).Name, index: i}
+		for o := range strings.SplitSeq(t.Field(i).Tag.Get("jsonc"), ",") {
+			if o == "optional" {
+				f.optional = true
+			} else if n, ok := strings.CutPrefix(o, "max="); ok {
+				f.limit, _ = strconv.Atoi(n)
+			}
+		}
+		l = append(l, f)
+	}
+	return l
+}
+
+func (d *Document) object(path string, n hujson.Value, v reflect.Value) bool {
+	fields := fieldsOf(v.Type())
+	byName := make(map[string]field, len(fields))
+	for _, f := range fields {
+		byName[f.name] = f
+	}
+	valid := true
+	seen := map[string]bool{}
+	for _, m := range n.Value.(*hujson.Object).Members {
+		k := nameOf(m)
+		f, known := byName[k]
+		switch {
+		case !known:
+			d.unknown(m, Path(path, k), k, fields)
+			valid = false
+		case seen[k]:
+			d.addAt(m.Name.StartOffset, Path(path, k), "duplicate key", "each key once")
+			valid = false
+		default:
+			seen[k] = true
+			valid = d.limited(Path(path, k), m.Value, f.limit) && d.value(Path(path, k), m.Value, v.Field(f.index)) && valid
+		}
+	}
+	for _, f := range fields {
+		if !seen[f.name] && !f.optional {
+			d.addAt(n.StartOffset, Path(path, f.name), "missing required key", expectedOf(v.Field(f.index).Type()))
+			valid = false
+		}
+	}
+	return valid
+}
+
+// limited checks the number of entries before they are decoded, so that an
+// oversized list costs one fault.
+func (d *Document) limited(path string, n hujson.Value, limit int) bool {
+	count := 0
+	switch o := n.Value.(type) {
+	case *hujson.Array:
+		count = len(o.Elements)
+	case *hujson.Object:
+		count = len(o.Members)
+	}
+	if limit == 0 || count <= limit {
+		return true
+	}
+	d.addAt(n.StartOffset, path, fmt.Sprintf("%d entries", count), fmt.Sprintf("at most %d", limit))
+	d.places[path] = place{n, false}
+	return false
+}
+
+func (d *Document) unknown(m hujson.ObjectMember, path, key string, fields []field) {
+	expected := ""
+	if !d.full() { // the search for the nearest key is the costly part of a fault
+		expected = suggest(key, fields)
+	}
+	d.addAt(m.Name.StartOffset, path, "unknown key", expected)
+}
+
+func (d *Document) mapping(path string, n hujson.Value, v reflect.Value) bool {
+	valid := true
+	v.Set(reflect.MakeMap(v.Type()))
+	for _, m := range n.Value.(*hujson.Object).Members {
+		k := nameOf(m)
+		if v.MapIndex(reflect.ValueOf(k)).IsValid() {
+			d.addAt(m.Name.StartOffset, Path(path, k), "duplicate key", "each key once")
+			valid = false
+			continue
+		}
+		e := reflect.New(v.Type().Elem()).Elem()
+		valid = d.value(Path(path, k), m.Value, e) && valid
+		v.SetMapIndex(reflect.ValueOf(k), e)
+	}
+	return valid
+}
+
+// list decodes every entry, also after a fault, so that the indices of v match
+// those of the file.
+func (d *Document) list(path string, n hujson.Value, v reflect.Value) bool {
+	l := n.Value.(*hujson.Array).Elements
+	valid := true
+	v.Set(reflect.MakeSlice(v.Type(), len(l), len(l)))
+	for i, e := range l {
+		valid = d.value(Index(path, i), e, v.Index(i)) && valid
+	}
+	return valid
+}
+
+func (d *Document) scalar(path string, n hujson.Value, v reflect.Value) bool {
+	l := n.Value.(hujson.Literal)
+	switch v.Kind() {
+	case reflect.Bool:
+		v.SetBool(l.Bool())
+		return true
+	case reflect.Int:
+		i, err := strconv.ParseInt(string(l), 10, strconv.IntSize)
+		if err != nil {
+			d.addAt(n.StartOffset, path, "bad number "+shorten(string(l)), expectedOf(v.Type()))
+			return false
+		}
+		v.SetInt(i)
+		return true
+	case reflect.Float64:
+		f, err := strconv.ParseFloat(string(l), 64)
+		if err != nil {
+			d.addAt(n.StartOffset, path, "bad number "+shorten(string(l)), expectedOf(v.Type()))
+			return false
+		}
+		v.SetFloat(f)
+		return true
+	}
+	s, ok := d.expand(path, n, l.String())
+	return ok && d.text(path, n, v, s)
+}
+
+// text sets v, a string or a duration, from the text of a string.
+func (d *Document) text(path string, n hujson.Value, v reflect.Value, s string) bool {
+	if v.Type() != durationType {
+		v.SetString(s)
+		return true
+	}
+	t, err := time.ParseDuration(s)
+	if err != nil {
+		d.addAt(n.StartOffset, path, "bad duration "+Quote(s), expectedOf(v.Type()))
+		return false
+	}
+	v.SetInt(int64(t))
+	return true
+}
--- /dev/null
+++ b/internal/jsonc/parameter.go
@@ -0,0 +1,140 @@
+package jsonc
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// maxExpanded bounds the text that references to strings add, because a short
+// file can refer to a long parameter many times.
+const maxExpanded = MaxSize
+
+// Parameter is a value that a file refers to by name.
+type Parameter struct {
+	// Value is an int, float64, time.Duration, string or bool, or nil if the
+	// parameter itself has a fault. References to such a parameter are not valid
+	// and add no further fault.
+	Value any
+}
+
+// String returns the text that stands for the parameter within a string.
+func (p Parameter) String() string {
+	if f, ok := p.Value.(float64); ok {
+		return strconv.FormatFloat(f, 'f', -1, 64)
+	}
+	return fmt.Sprint(p.Value)
+}
+
+// SetParameters makes the decoding methods resolve {"Parameter":"NAME"} in
+// place of any value and ${NAME} within strings.
+func (d *Document) SetParameters(m map[string]Parameter) { d.parameters = m }
+
+// References returns the names that the file refers to.
+func (d *Document) References() map[string]bool {
+	names := map[string]bool{}
+	if d.broken {
+		return names
+	}
+	for v := range d.root.All() {
+		if name, ok := reference(*v); ok {
+			names[name] = true
+		}
+		if l, ok := v.Value.(hujson.Literal); ok && l.Kind() == kindString {
+			walkText(l.String(), func(string) {}, func(name string) { names[name] = true })
+		}
+	}
+	return names
+}
+
+// reference returns the name in a value of the form {"Parameter":"NAME"}.
+func reference(n hujson.Value) (string, bool) {
+	o, ok := n.Value.(*hujson.Object)
+	if !ok || len(o.Members) != 1 || nameOf(o.Members[0]) != "Parameter" {
+		return "", false
+	}
+	l, ok := o.Members[0].Value.Value.(hujson.Literal)
+	return l.String(), ok && l.Kind() == kindString
+}
+
+// refer sets v to the value of a parameter.
+func (d *Document) refer(path, name string, n hujson.Value, v reflect.Value) bool {
+	p, ok := d.parameter(path, name, n)
+	if !ok {
+		return false
+	}
+	g := reflect.ValueOf(p.Value)
+	switch {
+	case g.Type() == v.Type():
+	case g.Kind() == reflect.Int && v.Kind() == reflect.Float64:
+	case g.Kind() == reflect.String && v.Kind() == reflect.String:
+	default:
+		d.addAt(n.StartOffset, path, "wrong type of parameter "+Quote(name), expectedOf(v.Type()))
+		return false
+	}
+	if s, ok := p.Value.(string); ok && !d.grow(path, n, len(s)) {
+		return false
+	}
+	v.Set(g.Convert(v.Type()))
+	return true
+}
+
+func (d *Document) parameter(path, name string, n hujson.Value) (Parameter, bool) {
+	p, ok := d.parameters[name]
+	if !ok {
+		d.addAt(n.StartOffset, path, "unknown parameter "+Quote(name), "a name listed in Parameters")
+	}
+	return p, ok && p.Value != nil
+}
+
+// grow counts n bytes of expanded text.
+func (d *Document) grow(path string, n hujson.Value, size int) bool {
+	d.expanded += size
+	if d.expanded > maxExpanded {
+		d.addAt(n.StartOffset, path, "parameters expand to more than 1 MiB", "shorter values or fewer references")
+		return false
+	}
+	return true
+}
+
+// expand replaces each ${NAME} in s.
+func (d *Document) expand(path string, n hujson.Value, s string) (string, bool) {
+	if d.parameters == nil || !strings.Contains(s, "${") {
+		return s, true
+	}
+	var b strings.Builder
+	valid := true
+	closed := walkText(s, func(t string) { b.WriteString(t) }, func(name string) {
+		p, ok := d.parameter(path, name, n)
+		if ok = ok && valid && d.grow(path, n, len(p.String())); ok {
+			b.WriteString(p.String())
+		}
+		valid = valid && ok
+	})
+	if !closed {
+		d.addAt(n.StartOffset, path, `"${" without "}"`, `a reference such as "${NAME}"`)
+		return "", false
+	}
+	return b.String(), valid
+}
+
+// walkText calls text and name for the parts of s in order. It returns false
+// for a reference that is not closed.
+func walkText(s string, text, name func(string)) bool {
+	for {
+		before, rest, found := strings.Cut(s, "${")
+		text(before)
+		if !found {
+			return true
+		}
+		n, after, closed := strings.Cut(rest, "}")
+		if !closed {
+			return false
+		}
+		name(n)
+		s = after
+	}
+}
--- /dev/null
+++ b/pkg/customer/check.go
@@ -0,0 +1,198 @@
+package customer
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/jsonc"
+)
+
+const (
+	// maxCount bounds Slots and Connections, which size tables on the nodes.
+	maxCount = 1_000_000
+	// maxWorth keeps sums of worth over all requests exact.
+	maxWorth = 1_000_000
+	// floorSlack allows for the rounding of sums of decimal shares.
+	floorSlack = 1e-9
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9.-]{1,100}$`)
+	executions  = []string{string(Idempotent), string(AtMostOnce), string(Once)}
+	// methods lacks CONNECT and TRACE, which a proxy answers itself.
+	methods = []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+		http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	}
+)
+
+// checker adds the faults of values that were decoded without one.
+type checker struct{ d *jsonc.Document }
+
+func check(c checker, f *file) {
+	c.name("Customer", f.Customer)
+	services := c.services(f.Services)
+	ranks := c.ranks(f.Ranks)
+	matches := map[string]bool{}
+	for i, r := range f.Routes {
+		c.route(jsonc.Index("Routes", i), r, services, ranks, matches)
+	}
+}
+
+// services checks the services and returns their names, or nil if the file has
+// no list of services.
+func (c checker) services(l []fileService) map[string]bool {
+	if l == nil {
+		return nil
+	}
+	names := map[string]bool{}
+	for i, s := range l {
+		p := jsonc.Index("Services", i)
+		c.unique(jsonc.Path(p, "Name"), s.Name, names)
+		c.count(jsonc.Path(p, "Slots"), s.Slots, maxCount)
+		c.count(jsonc.Path(p, "Connections"), s.Connections, maxCount)
+		if p = jsonc.Path(p, "ColdStart"); c.d.Valid(p) && s.ColdStart < 0 {
+			c.outOfRange(p, s.ColdStart, "a duration of at least 0s")
+		}
+	}
+	return names
+}
+
+// ranks checks the ranks and returns their names, or nil if the file has no
+// list of ranks.
+func (c checker) ranks(l []fileRank) map[string]bool {
+	if l == nil {
+		return nil
+	}
+	names, orders := map[string]bool{}, map[int]bool{}
+	sum := 0.0
+	if len(l) == 0 {
+		c.d.Fault("Ranks", "empty", "at least one rank")
+	}
+	for i, r := range l {
+		p := jsonc.Index("Ranks", i)
+		c.unique(jsonc.Path(p, "Name"), r.Name, names)
+		if o := jsonc.Path(p, "Order"); c.count(o, r.Order, len(l)) {
+			if orders[r.Order] {
+				c.d.Fault(o, fmt.Sprintf("duplicate order %d", r.Order), "unique orders")
+			}
+			orders[r.Order] = true
+		}
+		c.positive(jsonc.Path(p, "Target"), r.Target)
+		if w := jsonc.Path(p, "Worth"); c.d.Valid(w) && (r.Worth < 0 || r.Worth > maxWorth) {
+			c.outOfRange(w, r.Worth, fmt.Sprintf("a number from 0 to %d", maxWorth))
+		}
+		sum = c.floor(jsonc.Path(p, "Floor"), r.Floor, sum)
+	}
+	return names
+}
+
+// floor checks one floor and returns the sum of all floors up to it. The sum
+// is reported at the rank that brings it above 1.
+func (c checker) floor(path string, v, sum float64) float64 {
+	switch {
+	case !c.d.Valid(path):
+		return sum
+	case v < 0 || v > 1:
+		c.outOfRange(path, v, "a number from 0 to 1")
+		return sum
+	case sum <= 1+floorSlack && sum+v > 1+floorSlack:
+		c.d.Fault(path, fmt.Sprintf("the floors add up to %.4g", sum+v), "a sum of at most 1")
+	}
+	return sum + v
+}
+
+func (c checker) route(p string, r fileRoute, services, ranks, matches map[string]bool) {
+	host, method, path := jsonc.Path(p, "Host"), jsonc.Path(p, "Method"), jsonc.Path(p, "Path")
+	ok := c.host(host, r.Host)
+	ok = c.oneOf(method, "method", r.Method, methods) && ok
+	if c.d.Valid(path) && !strings.HasPrefix(r.Path, "/") {
+		c.d.Fault(path, "bad path "+jsonc.Quote(r.Path), `a path that starts with "/"`)
+	}
+	if m := r.Method + " " + strings.ToLower(r.Host) + r.Path; ok && c.d.Valid(path) {
+		if matches[m] {
+			c.d.Fault(p, "duplicate match "+jsonc.Quote(m), "each host, method and path once")
+		}
+		matches[m] = true
+	}
+	c.listed(jsonc.Path(p, "Service"), "service", r.Service, services)
+	c.listed(jsonc.Path(p, "Rank"), "rank", r.Rank, ranks)
+	c.positive(jsonc.Path(p, "Deadline"), r.Deadline)
+	c.oneOf(jsonc.Path(p, "Execution"), "execution", string(r.Execution), executions)
+}
+
+func (c checker) host(path, v string) bool {
+	if !c.d.Valid(path) {
+		return false
+	}
+	if !namePattern.MatchString(v) {
+		c.d.Fault(path, "bad host "+jsonc.Quote(v), "1 to 100 letters, digits, dots and dashes, without a port")
+		return false
+	}
+	return true
+}
+
+// name reports whether the value at path is a valid name.
+func (c checker) name(path, v string) bool {
+	if !c.d.Valid(path) {
+		return false
+	}
+	if !namePattern.MatchString(v) {
+		c.d.Fault(path, "bad name "+jsonc.Quote(v), "1 to 100 letters, digits, dots and dashes")
+		return false
+	}
+	return true
+}
+
+// unique checks the name at path and adds it to seen, even if it is a bad name,
+// so that references to it are not reported as well.
+func (c checker) unique(path, v string, seen map[string]bool) {
+	if c.name(path, v) && seen[v] {
+		c.d.Fault(path, "duplicate name "+jsonc.Quote(v), "unique names")
+	}
+	seen[v] = true
+}
+
+// listed checks that the file has what the value at path refers to. Nil names
+// stand for a list that is missing, which is a fault of its own.
+func (c checker) listed(path, what, v string, names map[string]bool) {
+	if c.d.Valid(path) && names != nil && !names[v] {
+		c.d.Fault(path, "unknown "+what+" "+jsonc.Quote(v), "the name of a "+what+" in this file")
+	}
+}
+
+func (c checker) oneOf(path, what, v string, words []string) bool {
+	if !c.d.Valid(path) {
+		return false
+	}
+	if !slices.Contains(words, v) {
+		c.d.Fault(path, "unknown "+what+" "+jsonc.Quote(v), jsonc.OneOf(quoted(words)))
+		return false
+	}
+	return true
+}
+
+func (c checker) count(path string, v, most int) bool {
+	if !c.d.Valid(path) {
+		return false
+	}
+	if v < 1 || v > most {
+		c.outOfRange(path, v, fmt.Sprintf("a whole number from 1 to %d", most))
+		return false
+	}
+	return true
+}
+
+func (c checker) positive(path string, v time.Duration) {
+	if c.d.Valid(path) && v <= 0 {
+		c.outOfRange(path, v, "a duration above 0s")
+	}
+}
+
+func (c checker) outOfRange(path string, v any, expected string) {
+	c.d.Fault(path, fmt.Sprintf("%v is out of range", v), expected)
+}
--- /dev/null
+++ b/pkg/customer/parameter.go
@@ -0,0 +1,144 @@
+package customer
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/jsonc"
+)
+
+const (
+	maxParameters = 1000
+	// maxText bounds a String parameter, which may be repeated many times.
+	maxText = 4096
+)
+
+// Types of a parameter.
+const (
+	typeInteger  = "Integer"
+	typeNumber   = "Number"
+	typeDuration = "Duration"
+	typeString   = "String"
+	typeBoolean  = "Boolean"
+)
+
+var (
+	types         = []string{typeInteger, typeNumber, typeDuration, typeString, typeBoolean}
+	parameterName = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9_-]{0,63}$`)
+)
+
+type fileParameter struct {
+	Type    string
+	Value   jsonc.Raw
+	Minimum jsonc.Raw `jsonc:"optional"`
+	Maximum jsonc.Raw `jsonc:"optional"`
+}
+
+// parameters decodes and checks the parameters of a file.
+func parameters(d *jsonc.Document) map[string]jsonc.Parameter {
+	var l map[string]fileParameter
+	d.DecodeKey("Parameters", &l)
+	m := make(map[string]jsonc.Parameter, len(l))
+	if len(l) > maxParameters {
+		d.Fault("Parameters", fmt.Sprintf("%d entries", len(l)), fmt.Sprintf("at most %d", maxParameters))
+	}
+	used := d.References()
+	for name, p := range l {
+		path := jsonc.Path("Parameters", name)
+		switch {
+		case !parameterName.MatchString(name):
+			d.Fault(path, "bad name", "a letter, then up to 63 letters, digits, underscores and dashes")
+		case !used[name]:
+			d.Fault(path, "unused parameter", "a reference to it in the file")
+		}
+		m[name] = jsonc.Parameter{Value: parameter(d, path, p)}
+	}
+	return m
+}
+
+// parameter returns the value of a parameter, or nil if it has a fault.
+func parameter(d *jsonc.Document, path string, p fileParameter) any {
+	switch p.Type {
+	case typeInteger:
+		return bounded[int](d, path)
+	case typeNumber:
+		return bounded[float64](d, path)
+	case typeDuration:
+		return bounded[time.Duration](d, path)
+	case typeString:
+		v, ok := value[string](d, path, p.Type).(string)
+		return text(d, path, v, ok)
+	case typeBoolean:
+		return value[bool](d, path, p.Type)
+	}
+	if p := jsonc.Path(path, "Type"); d.Valid(p) {
+		d.Fault(p, "unknown type", jsonc.OneOf(quoted(types)))
+	}
+	return nil
+}
+
+// bounded decodes a value that may have a minimum and a maximum.
+func bounded[T cmp.Ordered](d *jsonc.Document, path string) any {
+	var v, low, high T
+	least, most := jsonc.Path(path, "Minimum"), jsonc.Path(path, "Maximum")
+	hasLow := d.DecodeAt(least, &low)
+	hasHigh := d.DecodeAt(most, &high)
+	if hasLow && hasHigh && low > high {
+		d.Fault(least, fmt.Sprintf("%v is above the maximum", low), fmt.Sprintf("at most %v", high))
+		return nil
+	}
+	at := jsonc.Path(path, "Value")
+	if !d.DecodeAt(at, &v) {
+		return nil
+	}
+	switch {
+	case hasLow && v < low:
+		d.Fault(at, fmt.Sprintf("%v is out of range", v), fmt.Sprintf("at least %v", low))
+		return nil
+	case hasHigh && v > high:
+		d.Fault(at, fmt.Sprintf("%v is out of range", v), fmt.Sprintf("at most %v", high))
+		return nil
+	}
+	return v
+}
+
+// value decodes a value of a type without order.
+func value[T any](d *jsonc.Document, path, name string) any {
+	for _, k := range []string{"Minimum", "Maximum"} {
+		if p := jsonc.Path(path, k); d.Valid(p) {
+			d.Fault(p, "a "+name+" has no bounds", "no "+k)
+		}
+	}
+	var v T
+	if !d.DecodeAt(jsonc.Path(path, "Value"), &v) {
+		return nil
+	}
+	return v
+}
+
+func text(d *jsonc.Document, path, v string, ok bool) any {
+	at := jsonc.Path(path, "Value")
+	switch {
+	case !ok:
+		return nil
+	case len(v) > maxText:
+		d.Fault(at, fmt.Sprintf("%d bytes", len(v)), fmt.Sprintf("at most %d", maxText))
+		return nil
+	case strings.Contains(v, "${"):
+		d.Fault(at, "refers to a parameter", "a value without references")
+		return nil
+	}
+	return v
+}
+
+func quoted(l []string) []string {
+	q := slices.Clone(l)
+	for i, s := range q {
+		q[i] = jsonc.Quote(s)
+	}
+	return q
+}
--- a/pkg/customer/parse.go
+++ b/pkg/customer/parse.go
@@ -5,16 +5,83 @@
 //
 //	c, err := customer.Parse("customer.jsonc", data)
 //	if err != nil {
-//		return err // names every fault with file, line and column
+//		return err // kind errkind.InvalidFile; names every fault with file, line and column
 //	}
 //	for _, r := range c.Routes() {
 //		fmt.Println(r.Name(), r.Service, r.Rank)
 //	}
 package customer
 
-import "github.com/pkg/errors"
+import (
+	"strings"
+	"time"
 
-// Parse reads, expands and checks a customer file.
-func Parse(file string, _ []byte) (*Config, error) {
-	return nil, errors.Errorf("%s: parser missing", file)
+	"github.com/gooseberrypick/gooseberrypick/internal/jsonc"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// file is a customer file as it is written. The limits on lists bound the work
+// that one file can cause on each node.
+type file struct {
+	Customer   string
+	Parameters jsonc.Raw     `jsonc:"optional"`
+	Services   []fileService `jsonc:"max=10000"`
+	Ranks      []fileRank    `jsonc:"max=100"`
+	Routes     []fileRoute   `jsonc:"max=50000"`
+}
+
+type fileService struct {
+	Name        string
+	Slots       int
+	Connections int
+	ColdStart   time.Duration `jsonc:"optional"`
+}
+
+type fileRank struct {
+	Name   string
+	Order  int
+	Target time.Duration
+	Worth  float64
+	Floor  float64 `jsonc:"optional"`
+}
+
+type fileRoute struct {
+	Host      string
+	Method    string
+	Path      string
+	Service   string
+	Rank      string
+	Deadline  time.Duration
+	Execution Execution
+}
+
+// Parse reads, expands and checks a customer file. The file's name is used in
+// errors only.
+func Parse(name string, data []byte) (*Config, error) {
+	d := jsonc.Parse(name, data)
+	d.SetParameters(parameters(d))
+	var f file
+	d.Decode(&f)
+	check(checker{d}, &f)
+	if err := d.Err(); err != nil {
+		return nil, errkind.New(errkind.InvalidFile, "%v", err)
+	}
+	return compile(&f), nil
+}
+
+// compile fills the maps directly, because the With methods copy all of them.
+func compile(f *file) *Config {
+	c := NewConfig(f.Customer)
+	for _, s := range f.Services {
+		c.services[s.Name] = Service(s)
+	}
+	for _, r := range f.Ranks {
+		c.ranks[r.Name] = Rank(r)
+	}
+	for _, r := range f.Routes {
+		v := Route(r)
+		v.Host = strings.ToLower(v.Host) // host names are compared without case
+		c.routes[v.Name()] = v
+	}
+	return c
 }
--- /dev/null
+++ b/pkg/settings/check.go
@@ -0,0 +1,196 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/jsonc"
+)
+
+const (
+	maxClaimGroups    = 64
+	minClaimRetention = time.Hour
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9.-]{1,100}$`)
+	hashPattern = regexp.MustCompile(`^[0-9A-Fa-f]{64}$`)
+	logLevels   = []string{"debug", "info", "error"}
+)
+
+// checker adds the faults of values that were decoded without one.
+type checker struct{ d *jsonc.Document }
+
+func checkNode(c checker, s *Node) {
+	c.name("Name", s.Name)
+	c.name("AvailabilityZone", s.AvailabilityZone)
+	c.listens([]listen{
+		{"Listen", s.Listen, false},
+		{"UpstreamListen", s.UpstreamListen, false},
+		{"PeerListen", s.PeerListen, true},
+		{"AdminListen", s.AdminListen, false},
+	})
+	if c.d.Valid("Control") && len(s.Control) == 0 {
+		c.d.Fault("Control", "empty", "the address of at least one control")
+	}
+	seen := map[netip.AddrPort]bool{}
+	for i, a := range s.Control {
+		c.peer(jsonc.Index("Control", i), a, seen)
+	}
+	c.common(s.LogLevel, s.StopLimit)
+}
+
+func checkControl(c checker, s *Control) {
+	c.name("Name", s.Name)
+	c.name("AvailabilityZone", s.AvailabilityZone)
+	c.listens([]listen{
+		{"Listen", s.Listen, false},
+		{"PeerListen", s.PeerListen, true},
+		{"AdminListen", s.AdminListen, false},
+	})
+	c.members(s)
+	if c.d.Valid("DataFolder") && s.DataFolder == "" {
+		c.d.Fault("DataFolder", "empty", "a folder")
+	}
+	c.operators(s.Operators)
+	if c.d.Valid("ClaimGroups") && (s.ClaimGroups < 1 || s.ClaimGroups > maxClaimGroups) {
+		c.d.Fault("ClaimGroups", fmt.Sprintf("%d is out of range", s.ClaimGroups), "a whole number from 1 to 64")
+	}
+	if c.d.Valid("ClaimRetention") && s.ClaimRetention < minClaimRetention {
+		c.d.Fault("ClaimRetention", fmt.Sprintf("%s is out of range", s.ClaimRetention), "at least 1h")
+	}
+	c.common(s.LogLevel, s.StopLimit)
+}
+
+// members checks that the members can form quorums and that this control is
+// one of them.
+func (c checker) members(s *Control) {
+	names, addresses := map[string]bool{}, map[netip.AddrPort]bool{}
+	self := -1
+	for i, m := range s.Members {
+		p := jsonc.Index("Members", i)
+		if c.unique(jsonc.Path(p, "Name"), m.Name, names) && m.Name == s.Name {
+			self = i
+		}
+		c.peer(jsonc.Path(p, "Address"), m.Address, addresses)
+	}
+	if !c.d.Valid("Members") {
+		return
+	}
+	if !slices.Contains([]int{1, 3, 5}, len(s.Members)) {
+		c.d.Fault("Members", fmt.Sprintf("%d members", len(s.Members)), "1, 3 or 5 members")
+	}
+	switch {
+	case !c.d.Valid("Name"):
+	case self < 0:
+		c.d.Fault("Members", fmt.Sprintf("no member named %s", jsonc.Quote(s.Name)), "this control among its members")
+	case c.d.Valid("PeerListen") && !sameAddress(s.Members[self].Address, s.PeerListen):
+		c.d.Fault(jsonc.Path(jsonc.Index("Members", self), "Address"),
+			jsonc.Quote(s.Members[self].Address)+" differs from this control's PeerListen", jsonc.Quote(s.PeerListen))
+	}
+}
+
+func (c checker) operators(l []Operator) {
+	names := map[string]bool{}
+	for i, o := range l {
+		p := jsonc.Index("Operators", i)
+		c.unique(jsonc.Path(p, "Name"), o.Name, names)
+		if p = jsonc.Path(p, "TokenHash"); c.d.Valid(p) && !hashPattern.MatchString(o.TokenHash) {
+			c.d.Fault(p, "not a SHA-256 hash", "64 hex digits") // the value may be a token, so it is not shown
+		}
+	}
+}
+
+func (c checker) common(level string, stop time.Duration) {
+	if c.d.Valid("LogLevel") && !slices.Contains(logLevels, level) {
+		c.d.Fault("LogLevel", "unknown level "+jsonc.Quote(level), `one of "debug", "info", "error"`)
+	}
+	if c.d.Valid("StopLimit") && stop <= 0 {
+		c.d.Fault("StopLimit", fmt.Sprintf("%s is out of range", stop), "a duration above 0")
+	}
+}
+
+// name reports whether the value at path is a valid name.
+func (c checker) name(path, v string) bool {
+	if !c.d.Valid(path) {
+		return false
+	}
+	if namePattern.MatchString(v) {
+		return true
+	}
+	c.d.Fault(path, "bad name "+jsonc.Quote(v), "1 to 100 letters, digits, dots and dashes")
+	return false
+}
+
+// unique reports whether the value at path is a valid name that is not in
+// seen, and adds it.
+func (c checker) unique(path, v string, seen map[string]bool) bool {
+	if !c.name(path, v) {
+		return false
+	}
+	if seen[v] {
+		c.d.Fault(path, "duplicate name "+jsonc.Quote(v), "unique names")
+		return false
+	}
+	seen[v] = true
+	return true
+}
+
+type listen struct {
+	key, address string
+	dialed       bool // other processes connect to the address
+}
+
+// listens checks the addresses that one process binds.
+func (c checker) listens(l []listen) {
+	seen := map[netip.AddrPort]string{}
+	for _, a := range l {
+		p, ok := c.address(a.key, a.address, a.dialed)
+		if !ok {
+			continue
+		}
+		if k, taken := seen[p]; taken {
+			c.d.Fault(a.key, "same address as "+k, "an address of its own")
+			continue
+		}
+		seen[p] = a.key
+	}
+}
+
+// peer checks the address of another process.
+func (c checker) peer(path, v string, seen map[netip.AddrPort]bool) {
+	p, ok := c.address(path, v, true)
+	if !ok {
+		return
+	}
+	if seen[p] {
+		c.d.Fault(path, "duplicate address "+jsonc.Quote(v), "unique addresses")
+	}
+	seen[p] = true
+}
+
+func (c checker) address(path, v string, dialed bool) (netip.AddrPort, bool) {
+	if !c.d.Valid(path) {
+		return netip.AddrPort{}, false
+	}
+	p, err := netip.ParseAddrPort(v)
+	switch {
+	case err != nil || p.Port() == 0:
+		c.d.Fault(path, "bad address "+jsonc.Quote(v), `IP:port such as "127.0.0.1:8080"`)
+		return p, false
+	case dialed && p.Addr().Unmap().IsUnspecified():
+		c.d.Fault(path, "address "+jsonc.Quote(v)+" cannot be reached by others", "the IP of one interface")
+		return p, false
+	}
+	return netip.AddrPortFrom(p.Addr().Unmap(), p.Port()), true
+}
+
+func sameAddress(a, b string) bool {
+	p, errA := netip.ParseAddrPort(a)
+	q, errB := netip.ParseAddrPort(b)
+	return errA != nil || errB != nil || // a bad address is already a fault
+		(p.Port() == q.Port() && p.Addr().Unmap() == q.Addr().Unmap())
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,148 @@
+// Package settings reads the settings of a process: decoding, defaults and
+// checks in one place.
+//
+// # Usage
+//
+//	s, err := settings.ReadNode("node.jsonc")
+//	if err != nil {
+//		return err // kind errkind.Usage; names every fault with file, line and column
+//	}
+//	l, err := net.Listen("tcp", s.Listen)
+//
+// ReadControl does the same for a control. ParseNode and ParseControl take the
+// content of a file that was read elsewhere.
+package settings
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/jsonc"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// Defaults of optional keys.
+const (
+	DefaultLogLevel       = "info"
+	DefaultStopLimit      = 30 * time.Second
+	DefaultClaimGroups    = 2
+	DefaultClaimRetention = 24 * time.Hour
+)
+
+// Node holds the settings of a node.
+type Node struct {
+	Name             string
+	AvailabilityZone string
+	// Listen serves callers.
+	Listen string
+	// UpstreamListen serves the announcements of upstreams.
+	UpstreamListen string
+	// PeerListen serves other nodes, which reach this node by it.
+	PeerListen  string
+	AdminListen string
+	// Control lists the PeerListen addresses of controls.
+	Control  []string `jsonc:"max=100"`
+	LogLevel string   `jsonc:"optional"`
+	Pprof    bool     `jsonc:"optional"`
+	// StopLimit bounds a graceful shutdown.
+	StopLimit time.Duration `jsonc:"optional"`
+}
+
+// Control holds the settings of a control.
+type Control struct {
+	Name             string
+	AvailabilityZone string
+	// Listen serves operators.
+	Listen string
+	// PeerListen serves nodes and other controls, which reach this control by it.
+	PeerListen  string
+	AdminListen string
+	// Members lists all controls that vote, including this one.
+	Members    []Member `jsonc:"max=100"`
+	DataFolder string
+	// Operators may be empty; then only loopback is allowed.
+	Operators   []Operator `jsonc:"optional,max=1000"`
+	ClaimGroups int        `jsonc:"optional"`
+	// ClaimRetention is how long a claim is kept.
+	ClaimRetention time.Duration `jsonc:"optional"`
+	LogLevel       string        `jsonc:"optional"`
+	Pprof          bool          `jsonc:"optional"`
+	// StopLimit bounds a graceful shutdown.
+	StopLimit time.Duration `jsonc:"optional"`
+}
+
+// Member is a control that votes.
+type Member struct {
+	Name    string
+	Address string
+}
+
+// Operator is a person or program that may use the operator API.
+type Operator struct {
+	Name string
+	// TokenHash is the SHA-256 of the bearer token in hex digits.
+	TokenHash string
+}
+
+// ReadNode reads the settings of a node.
+func ReadNode(file string) (*Node, error) {
+	b, err := read(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseNode(file, b)
+}
+
+// ReadControl reads the settings of a control.
+func ReadControl(file string) (*Control, error) {
+	b, err := read(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseControl(file, b)
+}
+
+// ParseNode decodes and checks the settings of a node. The file is named in
+// errors.
+func ParseNode(file string, data []byte) (*Node, error) {
+	s := &Node{LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit}
+	d := jsonc.Parse(file, data)
+	d.Decode(s)
+	checkNode(checker{d}, s)
+	if err := d.Err(); err != nil {
+		return nil, errkind.New(errkind.Usage, "%v", err)
+	}
+	return s, nil
+}
+
+// ParseControl decodes and checks the settings of a control. The file is named
+// in errors.
+func ParseControl(file string, data []byte) (*Control, error) {
+	s := &Control{
+		ClaimGroups: DefaultClaimGroups, ClaimRetention: DefaultClaimRetention,
+		LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit,
+	}
+	d := jsonc.Parse(file, data)
+	d.Decode(s)
+	checkControl(checker{d}, s)
+	if err := d.Err(); err != nil {
+		return nil, errkind.New(errkind.Usage, "%v", err)
+	}
+	return s, nil
+}
+
+// read reads one byte more than is accepted, so that the parser refuses an
+// oversized file without reading all of it.
+func read(file string) ([]byte, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Usage, "read settings")
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, jsonc.MaxSize+1))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Usage, "read settings")
+	}
+	return b, nil
+}
