--- /dev/null
+++ b/internal/distribution/client.go
@@ -0,0 +1,217 @@
+// Package distribution is the node's side of the stream from a control: it
+// connects, resumes, applies configuration and endpoint changes, acknowledges
+// them, and reports the node's own upstreams.
+//
+// # Usage
+//
+//	c := distribution.New(distribution.Config{Node: "node-1", Controls: addresses, Registry: r, Log: l})
+//	go c.Run(ctx)
+//	t := c.Table()
+//
+// The client keeps one stream to one control. It leaves a control that is
+// silent, out of contact with a majority, or behind a version seen elsewhere,
+// and comes back with jittered backoff, so that a herd of nodes does not arrive
+// at once.
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// Times of the node's stream.
+const (
+	PingInterval = time.Second
+	// silenceLimit ends a stream on which not even answers to pings arrive.
+	silenceLimit = 4 * time.Second
+	// behindLimit is how long a control may be behind a version seen at a peer.
+	behindLimit = 3 * time.Second
+	// notCurrentLimit is how long a node stays with a control that is out of
+	// contact with a majority. It is long, since such a control still serves
+	// its side of a partition.
+	notCurrentLimit = 15 * time.Second
+	connectTimeout  = 3 * time.Second
+	minBackoff      = 100 * time.Millisecond
+	maxBackoff      = 5 * time.Second
+)
+
+// Config holds what a Client needs.
+type Config struct {
+	Node             string
+	AvailabilityZone string
+	PeerAddress      string
+	// Incarnation must grow with each start of the process.
+	Incarnation uint64
+	Controls    []string
+	Dial        wire.Dialer
+	Registry    *registry.Registry
+	Log         logr.Logger
+	Seed        uint64
+	// Applied is called after a new table is in force; it may be nil.
+	Applied func(*table.Table)
+}
+
+// Client is the node's side of the stream.
+type Client struct {
+	c       Config
+	table   atomic.Pointer[table.Table]
+	seen    atomic.Uint64
+	synced  atomic.Bool
+	control atomic.Value // string
+	changed chan struct{}
+
+	mu      sync.Mutex
+	record  wire.NodeRecord
+	lineage string
+	random  *rand.Rand
+}
+
+// New returns a Client without configuration.
+func New(c Config) *Client {
+	n := &Client{c: c, changed: make(chan struct{}, 1), random: rand.New(rand.NewPCG(c.Seed, c.Incarnation))}
+	n.record = wire.NodeRecord{
+		Node:             c.Node,
+		AvailabilityZone: c.AvailabilityZone,
+		PeerAddress:      c.PeerAddress,
+		Incarnation:      c.Incarnation,
+		Sequence:         1,
+	}
+	n.table.Store(table.Empty)
+	n.control.Store("")
+	c.Registry.Put(time.Now(), []wire.NodeRecord{n.record})
+	return n
+}
+
+// Table returns the table in force.
+func (n *Client) Table() *table.Table { return n.table.Load() }
+
+// Control returns the address of the control that the node is connected to.
+func (n *Client) Control() string { return n.control.Load().(string) }
+
+// Ready returns why the node cannot serve yet, or nil.
+func (n *Client) Ready() error {
+	if n.Table().Version() == 0 {
+		return errkind.New(errkind.NotReady, "no configuration version is in force yet")
+	}
+	if !n.synced.Load() {
+		return errkind.New(errkind.NotReady, "the list of upstreams has not arrived yet")
+	}
+	return nil
+}
+
+// SeeVersion notes a version that a peer has in force.
+func (n *Client) SeeVersion(v uint64) {
+	for {
+		o := n.seen.Load()
+		if v <= o || n.seen.CompareAndSwap(o, v) {
+			return
+		}
+	}
+}
+
+// SetUpstreams publishes the node's own upstreams. The node itself uses them at
+// once, the rest of the fleet as soon as a control passes them on.
+func (n *Client) SetUpstreams(l []wire.Upstream) {
+	n.mu.Lock()
+	n.record.Sequence++
+	n.record.Upstreams = slices.Clone(l)
+	r := n.record
+	n.mu.Unlock()
+	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// nextRecord raises the sequence, so that this connection supersedes what an
+// earlier control may still say about the node.
+func (n *Client) nextRecord() wire.NodeRecord {
+	n.mu.Lock()
+	n.record.Sequence++
+	r := n.record
+	n.mu.Unlock()
+	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
+	return r
+}
+
+func (n *Client) currentRecord() wire.NodeRecord {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.record
+}
+
+// Run keeps a stream open until ctx ends.
+func (n *Client) Run(ctx context.Context) {
+	order := n.shuffled()
+	backoff := minBackoff
+	for i := 0; ctx.Err() == nil; i++ {
+		if i > 0 && i%len(order) == 0 {
+			order = n.shuffled()
+		}
+		address := order[i%len(order)]
+		welcomed, err := n.session(ctx, address)
+		n.control.Store("")
+		if ctx.Err() != nil {
+			return
+		}
+		n.c.Log.Info("stream to control ended", "control", address, "reason", err.Error())
+		if welcomed {
+			backoff = minBackoff
+		}
+		n.sleep(ctx, backoff)
+		backoff = min(backoff*2, maxBackoff)
+	}
+}
+
+func (n *Client) shuffled() []string {
+	l := slices.Clone(n.c.Controls)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l
+}
+
+// sleep waits between half and one and a half times d.
+func (n *Client) sleep(ctx context.Context, d time.Duration) {
+	n.mu.Lock()
+	f := 0.5 + n.random.Float64()
+	n.mu.Unlock()
+	t := time.NewTimer(time.Duration(f * float64(d)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// Leave tells the control that this node stops, so that its record is removed
+// at once. It waits until the message is written or ctx ends.
+func (n *Client) Leave(ctx context.Context) {
+	n.mu.Lock()
+	n.record.Sequence++
+	n.record.Gone = true
+	n.record.Upstreams = nil
+	n.mu.Unlock()
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+	for n.Control() != "" && len(n.changed) > 0 && ctx.Err() == nil {
+		n.sleep(ctx, leavePoll)
+	}
+}
+
+// leavePoll is short against the stop limit.
+const leavePoll = 10 * time.Millisecond
--- /dev/null
+++ b/internal/table/table.go
@@ -0,0 +1,192 @@
+// Package table holds the immutable routing table of a node: every customer's
+// configuration at one version and an index of routes by host.
+//
+// # Usage
+//
+//	t, err := table.New(version, configs) // checks the whole configuration
+//	m, ok := t.Match("levels.pichler.example", "GET", "/v1/levels/17")
+//	fmt.Println(m.Customer, m.Route.Service, m.Rank.Order)
+//
+// A node swaps one pointer to a new Table; requests keep the table they began
+// with.
+package table
+
+import (
+	"maps"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+)
+
+// Match is the route that a request falls under.
+type Match struct {
+	Customer string
+	Route    customer.Route
+	Rank     customer.Rank
+	Service  customer.Service
+	// Name is the route's name, computed once.
+	Name string
+}
+
+// Table is immutable.
+type Table struct {
+	version uint64
+	// digest is the exclusive or of digests, so that a change costs only the
+	// changed customers.
+	digest  uint64
+	digests map[string]uint64
+	configs map[string]*customer.Config
+	hosts   map[string][]Match
+	service map[string]string
+}
+
+// Empty is the table of a node without configuration.
+var Empty = &Table{
+	digests: map[string]uint64{},
+	configs: map[string]*customer.Config{},
+	hosts:   map[string][]Match{},
+	service: map[string]string{},
+}
+
+// New builds a table and checks it whole: every reference resolves, and no two
+// customers share a service name or a route's match.
+func New(version uint64, configs map[string]*customer.Config) (*Table, error) {
+	return Empty.With(version, slices.Collect(maps.Values(configs)))
+}
+
+// Version returns the version of t.
+func (t *Table) Version() uint64 { return t.version }
+
+// Digest returns the digest over all customers, as versions.Digest computes it.
+func (t *Table) Digest() uint64 { return t.digest }
+
+// Configs returns the configuration of each customer. The caller must not
+// change the map.
+func (t *Table) Configs() map[string]*customer.Config { return t.configs }
+
+// With returns a copy of t at version in which the given customers are replaced.
+func (t *Table) With(version uint64, changed []*customer.Config) (*Table, error) {
+	n := &Table{
+		version: version,
+		digest:  t.digest,
+		digests: maps.Clone(t.digests),
+		configs: maps.Clone(t.configs),
+		hosts:   maps.Clone(t.hosts),
+		service: maps.Clone(t.service),
+	}
+	for _, c := range changed {
+		n.remove(n.configs[c.Customer()])
+	}
+	for _, c := range changed {
+		if err := n.add(c); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (t *Table) remove(c *customer.Config) {
+	if c == nil {
+		return
+	}
+	for _, s := range c.Services() {
+		delete(t.service, s.Name)
+	}
+	for _, r := range c.Routes() {
+		h := strings.ToLower(r.Host)
+		l := slices.DeleteFunc(slices.Clone(t.hosts[h]), func(m Match) bool { return m.Customer == c.Customer() })
+		if len(l) == 0 {
+			delete(t.hosts, h)
+			continue
+		}
+		t.hosts[h] = l
+	}
+	delete(t.configs, c.Customer())
+	t.digest ^= t.digests[c.Customer()]
+	delete(t.digests, c.Customer())
+}
+
+func (t *Table) add(c *customer.Config) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	for _, s := range c.Services() {
+		if o, ok := t.service[s.Name]; ok {
+			return errors.Errorf("service %q of customer %q belongs to customer %q", s.Name, c.Customer(), o)
+		}
+		t.service[s.Name] = c.Customer()
+	}
+	added := map[string][]Match{}
+	for _, r := range c.Routes() {
+		s, _ := c.Service(r.Service)
+		k, _ := c.Rank(r.Rank)
+		h := strings.ToLower(r.Host)
+		added[h] = append(added[h], Match{Customer: c.Customer(), Route: r, Rank: k, Service: s, Name: r.Name()})
+	}
+	for h, l := range added {
+		l = append(slices.Clone(t.hosts[h]), l...)
+		sortMatches(l)
+		if err := checkDistinct(l); err != nil {
+			return err
+		}
+		t.hosts[h] = l
+	}
+	t.configs[c.Customer()] = c
+	t.digests[c.Customer()] = versions.CustomerDigest(c)
+	t.digest ^= t.digests[c.Customer()]
+	return nil
+}
+
+// sortMatches puts longer paths first, so that the first match is the most
+// specific one.
+func sortMatches(l []Match) {
+	slices.SortFunc(l, func(a, b Match) int {
+		if d := len(b.Route.Path) - len(a.Route.Path); d != 0 {
+			return d
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+}
+
+func checkDistinct(l []Match) error {
+	for i := 1; i < len(l); i++ {
+		if l[i].Name == l[i-1].Name {
+			return errors.Errorf("route %q of customer %q belongs to customer %q too", l[i].Name, l[i].Customer, l[i-1].Customer)
+		}
+	}
+	return nil
+}
+
+// Match returns the most specific route for a request.
+func (t *Table) Match(host, method, path string) (Match, bool) {
+	for _, m := range t.hosts[normalize(host)] {
+		if m.Route.Method == method && hasPathPrefix(path, m.Route.Path) {
+			return m, true
+		}
+	}
+	return Match{}, false
+}
+
+// normalize removes the port and lowers the case of a host.
+func normalize(host string) string {
+	if strings.IndexByte(host, ':') >= 0 {
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			host = h
+		}
+	}
+	return strings.ToLower(host)
+}
+
+// hasPathPrefix reports whether prefix ends at a segment boundary of path, so
+// that "/levels" does not match "/levelsets".
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/internal/upstream/announce.go
@@ -0,0 +1,190 @@
+package upstream
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+const (
+	// RenewWithin is the time within which an upstream must announce itself
+	// again. Three renewals fit into a node's lease.
+	RenewWithin = 5 * time.Second
+	// maxAnnouncementBytes bounds the body of an announcement.
+	maxAnnouncementBytes = 16 << 10
+	// maxUpstreams bounds the upstreams of one node.
+	maxUpstreams = 64
+)
+
+// Announcement is the body with which an upstream announces itself.
+type Announcement struct {
+	Service     string
+	Address     string
+	Slots       int
+	Connections int
+	State       wire.UpstreamState
+}
+
+// Renewal answers an announcement.
+type Renewal struct {
+	RenewWithin string
+}
+
+// Announced is one announced upstream.
+type Announced struct {
+	Name string
+	Announcement
+	// Since is when the upstream entered its state.
+	Since   time.Time
+	expires time.Time
+}
+
+// Announcements keeps the upstreams that announced themselves to this node.
+type Announcements struct {
+	log     logr.Logger
+	changed func([]Announced)
+	mu      sync.Mutex
+	// notify orders the calls of changed.
+	notify sync.Mutex
+	names  map[string]Announced
+}
+
+// NewAnnouncements returns an empty Announcements that calls changed with all
+// upstreams after each change.
+func NewAnnouncements(l logr.Logger, changed func([]Announced)) *Announcements {
+	return &Announcements{log: l, changed: changed, names: map[string]Announced{}}
+}
+
+// Handler serves PUT, GET and DELETE of upstreams.
+func (a *Announcements) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("PUT /v1/upstreams/{name}", a.put)
+	m.HandleFunc("DELETE /v1/upstreams/{name}", a.delete)
+	m.HandleFunc("GET /v1/upstreams", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, a.List()) })
+	return m
+}
+
+func (a *Announcements) put(w http.ResponseWriter, r *http.Request) {
+	var n Announcement
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&n); err != nil {
+		writeError(w, errkind.Wrap(err, errkind.BadRequest, "announcement is not the expected JSON object"))
+		return
+	}
+	if err := n.check(); err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := a.Put(time.Now(), r.PathValue("name"), n); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Renewal{RenewWithin: RenewWithin.String()})
+}
+
+func (n Announcement) check() error {
+	if n.Service == "" {
+		return errkind.New(errkind.BadRequest, "Service is missing; expected the name of a service")
+	}
+	if h, p, err := net.SplitHostPort(n.Address); err != nil || net.ParseIP(h) == nil || p == "" || p == "0" {
+		return errkind.New(errkind.BadRequest, "Address %q; expected an IP address and a port", n.Address)
+	}
+	if n.Slots < 1 || n.Connections < n.Slots {
+		return errkind.New(errkind.BadRequest, "Slots %d, Connections %d; expected at least 1 slot and as many connections", n.Slots, n.Connections)
+	}
+	switch n.State {
+	case wire.Starting, wire.Serving, wire.Leaving:
+		return nil
+	}
+	return errkind.New(errkind.BadRequest, "State %q; expected Starting, Serving or Leaving", n.State)
+}
+
+// Put stores an announcement.
+func (a *Announcements) Put(now time.Time, name string, n Announcement) error {
+	a.notify.Lock()
+	defer a.notify.Unlock()
+	a.mu.Lock()
+	o, known := a.names[name]
+	if !known && len(a.names) >= maxUpstreams {
+		a.mu.Unlock()
+		return errkind.New(errkind.TooLarge, "%d upstreams are announced already", maxUpstreams)
+	}
+	e := Announced{Name: name, Announcement: n, Since: now, expires: now.Add(RenewWithin)}
+	if known && o.State == n.State && o.Address == n.Address {
+		e.Since = o.Since
+	}
+	a.names[name] = e
+	a.mu.Unlock()
+	if !known || o.Announcement != n {
+		a.log.Info("upstream announced", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address)
+		a.changed(a.List())
+	}
+	return nil
+}
+
+func (a *Announcements) delete(w http.ResponseWriter, r *http.Request) {
+	a.Remove(r.PathValue("name"), "withdrawn")
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Remove withdraws an upstream.
+func (a *Announcements) Remove(name, reason string) {
+	a.notify.Lock()
+	defer a.notify.Unlock()
+	a.mu.Lock()
+	_, ok := a.names[name]
+	delete(a.names, name)
+	a.mu.Unlock()
+	if ok {
+		a.log.Info("upstream removed", "upstream", name, "reason", reason)
+		a.changed(a.List())
+	}
+}
+
+// Expire removes the upstreams that did not renew in time.
+func (a *Announcements) Expire(now time.Time) {
+	for _, e := range a.List() {
+		if now.After(e.expires) {
+			a.Remove(e.Name, "not renewed in time")
+		}
+	}
+}
+
+// List returns all upstreams by name.
+func (a *Announcements) List() []Announced {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := make([]Announced, 0, len(a.names))
+	for _, e := range a.names {
+		l = append(l, e)
+	}
+	slices.SortFunc(l, func(x, y Announced) int { return strings.Compare(x.Name, y.Name) })
+	return l
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the client has gone
+}
+
+// problem is the body of an error answer.
+type problem struct {
+	Kind   errkind.Kind
+	Reason string
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	e := errkind.From(err)
+	writeJSON(w, e.Kind.Answer().HTTPStatus, problem{Kind: e.Kind, Reason: e.Error()})
+}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -43,8 +43,3 @@
 	Version          uint64 `cbor:"5,keyasint"`
 }
 
-// ProposeRequest forwards a command to the leader of a group.
-type ProposeRequest struct {
-	Group   string `cbor:"1,keyasint"`
-	Command []byte `cbor:"2,keyasint"`
-}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -136,4 +136,6 @@
 type Pong struct {
 	// Committed is the newest version that the control knows to be committed.
 	Committed uint64 `cbor:"1,keyasint"`
+	// Current is set while the control is in contact with a majority.
+	Current bool `cbor:"2,keyasint,omitempty"`
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -99,6 +99,11 @@
 	return errors.Wrap(decoder.Unmarshal(b, m), "decode message")
 }
 
+// UnmarshalLarge decodes b, which was assembled from several messages.
+func UnmarshalLarge(b []byte, m any) error {
+	return errors.Wrap(decoder.Unmarshal(b, m), "decode update")
+}
+
 // Fault carries an error with its kind between processes.
 type Fault struct {
 	Kind      errkind.Kind      `cbor:"1,keyasint"`
