--- /dev/null
+++ b/internal/control/exchange.go
@@ -0,0 +1,230 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+const (
+	// compareInterval is how often two controls compare their registries. It
+	// also shows that the other control is alive.
+	compareInterval = 2 * time.Second
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 2 * time.Second
+	// homeLimit is how long the nodes of a control that stopped answering have
+	// to appear at another one. It is longer than the largest backoff of a
+	// node plus its lease.
+	homeLimit = 30 * time.Second
+)
+
+// link is the connection to one other control, opened when needed.
+type link struct {
+	member settings.Member
+	dial   wire.Dialer
+	mu     sync.Mutex
+	conn   *drpcconn.Conn
+}
+
+// get returns an open connection.
+func (k *link) get(ctx context.Context) (*drpcconn.Conn, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.conn != nil {
+		select {
+		case <-k.conn.Closed():
+		default:
+			return k.conn, nil
+		}
+	}
+	c, err := wire.Dial(ctx, k.dial, k.member.Address)
+	if err != nil {
+		return nil, err
+	}
+	k.conn = c
+	return c, nil
+}
+
+// drop closes the connection, so that the next call opens a new one.
+func (k *link) drop() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.conn != nil {
+		k.conn.Close()
+		k.conn = nil
+	}
+}
+
+// exchange spreads node records between controls: changes at once, and a
+// comparison of digests from time to time, which repairs what was lost.
+type exchange struct {
+	control  string
+	registry *registry.Registry
+	streams  *Streams
+	log      logr.Logger
+	links    map[string]*link
+
+	mu       sync.Mutex
+	pending  map[string][]wire.NodeRecord
+	answered map[string]time.Time
+	started  time.Time
+}
+
+func newExchange(control string, members []settings.Member, d wire.Dialer, s *Streams, l logr.Logger) *exchange {
+	e := &exchange{
+		control:  control,
+		registry: s.registry,
+		streams:  s,
+		log:      l,
+		links:    map[string]*link{},
+		pending:  map[string][]wire.NodeRecord{},
+		answered: map[string]time.Time{},
+		started:  time.Now(),
+	}
+	for _, m := range members {
+		if m.Name != control {
+			e.links[m.Name] = &link{member: m, dial: d}
+			e.answered[m.Name] = e.started
+		}
+	}
+	return e
+}
+
+// receive answers another control.
+func (e *exchange) receive(_ context.Context, q *wire.RegistrySyncRequest) (*wire.RegistrySyncResponse, error) {
+	e.heard(q.Control)
+	e.take(q.Records)
+	a := &wire.RegistrySyncResponse{}
+	if len(q.Buckets) > 0 {
+		a.Records, _ = e.registry.Differing(q.Buckets)
+		a.Records = a.Records[:min(len(a.Records), endpointChunk)]
+	}
+	return a, nil
+}
+
+func (e *exchange) heard(control string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.answered[control]; ok {
+		e.answered[control] = time.Now()
+	}
+}
+
+// take stores records from another control and passes them to this control's
+// nodes.
+func (e *exchange) take(l []wire.NodeRecord) { e.streams.put(l) }
+
+// push queues changed records for the other controls. Records that came from
+// another control are not passed on, since that control sends them to all.
+func (e *exchange) push(l []wire.NodeRecord) {
+	var own []wire.NodeRecord
+	for _, r := range l {
+		if r.Home == e.control {
+			own = append(own, r)
+		}
+	}
+	if len(own) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for k := range e.links {
+		e.pending[k] = append(e.pending[k], own...)
+	}
+}
+
+// run exchanges with one control until ctx ends.
+func (e *exchange) run(ctx context.Context, k *link) {
+	t := time.NewTicker(batchInterval)
+	defer t.Stop()
+	var compared time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			k.drop()
+			return
+		case now := <-t.C:
+			l := e.takePending(k.member.Name)
+			compare := now.Sub(compared) >= compareInterval
+			if len(l) == 0 && !compare {
+				continue
+			}
+			if compare {
+				compared = now
+			}
+			if err := e.call(ctx, k, l, compare); err != nil {
+				e.log.V(1).Info("registry exchange failed", "control", k.member.Name, "cause", err.Error())
+				k.drop()
+			}
+		}
+	}
+}
+
+// takePending returns the queued records. What is lost with a failed call is
+// repaired by the next comparison.
+func (e *exchange) takePending(name string) []wire.NodeRecord {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.pending[name]
+	n := min(len(l), endpointChunk)
+	e.pending[name] = l[n:]
+	return l[:n]
+}
+
+func (e *exchange) call(ctx context.Context, k *link, l []wire.NodeRecord, compare bool) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	c, err := k.get(ctx)
+	if err != nil {
+		return err
+	}
+	q := &wire.RegistrySyncRequest{Control: e.control, Records: l}
+	if compare {
+		q.Buckets = e.registry.Buckets()
+	}
+	a, err := wire.Call[wire.RegistrySyncRequest, wire.RegistrySyncResponse](ctx, c, wire.MethodRegistrySync, q)
+	if err != nil {
+		return err
+	}
+	e.heard(k.member.Name)
+	e.take(a.Records)
+	return nil
+}
+
+// expire removes nodes whose control has not answered for homeLimit and which
+// did not appear at another control. Call it only while this control is in
+// contact with a majority.
+func (e *exchange) expire(now time.Time) {
+	e.mu.Lock()
+	silent := map[string]bool{}
+	for k, t := range e.answered {
+		if now.Sub(t) > homeLimit {
+			silent[k] = true
+		}
+	}
+	e.mu.Unlock()
+	if len(silent) == 0 {
+		return
+	}
+	var gone []wire.NodeRecord
+	for _, r := range e.registry.Records() {
+		if silent[r.Home] {
+			r.Gone = true
+			gone = append(gone, r)
+		}
+	}
+	for _, r := range e.streams.put(gone) {
+		e.log.Info("node removed", "node", r.Node, "reason", "its control "+r.Home+" is silent and no other control holds its lease")
+	}
+}
+
+// settled reports whether this control has had time to learn of every node: all
+// other controls answered since it started, or had homeLimit to do so.
+func (e *exchange) settled(now time.Time) bool { return now.Sub(e.started) > homeLimit }
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -42,4 +42,3 @@
 	Current          bool   `cbor:"4,keyasint"`
 	Version          uint64 `cbor:"5,keyasint"`
 }
-
