--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,69 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/queue"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func ranks() []queue.Rank {
+	return []queue.Rank{
+		{Name: "urgent", Order: 1, Target: 100 * time.Millisecond, Floor: 0.4},
+		{Name: "usual", Order: 2, Target: time.Second, Floor: 0.2},
+		{Name: "bulk", Order: 3, Target: 30 * time.Second, Floor: 0.1},
+	}
+}
+
+func equal[T comparable](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// next hands out all that may run and returns the IDs.
+func next(q *queue.Queue, now time.Time) (l []uint64) {
+	for r, ok := q.Next(now); ok; r, ok = q.Next(now) {
+		l = append(l, r.ID)
+	}
+	return l
+}
+
+// Guards the order of ranks: work that arrived first must not run first when
+// more urgent work waits.
+func TestUrgentFirst(t *testing.T) {
+	q := queue.New(queue.Config{Ranks: ranks(), Limit: 1})
+	equal(t, "first", q.Offer(at(0), queue.Request{ID: 1, Rank: "usual"}).Outcome, queue.Admitted)
+	q.Offer(at(0), queue.Request{ID: 2, Rank: "bulk"})
+	q.Offer(at(0), queue.Request{ID: 3, Rank: "urgent"})
+	q.Offer(at(0), queue.Request{ID: 4, Rank: "unknown"})
+	q.Done(at(0), 1, true)
+	for _, want := range []uint64{3, 2, 4} {
+		got := next(q, at(0))
+		equal(t, "order", fmt.Sprint(got), fmt.Sprint([]uint64{want}))
+		q.Done(at(0), want, true)
+	}
+}
+
+// Guards that canceled work frees its place and never runs.
+func TestCancelFreesPlace(t *testing.T) {
+	q := queue.New(queue.Config{Ranks: ranks(), Limit: 1, MaxWaiting: 2, MaxWaitingPerRank: 1})
+	q.Offer(at(0), queue.Request{ID: 1, Rank: "usual"})
+	q.Offer(at(0), queue.Request{ID: 2, Rank: "usual"})
+	v := q.Offer(at(0), queue.Request{ID: 3, Rank: "usual"})
+	equal(t, "full", v.Outcome, queue.Refused)
+	equal(t, "kind", v.Err.Kind, errkind.QueueFull)
+	equal(t, "execution", v.Err.Execution, errkind.NotRun)
+	equal(t, "cancel waiting", q.Cancel(at(0), 2), true)
+	equal(t, "cancel running", q.Cancel(at(0), 1), false)
+	equal(t, "place", q.Offer(at(0), queue.Request{ID: 4, Rank: "usual"}).Outcome, queue.Waiting)
+	q.Done(at(0), 1, true)
+	equal(t, "next", fmt.Sprint(next(q, at(0))), "[4]")
+}
