--- /dev/null
+++ b/internal/balance/estimate.go
@@ -0,0 +1,125 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// loadHalfLife halves the weight of a load report. A queue of a few hundred
+	// milliseconds has changed completely after that.
+	loadHalfLife = 500 * time.Millisecond
+	// slowHalfLife moves the slowness of an unused upstream back to 1, so that
+	// it is tried again.
+	slowHalfLife = 5 * time.Second
+	// failWeight is the weight of one result in the failure share.
+	failWeight = 0.2
+	// failShare makes an upstream suspect: three failures in a row, or half of
+	// the recent results.
+	failShare = 0.45
+	// failHalfLife forgets failures while an upstream is unused.
+	failHalfLife = 10 * time.Second
+	// firstProbe and maxProbe bound the interval between probes of a suspect.
+	firstProbe = 250 * time.Millisecond
+	maxProbe   = 30 * time.Second
+	// stallMin and stallFactor: without any completion for this long, and for
+	// this many usual latencies, an upstream with requests in flight stalls.
+	stallMin    = 500 * time.Millisecond
+	stallFactor = 8
+	// slowWeight is the weight of one latency in the slowness.
+	slowWeight = 0.1
+	maxSlow    = 20
+)
+
+// estimate is what this node knows about one upstream.
+type estimate struct {
+	inFlight int
+	// progress is the last completion, or the start of the first request after
+	// an idle time.
+	progress time.Time
+	used     time.Time
+
+	slow   float64 // latency in comparison with the service, 1 is usual
+	slowAt time.Time
+
+	failures   float64 // moving share of failures
+	failuresAt time.Time
+
+	load   Load
+	loadAt time.Time
+	shed   float64 // moving share of sheds
+	shedAt time.Time
+
+	suspect  bool
+	interval time.Duration
+	probeAt  time.Time
+	probing  bool
+}
+
+func decay(v float64, age, half time.Duration) float64 {
+	if age <= 0 {
+		return v
+	}
+	return v * math.Exp2(-float64(age)/float64(half))
+}
+
+// slowness returns the relative latency at now.
+func (e *estimate) slowness(now time.Time) float64 {
+	return 1 + decay(e.slow-1, now.Sub(e.slowAt), slowHalfLife)
+}
+
+// ahead is the expected number of requests before a new one.
+func (e *estimate) ahead(now time.Time) float64 {
+	reported := decay(float64(e.load.InFlight+e.load.Waiting), now.Sub(e.loadAt), loadHalfLife)
+	return max(float64(e.inFlight), reported)
+}
+
+// slots is the capacity that the upstream is believed to have.
+func (e *estimate) slots(now time.Time, c *Candidate) float64 {
+	n := float64(max(1, c.Slots))
+	if l := float64(e.load.Limit); l > 0 && now.Sub(e.loadAt) < 4*loadHalfLife {
+		n = min(n, l)
+	}
+	if age := now.Sub(c.Since); c.ColdStart > 0 && !c.Since.IsZero() && age < c.ColdStart {
+		n *= coldShare + (1-coldShare)*max(0, age.Seconds()/c.ColdStart.Seconds())
+	}
+	return n
+}
+
+// stalled reports whether the upstream has completed nothing for long although
+// it has work of this node.
+func (e *estimate) stalled(now time.Time, usual time.Duration) bool {
+	return e.inFlight > 0 && now.Sub(e.progress) > max(stallMin, stallFactor*usual)
+}
+
+func (e *estimate) fail(now time.Time) {
+	e.failures = decay(e.failures, now.Sub(e.failuresAt), failHalfLife)
+	e.failures += (1 - e.failures) * failWeight
+	e.failuresAt = now
+	if e.failures >= failShare || e.suspect {
+		e.suspectNow(now)
+	}
+}
+
+// suspectNow makes e suspect, or doubles the interval of one that is and whose
+// probe failed.
+func (e *estimate) suspectNow(now time.Time) {
+	switch {
+	case !e.suspect:
+		e.suspect, e.interval = true, firstProbe
+	case e.probing:
+		e.interval = min(2*e.interval, maxProbe)
+	default:
+		return // a late failure of work sent before the suspicion
+	}
+	e.probing = false
+	e.probeAt = now.Add(e.interval)
+}
+
+func (e *estimate) succeed(now time.Time) {
+	e.failures = decay(e.failures, now.Sub(e.failuresAt), failHalfLife) * (1 - failWeight)
+	e.failuresAt = now
+	if e.suspect && e.failures < failShare {
+		e.suspect, e.probing, e.interval = false, false, 0
+	}
+}
