--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,212 @@
+// Package router brings a matched request from the entry node to an upstream:
+// it chooses a candidate, calls the node beside it, and decides about retries.
+//
+// # Usage
+//
+//	r := router.New(router.Config{Node: "node-1", Zone: "kufstein", Registry: g, Local: local, Peers: peers, Log: l})
+//	a, err := r.Route(ctx, match, request)
+//
+// Locks: each service has one lock around its balancer and retry budget. It is
+// held for a decision only, never while a request is under way.
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/balance"
+	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// Peers calls other nodes.
+type Peers interface {
+	Call(ctx context.Context, address string, r *call.Request) (*call.Response, error)
+}
+
+// Config holds what a Router needs.
+type Config struct {
+	Node     string
+	Zone     string
+	Registry *registry.Registry
+	// Local serves the upstreams beside this node.
+	Local call.Transport
+	Peers Peers
+	Log   logr.Logger
+	Seed  uint64
+	// SeeVersion is told the version of each peer that answers; it may be nil.
+	SeeVersion func(uint64)
+	// Retried is called for each retry; it may be nil.
+	Retried func(service string)
+}
+
+// Router routes requests. It is safe for concurrent use.
+type Router struct {
+	c        Config
+	mu       sync.RWMutex
+	services map[string]*service
+}
+
+// New returns a Router.
+func New(c Config) *Router {
+	if c.SeeVersion == nil {
+		c.SeeVersion = func(uint64) {}
+	}
+	if c.Retried == nil {
+		c.Retried = func(string) {}
+	}
+	return &Router{c: c, services: map[string]*service{}}
+}
+
+// try is one attempt at one upstream.
+type try struct {
+	candidate registry.Candidate
+	name      string
+	reason    string
+	started   time.Time
+}
+
+// Route sends q to an upstream of the matched service.
+func (r *Router) Route(ctx context.Context, m table.Match, q *call.Request) (*call.Response, error) {
+	s := r.service(m.Route.Service)
+	s.called(time.Now(), m.Rank.Name)
+	inbound := q.Attempt
+	admitted := false
+	if q.Stream != nil {
+		q.Admitted = func() error { admitted = true; return nil }
+	}
+	tried := map[string]bool{}
+	for tries := 1; ; tries++ {
+		t, ok := s.choose(r.c, m, tried)
+		if !ok {
+			return nil, errkind.New(errkind.NoUpstream, "no upstream of service %q is serving", m.Route.Service)
+		}
+		q.Attempt = inbound + tries - 1
+		r.logChoice(m, q, t)
+		a, err := r.call(ctx, s, m, q, t)
+		if err == nil {
+			return a, nil
+		}
+		tried[t.name] = true
+		if admitted {
+			return nil, err // the body can be read only once
+		}
+		d := s.retry(m, q, err, inbound, tries, remaining(ctx))
+		r.c.Log.Info("try failed", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
+			"upstream", t.name, "kind", errkind.Of(err), "retry", d.Retry, "reason", d.Reason, "cause", err.Error())
+		if !d.Retry || ctx.Err() != nil {
+			return nil, err
+		}
+		r.c.Retried(m.Route.Service)
+	}
+}
+
+func (r *Router) logChoice(m table.Match, q *call.Request, t try) {
+	r.c.Log.Info("choose upstream", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
+		"upstream", t.name, "availabilityZone", t.candidate.AvailabilityZone, "attempt", q.Attempt, "reason", t.reason)
+}
+
+// call sends q to the chosen upstream.
+func (r *Router) call(ctx context.Context, s *service, m table.Match, q *call.Request, t try) (*call.Response, error) {
+	q.Upstream = t.candidate.Upstream.Name
+	q.Remaining = remaining(ctx)
+	if q.Remaining <= 0 {
+		s.finished(t, balance.Outcome{Result: balance.Canceled})
+		return nil, errkind.New(errkind.DeadlineTooShort, "no time is left to call an upstream")
+	}
+	a, err := r.transport(ctx, q, t)
+	if err != nil {
+		s.finished(t, r.outcome(m, t, err))
+		return nil, err
+	}
+	head := time.Since(t.started)
+	b := &body{ReadCloser: a.Body}
+	b.done = func(err error) {
+		o := balance.Outcome{Result: resultOf(a.Head.Status, err), Route: m.Name, Latency: head}
+		if l := a.Load(); l != nil {
+			o.Load = r.load(l)
+		}
+		s.finished(t, o)
+	}
+	n := *a
+	n.Body = b
+	return &n, nil
+}
+
+func (r *Router) transport(ctx context.Context, q *call.Request, t try) (*call.Response, error) {
+	if t.candidate.Node == r.c.Node {
+		return r.c.Local.Call(ctx, q)
+	}
+	return r.c.Peers.Call(ctx, t.candidate.PeerAddress, q)
+}
+
+func (r *Router) load(l *wire.Load) *balance.Load {
+	r.c.SeeVersion(l.Version)
+	return &balance.Load{InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait}
+}
+
+// outcome turns the error of a try into what the balancer learns from it.
+func (r *Router) outcome(m table.Match, t try, err error) balance.Outcome {
+	o := balance.Outcome{Result: balance.Failed, Route: m.Name, Latency: time.Since(t.started)}
+	var l *call.LoadError
+	if errors.As(err, &l) && l.Load != nil {
+		o.Load = r.load(l.Load)
+	}
+	switch errkind.Of(err) {
+	case errkind.QueueFull, errkind.DeadlineTooShort:
+		o.Result = balance.Shed
+	case errkind.DeadlineExceeded:
+		o.Result = balance.TimedOut
+	case errkind.Canceled, errkind.BadRequest:
+		o.Result = balance.Canceled
+	}
+	return o
+}
+
+// resultOf judges an answer. Answers 500 and above say that the upstream
+// failed, except those by which it refuses for lack of capacity.
+func resultOf(status int, err error) balance.Result {
+	switch {
+	case err != nil && errkind.Of(err) == errkind.Canceled:
+		return balance.Canceled
+	case err != nil:
+		return balance.Failed
+	case status == 503 || status == 429:
+		return balance.Shed
+	case status >= 500:
+		return balance.Failed
+	}
+	return balance.OK
+}
+
+func remaining(ctx context.Context) time.Duration {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return time.Hour // requests of callers always have a deadline
+	}
+	return time.Until(d)
+}
+
+func (r *Router) service(name string) *service {
+	r.mu.RLock()
+	s := r.services[name]
+	r.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[name]; s != nil {
+		return s
+	}
+	s = newService(name, r.c.Seed)
+	r.services[name] = s
+	return s
+}
--- /dev/null
+++ b/internal/router/service.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/balance"
+	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/retry"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// service holds the estimates and the retry budget of one service.
+type service struct {
+	name     string
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	budget   *retry.Budget
+	// source is the list that set and byName were made from.
+	source    []registry.Candidate
+	coldStart time.Duration
+	set       *balance.Set
+	byName    map[string]registry.Candidate
+}
+
+func newService(name string, seed uint64) *service {
+	return &service{
+		name:     name,
+		balancer: balance.New(balance.Config{Seed: seed}),
+		budget:   retry.New(retry.Config{}),
+		set:      balance.NewSet(nil),
+	}
+}
+
+func (s *service) called(now time.Time, rank string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Call(now, rank)
+}
+
+// choose picks an upstream and counts it as started.
+func (s *service) choose(c Config, m table.Match, tried map[string]bool) (try, bool) {
+	l := c.Registry.Candidates(s.name)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(l, m.Service)
+	h, ok := s.balancer.Choose(now, s.set, balance.Query{
+		Zone:    c.Zone,
+		Exclude: tried,
+		NoProbe: m.Route.Execution != customer.Idempotent,
+	})
+	if !ok {
+		return try{}, false
+	}
+	n := h.Candidate.Name
+	s.balancer.Started(now, n)
+	return try{candidate: s.byName[n], name: n, reason: h.Reason, started: now}, true
+}
+
+// refresh rebuilds the set when the registry's list is another one. The
+// registry replaces a list instead of changing it.
+func (s *service) refresh(l []registry.Candidate, v customer.Service) {
+	if sameList(l, s.source) && s.coldStart == v.ColdStart {
+		return
+	}
+	s.source, s.coldStart = l, v.ColdStart
+	s.byName = make(map[string]registry.Candidate, len(l))
+	k := make([]balance.Candidate, 0, len(l))
+	for _, c := range l {
+		n := c.Node + "/" + c.Upstream.Name
+		s.byName[n] = c
+		k = append(k, balance.Candidate{
+			Name:      n,
+			Node:      c.Node,
+			Zone:      c.AvailabilityZone,
+			Slots:     c.Upstream.Slots,
+			State:     c.Upstream.State,
+			Since:     c.Upstream.Since,
+			ColdStart: v.ColdStart,
+		})
+	}
+	s.set = balance.NewSet(k)
+}
+
+func sameList(a, b []registry.Candidate) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func (s *service) finished(t try, o balance.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.Finished(time.Now(), t.name, o)
+}
+
+// retryable reports whether q may run again and its body can be sent again.
+func retryable(m table.Match, q *call.Request) bool {
+	return m.Route.Execution == customer.Idempotent && q.WholeBody
+}
+
+// retry decides whether a failed try is followed by another one.
+func (s *service) retry(m table.Match, q *call.Request, err error, inbound, tries int, left time.Duration) retry.Decision {
+	e := errkind.From(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Decide(time.Now(), retry.Try{
+		Kind:       e.Kind,
+		Execution:  e.Execution,
+		Idempotent: retryable(m, q),
+		Inbound:    inbound,
+		Tries:      tries,
+		Remaining:  left,
+		Rank:       m.Rank.Name,
+	})
+}
+
+// body reports once how the answer ended.
+type body struct {
+	io.ReadCloser
+	once sync.Once
+	done func(err error)
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == io.EOF:
+		b.once.Do(func() { b.done(nil) })
+	case err != nil:
+		b.once.Do(func() { b.done(err) })
+	}
+	return n, err
+}
+
+// Close implements io.Closer. An answer that was not read to its end says
+// nothing about the upstream.
+func (b *body) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(func() { b.done(errkind.New(errkind.Canceled, "answer not read to its end")) })
+	return err
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -142,6 +142,24 @@
 	return nil
 }
 
+// Service returns a service by its name, which is unique over all customers.
+func (t *Table) Service(name string) (customer.Service, bool) {
+	c := t.configs[t.service[name]]
+	if c == nil {
+		return customer.Service{}, false
+	}
+	return c.Service(name)
+}
+
+// Ranks returns the ranks of the customer that the named service belongs to.
+func (t *Table) Ranks(service string) []customer.Rank {
+	c := t.configs[t.service[service]]
+	if c == nil {
+		return nil
+	}
+	return c.Ranks()
+}
+
 // sortMatches puts longer paths first, so that the first match is the most
 // specific one.
 func sortMatches(l []Match) {
