--- /dev/null
+++ b/internal/idempotency/idempotency.go
@@ -0,0 +1,100 @@
+// Package idempotency is the node side of at-most-once execution. It claims
+// the idempotency key of a request at a control, runs the request once, and
+// records the outcome.
+//
+// # Usage
+//
+// A node creates one Client over its connections to the controls, and runs
+// each request of an AtMostOnce route through it:
+//
+//	c := idempotency.New(idempotency.Config{Node: name, Controls: reachable, Log: log})
+//	q := idempotency.Request{Customer: customer, Key: key, Digest: idempotency.Digest(method, path, body)}
+//	a, err := c.Run(ctx, q, func(ctx context.Context) (*idempotency.Response, error) {
+//		return forward(ctx) // an error with execution not-run must be proven
+//	})
+//
+// # Answers
+//
+// A resend of a request that ran gets the recorded answer with the header
+// Gooseberrypick-Replayed: true. Where the body was too large to record, the
+// answer has the recorded status and headers, no body, and the header
+// Gooseberrypick-Body: not-kept as well.
+//
+// All other answers are errors of package errkind. Execution not-run speaks of
+// the request at hand: it was not sent to an upstream. An earlier request with
+// the same key may have run.
+package idempotency
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+// Headers that mark a replayed answer.
+const (
+	ReplayedHeader = "Gooseberrypick-Replayed"
+	BodyHeader     = "Gooseberrypick-Body"
+	BodyNotKept    = "not-kept"
+)
+
+// Request identifies one request of an AtMostOnce route.
+type Request struct {
+	Customer string
+	// Key is the caller's Idempotency-Key.
+	Key    string
+	Digest []byte
+}
+
+// Digest returns the digest of a request, by which a resend is told from a new
+// request under a used key. Path includes the query.
+func Digest(method, path string, body []byte) []byte {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(method), []byte(path), body} {
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		h.Write(part)
+	}
+	return h.Sum(nil)
+}
+
+// Response is the answer of an upstream, complete or with its body to follow.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// More says that the body goes on after Body and reaches the caller by
+	// other means. Such a body is not recorded.
+	More bool
+	// Replayed marks an answer to an earlier request with the same key.
+	Replayed bool
+	// BodyNotKept marks a replayed answer whose body was not recorded.
+	BodyNotKept bool
+}
+
+func (r *Response) outcome() wire.Outcome {
+	o := wire.Outcome{Status: r.Status, Header: r.Header, Body: r.Body}
+	if r.More {
+		o = o.WithoutBody()
+	}
+	return o.Bounded()
+}
+
+// bodyHeaders describe a body and must not accompany an empty one.
+var bodyHeaders = []string{"Content-Length", "Content-Encoding", "Content-Range", "Content-Type", "Transfer-Encoding"}
+
+func replay(o *wire.Outcome) *Response {
+	r := &Response{Status: o.Status, Header: http.Header{}, Body: o.Body, Replayed: true, BodyNotKept: o.Truncated}
+	for name, values := range o.Header {
+		r.Header[http.CanonicalHeaderKey(name)] = values
+	}
+	if o.Truncated {
+		for _, name := range bodyHeaders {
+			r.Header.Del(name)
+		}
+		r.Header.Set(BodyHeader, BodyNotKept)
+	}
+	r.Header.Set(ReplayedHeader, "true")
+	return r
+}
