Add the node and control processes, announce library and example upstream

Cause: the parts of the whole path were not yet processes. Change: internal/node and internal/control assemble listeners, streams, groups, claims and graceful stop; commands control and node; pkg/announce and a stand-in upstream.

--- /dev/null
+++ b/examples/upstream/main.go
@@ -0,0 +1,108 @@
+// Command upstream is a small stand-in upstream: it announces itself to a node
+// and answers every request with its name and what it received.
+//
+//	go run ./examples/upstream --node 127.0.0.1:21103 --name level-display-1 --service level-display
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/pkg/announce"
+)
+
+const stopLimit = 20 * time.Second
+
+// answer is the body of each answer.
+type answer struct {
+	Upstream  string
+	Method    string
+	Path      string
+	RequestID string `json:"RequestId"`
+	Deadline  string
+	Bytes     int64
+}
+
+func main() {
+	node := flag.String("node", "127.0.0.1:21103", "UpstreamListen address of the node")
+	name := flag.String("name", "upstream-1", "name of this upstream")
+	service := flag.String("service", "level-display", "service that it runs")
+	listen := flag.String("listen", "127.0.0.1:0", "address to serve on")
+	slots := flag.Int("slots", 20, "requests that it runs at the same time")
+	connections := flag.Int("connections", 100, "connections that it takes")
+	delay := flag.Duration("delay", 0, "time that each request takes")
+	flag.Parse()
+	if err := run(*listen, *delay, announce.Config{
+		Node: *node, Name: *name, Service: *service, Slots: *slots, Connections: *connections,
+		Failed: func(err error) { log.Println("announcement failed; trying again:", err) },
+	}); err != nil {
+		log.Fatal(err)
+	}
+}
+
+func run(listen string, delay time.Duration, c announce.Config) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	c.Address = l.Addr().String()
+	s := &http.Server{Handler: handler(c.Name, delay), ReadHeaderTimeout: stopLimit}
+	failed := make(chan error, 1)
+	go func() { failed <- s.Serve(l) }()
+	a := announce.New(c)
+	announcing, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go a.Run(announcing)
+	log.Println("serving", c.Service, "as", c.Name, "on", c.Address)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return leave(a, s)
+}
+
+// leave announces the stop, finishes the requests in flight and withdraws.
+func leave(a *announce.Announcer, s *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	if err := a.Leave(ctx); err != nil {
+		log.Println("could not announce the stop:", err)
+	}
+	if err := s.Shutdown(ctx); err != nil {
+		return err
+	}
+	return a.Withdraw(ctx)
+}
+
+func handler(name string, delay time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer{ // the caller has gone
+			Upstream: name, Method: r.Method, Path: r.URL.RequestURI(), Bytes: n,
+			RequestID: r.Header.Get("Gooseberrypick-Request-Id"),
+			Deadline:  r.Header.Get("Gooseberrypick-Deadline"),
+		})
+	})
+}
--- /dev/null
+++ b/internal/commands/control.go
@@ -0,0 +1,29 @@
+package commands
+
+import (
+	"github.com/go-logr/logr"
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/control"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+func newControl() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "control --settings FILE",
+		Short: "Run a control process, which keeps accepted versions",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := settings.ReadControl(file)
+			if err != nil {
+				return err
+			}
+			return runProcess(c, s.LogLevel, func(l logr.Logger) (runner, error) {
+				return control.New(control.Config{Settings: s, Log: l})
+			})
+		},
+	}
+	settingsFlag(c, &file)
+	return c
+}
--- /dev/null
+++ b/internal/commands/node.go
@@ -0,0 +1,29 @@
+package commands
+
+import (
+	"github.com/go-logr/logr"
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/node"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+func newNode() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "node --settings FILE",
+		Short: "Run a node process beside an upstream",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := settings.ReadNode(file)
+			if err != nil {
+				return err
+			}
+			return runProcess(c, s.LogLevel, func(l logr.Logger) (runner, error) {
+				return node.New(node.Config{Settings: s, Log: l})
+			})
+		},
+	}
+	settingsFlag(c, &file)
+	return c
+}
--- /dev/null
+++ b/internal/commands/process.go
@@ -0,0 +1,44 @@
+package commands
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/logging"
+)
+
+// runner is a process that serves until its context ends.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+// runProcess makes the logger, starts the process and runs it until SIGTERM or
+// SIGINT. A second signal ends the program at once.
+func runProcess(c *cobra.Command, level string, start func(l logr.Logger) (runner, error)) error {
+	l, w, err := logging.New(c.ErrOrStderr(), level)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	p, err := start(l)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, stop)
+	return p.Run(ctx)
+}
+
+// settingsFlag adds the required flag --settings.
+func settingsFlag(c *cobra.Command, to *string) {
+	c.Flags().StringVar(to, "settings", "", "settings file (JSON with comments)")
+	if err := c.MarkFlagRequired("settings"); err != nil {
+		panic(err) // the flag was added above
+	}
+}
--- /dev/null
+++ b/internal/control/config.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/operator"
+	"github.com/gooseberrypick/gooseberrypick/internal/replica"
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+const (
+	// proposeLimit bounds one proposal. It exceeds an election.
+	proposeLimit = 5 * time.Second
+	// leaderPause spaces the tries while no leader is known.
+	leaderPause = 50 * time.Millisecond
+)
+
+// config is the config group as the rest of the control sees it. It implements
+// configSource.
+type config struct {
+	*versions.Machine
+	group *replica.Group
+	peers *peers
+}
+
+// Lineage implements configSource.
+func (c *config) Lineage() string { return c.group.Status().Lineage }
+
+// IsCurrent implements configSource.
+func (c *config) IsCurrent() bool { return c.group.Status().Current }
+
+// ReadBarrier implements configSource.
+func (c *config) ReadBarrier(ctx context.Context) error { return c.group.ReadBarrier(ctx) }
+
+// propose runs a command on the leader, here or at another member. Commands
+// carry IDs, so a command that reaches the log twice has one effect.
+func (c *config) propose(ctx context.Context, command []byte) (versions.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
+	defer cancel()
+	for {
+		r, err := c.proposeOnce(ctx, command)
+		if k := errkind.Of(err); k != errkind.NotLeader && k != errkind.NotReady {
+			return r, err
+		}
+		t := time.NewTimer(leaderPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return r, errkind.Wrap(err, errkind.NoQuorum, "no leader within %s", proposeLimit).WithExecution(errkind.NotRun)
+		case <-t.C:
+		}
+	}
+}
+
+func (c *config) proposeOnce(ctx context.Context, command []byte) (versions.Result, error) {
+	v, err := c.group.Propose(ctx, command)
+	if err == nil {
+		return v.(versions.Result), nil
+	}
+	s := c.group.Status()
+	if errkind.Of(err) != errkind.NotLeader || s.Leader.Name == "" {
+		return versions.Result{}, err
+	}
+	a, err := peerCall[wire.ProposeRequest, wire.ProposeResponse](ctx, c.peers, s.Leader.Name, wire.MethodPropose,
+		&wire.ProposeRequest{Group: configGroup, Command: command})
+	if err != nil {
+		return versions.Result{}, unknownUnlessNotRun(err)
+	}
+	var r versions.Result
+	return r, wire.Unmarshal(a.Result, &r)
+}
+
+// unknownUnlessNotRun turns a transport error into OutcomeUnknown, since the
+// leader may have appended the command.
+func unknownUnlessNotRun(err error) error {
+	e := errkind.From(err)
+	if e.Execution == errkind.NotRun {
+		return err
+	}
+	return errkind.Wrap(err, errkind.OutcomeUnknown, "the leader did not answer")
+}
+
+// serve answers a command that another member forwarded.
+func (c *config) serve(ctx context.Context, q *wire.ProposeRequest) (*wire.ProposeResponse, error) {
+	if q.Group != configGroup {
+		return nil, errkind.New(errkind.NotFound, "group %q takes no forwarded commands", q.Group)
+	}
+	v, err := c.group.Propose(ctx, q.Command)
+	if err != nil {
+		return nil, err
+	}
+	b, err := wire.Marshal(v)
+	return &wire.ProposeResponse{Result: b}, err
+}
+
+// backend answers operators. It implements operator.Backend.
+type backend struct {
+	config *config
+	// reports collects the nodes and members of all controls.
+	reports func(ctx context.Context) ([]operator.Node, []operator.Member)
+	name    string
+	clock   func() time.Time
+}
+
+// Plan implements operator.Backend.
+func (b *backend) Plan(ctx context.Context, r operator.PlanRequest) (operator.Plan, error) {
+	if err := b.barrier(ctx); err != nil {
+		return operator.Plan{}, err
+	}
+	return operator.NewPlan(b.config.Current(), r)
+}
+
+// Accept implements operator.Backend.
+func (b *backend) Accept(ctx context.Context, author string, r operator.AcceptRequest) (operator.Accepted, error) {
+	c, err := operator.Compile(author, r, b.clock())
+	if err != nil {
+		return operator.Accepted{}, err
+	}
+	d, err := c.Encode()
+	if err != nil {
+		return operator.Accepted{}, err
+	}
+	x, err := b.config.propose(ctx, d)
+	if err != nil {
+		return operator.Accepted{}, err
+	}
+	v, err := x.Outcome()
+	if err != nil {
+		return operator.Accepted{}, err
+	}
+	return operator.Accepted{Version: v, Customer: c.Customer, Base: r.Base, RequestID: r.RequestID, Repeated: x.Repeated}, nil
+}
+
+// Status implements operator.Backend. It answers even without a majority, and
+// then says that it is not current.
+func (b *backend) Status(ctx context.Context) (operator.Status, error) {
+	current := b.barrier(ctx) == nil
+	v := b.config.Current().Version()
+	n, m := b.reports(ctx)
+	return operator.Status{
+		Control: b.name,
+		Current: current,
+		Version: v,
+		Members: m,
+		Nodes:   operator.NewNodes(b.config.Nodes(), n, v),
+	}, nil
+}
+
+// History implements operator.Backend.
+func (b *backend) History(ctx context.Context, r operator.HistoryRequest) (operator.History, error) {
+	if err := b.barrier(ctx); err != nil {
+		return operator.History{}, err
+	}
+	return operator.NewHistory(b.config.Current(), r), nil
+}
+
+// Version implements operator.Backend.
+func (b *backend) Version(ctx context.Context, r operator.VersionRequest) (operator.Version, error) {
+	if err := b.barrier(ctx); err != nil {
+		return operator.Version{}, err
+	}
+	return operator.NewVersion(b.config.Current(), r)
+}
+
+// barrier makes a read see every accept that was answered before it.
+func (b *backend) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, barrierLimit)
+	defer cancel()
+	if err := b.config.ReadBarrier(ctx); err != nil {
+		return errkind.Wrap(err, errkind.NotCurrent, "control %s cannot confirm its state with a majority", b.name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,312 @@
+// Package control is the control process: it keeps accepted versions and claims
+// together with the other members, serves operators over HTTP, and serves nodes
+// and other controls over drpc.
+//
+// # Usage
+//
+//	c, err := control.New(control.Config{Settings: s, Log: l})
+//	if err != nil {
+//		return err
+//	}
+//	err = c.Run(ctx) // stops gracefully when ctx ends
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/admin"
+	"github.com/gooseberrypick/gooseberrypick/internal/claims"
+	"github.com/gooseberrypick/gooseberrypick/internal/operator"
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+const (
+	// maxInnerConnections bounds connections from nodes and controls. At the
+	// target, 725 nodes hold a stream and some claim connections each.
+	maxInnerConnections = 8192
+	headerTimeout       = 5 * time.Second
+)
+
+// Config holds what a Control needs.
+type Config struct {
+	Settings settings.Control
+	Log      logr.Logger
+	// Dial opens inner connections; nil means TCP.
+	Dial wire.Dialer
+}
+
+// Control is one control process.
+type Control struct {
+	c         Config
+	log       logr.Logger
+	pool      *wire.Pool
+	groups    groups
+	config    *config
+	claims    *claims.Service
+	registry  *registry.Registry
+	streams   *Streams
+	exchange  *exchange
+	names     *remembrance
+	metrics   metrics.Registry
+	transport *transport
+	stopRaft  context.CancelFunc
+	operators *http.Server
+	admin     *http.Server
+	listeners listeners
+}
+
+type listeners struct{ operator, peer, admin net.Listener }
+
+// New opens the listeners and starts the replicas.
+func New(c Config) (*Control, error) {
+	if c.Dial == nil {
+		c.Dial = wire.DialTCP
+	}
+	l, err := listen(c.Settings)
+	if err != nil {
+		return nil, err
+	}
+	k := &Control{
+		c:         c,
+		log:       c.Log.WithName("control"),
+		pool:      wire.NewPool(c.Dial),
+		groups:    groups{},
+		registry:  registry.New(),
+		names:     &remembrance{pending: map[string]string{}},
+		metrics:   metrics.NewRegistry(),
+		listeners: l,
+	}
+	if err := k.open(); err != nil {
+		k.close()
+		return nil, err
+	}
+	return k, nil
+}
+
+// open starts the groups and wires the services to them.
+func (k *Control) open() error {
+	s := k.c.Settings
+	ctx, cancel := context.WithCancel(context.Background())
+	k.stopRaft = cancel
+	k.transport = newTransport(ctx, s.Name, s.Members, k.c.Dial, k.log)
+	p := newPeers(k.pool, s.Members)
+	m := versions.New()
+	g, err := openGroup(configGroup, s, m, k.transport, p, k.log)
+	if err != nil {
+		return err
+	}
+	k.groups[configGroup] = g
+	k.config = &config{Machine: m, group: g, peers: p}
+	if err := k.openClaims(p); err != nil {
+		return err
+	}
+	k.streams = newStreams(s.Name, k.config, k.registry, k.log)
+	k.streams.seen = k.names.add
+	k.exchange = newExchange(s.Name, s.Members, k.pool, k.streams, k.log)
+	return k.openServers()
+}
+
+func (k *Control) openClaims(p *peers) error {
+	s := k.c.Settings
+	limits := claims.Limits{Retention: s.ClaimRetention}
+	var l []claims.Group
+	for i := range s.ClaimGroups {
+		n := claimGroupName(i)
+		g, err := openGroup(n, s, claims.NewMachine(), k.transport, p, k.log)
+		if err != nil {
+			return err
+		}
+		k.groups[n] = g
+		l = append(l, g)
+	}
+	k.claims = claims.NewService(claims.ServiceConfig{
+		Groups: l,
+		Leader: func(i int) string { return k.groups[claimGroupName(i)].Status().Leader.Name },
+		Limits: limits,
+	})
+	return nil
+}
+
+func (k *Control) openServers() error {
+	s := k.c.Settings
+	b := &backend{config: k.config, reports: k.collect, name: s.Name, clock: time.Now}
+	o := make([]operator.Operator, 0, len(s.Operators))
+	for _, e := range s.Operators {
+		o = append(o, operator.Operator{Name: e.Name, TokenHash: e.TokenHash})
+	}
+	h, err := operator.NewHandler(operator.HandlerConfig{Backend: b, Operators: o, Log: k.c.Log.WithName("operator")})
+	if err != nil {
+		return err
+	}
+	k.operators = operator.NewServer(h)
+	k.admin = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: admin.New(admin.Config{
+		Metrics: k.metrics,
+		Ready:   k.ready,
+		Version: func() any { return k.memberReport() },
+		Pprof:   s.Pprof,
+	})}
+	return nil
+}
+
+func listen(s settings.Control) (listeners, error) {
+	var l listeners
+	for _, e := range []struct {
+		to      *net.Listener
+		key     string
+		address string
+	}{
+		{&l.operator, "Listen", s.Listen},
+		{&l.peer, "PeerListen", s.PeerListen},
+		{&l.admin, "AdminListen", s.AdminListen},
+	} {
+		n, err := net.Listen("tcp", e.address)
+		if err != nil {
+			l.close()
+			return l, errors.Wrapf(err, "%s %s: cannot listen; is another process using the address", e.key, e.address)
+		}
+		*e.to = n
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, n := range []net.Listener{l.operator, l.peer, l.admin} {
+		if n != nil {
+			n.Close()
+		}
+	}
+}
+
+// ready returns why this control cannot serve, or nil.
+func (k *Control) ready() error {
+	if s := k.config.group.Status(); !s.Current {
+		return errors.Errorf("not in contact with a majority of the members (role %s)", s.Role)
+	}
+	return nil
+}
+
+func (k *Control) mux() *wire.Mux {
+	m := wire.NewMux()
+	k.groups.register(m)
+	m.HandleStream(wire.MethodSubscribe, k.streams.Subscribe)
+	registerClaims(m, k.claims, k.config.peers)
+	wire.HandleUnary(m, wire.MethodPropose, k.config.serve)
+	wire.HandleUnary(m, wire.MethodRegistrySync, k.exchange.receive)
+	wire.HandleUnary(m, wire.MethodNodeReports, k.report)
+	return m
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (k *Control) Run(ctx context.Context) error {
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, serving := errgroup.WithContext(serving)
+	g.Go(func() error { return ignoreClosed(k.operators.Serve(k.listeners.operator)) })
+	g.Go(func() error { return ignoreClosed(k.admin.Serve(k.listeners.admin)) })
+	g.Go(func() error {
+		return wire.Serve(serving, k.listeners.peer, k.mux(), wire.ServeOptions{Log: k.log, MaxConnections: maxInnerConnections})
+	})
+	for _, m := range k.exchange.others {
+		g.Go(func() error { k.exchange.run(serving, m); return nil })
+	}
+	g.Go(func() error { k.spread(serving); return nil })
+	g.Go(func() error { k.remember(serving); return nil })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-serving.Done(): // a server failed
+		}
+		defer cancel()
+		return k.stop()
+	})
+	k.log.Info("control started", "name", k.c.Settings.Name, "availabilityZone", k.c.Settings.AvailabilityZone,
+		"listen", k.c.Settings.Listen, "members", len(k.c.Settings.Members))
+	err := g.Wait()
+	k.close()
+	k.log.Info("control stopped")
+	return err
+}
+
+// spread sends endpoint changes to nodes and controls and ends leases.
+func (k *Control) spread(ctx context.Context) {
+	t := time.NewTicker(batchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			k.exchange.push(k.streams.Flush())
+			k.streams.Expire(now)
+			if k.config.IsCurrent() {
+				k.exchange.expire(now)
+			}
+			k.sample()
+		}
+	}
+}
+
+// sample updates the gauges.
+func (k *Control) sample() {
+	s := k.config.group.Status()
+	for n, v := range map[string]int64{
+		"version":         int64(k.config.Current().Version()),
+		"nodes":           int64(k.registry.Len()),
+		"connected_nodes": int64(k.streams.Len()),
+		"raft_term":       int64(s.Term),
+		"raft_commit":     int64(s.Commit),
+		"current":         boolGauge(s.Current),
+	} {
+		metrics.GetOrRegisterGauge(n, k.metrics).Update(v)
+	}
+}
+
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// stop finishes the calls of operators, then ends the streams of nodes, which
+// go to another control.
+func (k *Control) stop() error {
+	k.log.Info("control stops", "limit", k.c.Settings.StopLimit.String())
+	ctx, cancel := context.WithTimeout(context.Background(), k.c.Settings.StopLimit)
+	defer cancel()
+	err := k.operators.Shutdown(ctx)
+	k.streams.Close()
+	k.admin.Close()
+	return errors.Wrap(err, "graceful stop")
+}
+
+func (k *Control) close() {
+	k.listeners.close()
+	if k.claims != nil {
+		k.claims.Close()
+	}
+	k.groups.close()
+	if k.stopRaft != nil {
+		k.stopRaft()
+		k.transport.running.Wait()
+	}
+	k.pool.Close()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"storj.io/drpc/drpcconn"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -25,43 +24,6 @@
 	homeLimit = 30 * time.Second
 )
 
-// link is the connection to one other control, opened when needed.
-type link struct {
-	member settings.Member
-	dial   wire.Dialer
-	mu     sync.Mutex
-	conn   *drpcconn.Conn
-}
-
-// get returns an open connection.
-func (k *link) get(ctx context.Context) (*drpcconn.Conn, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.conn != nil {
-		select {
-		case <-k.conn.Closed():
-		default:
-			return k.conn, nil
-		}
-	}
-	c, err := wire.Dial(ctx, k.dial, k.member.Address)
-	if err != nil {
-		return nil, err
-	}
-	k.conn = c
-	return c, nil
-}
-
-// drop closes the connection, so that the next call opens a new one.
-func (k *link) drop() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.conn != nil {
-		k.conn.Close()
-		k.conn = nil
-	}
-}
-
 // exchange spreads node records between controls: changes at once, and a
 // comparison of digests from time to time, which repairs what was lost.
 type exchange struct {
@@ -69,7 +31,8 @@
 	registry *registry.Registry
 	streams  *Streams
 	log      logr.Logger
-	links    map[string]*link
+	pool     *wire.Pool
+	others   []settings.Member
 
 	mu       sync.Mutex
 	pending  map[string][]wire.NodeRecord
@@ -77,20 +40,20 @@
 	started  time.Time
 }
 
-func newExchange(control string, members []settings.Member, d wire.Dialer, s *Streams, l logr.Logger) *exchange {
+func newExchange(control string, members []settings.Member, p *wire.Pool, s *Streams, l logr.Logger) *exchange {
 	e := &exchange{
 		control:  control,
 		registry: s.registry,
 		streams:  s,
 		log:      l,
-		links:    map[string]*link{},
+		pool:     p,
 		pending:  map[string][]wire.NodeRecord{},
 		answered: map[string]time.Time{},
 		started:  time.Now(),
 	}
 	for _, m := range members {
 		if m.Name != control {
-			e.links[m.Name] = &link{member: m, dial: d}
+			e.others = append(e.others, m)
 			e.answered[m.Name] = e.started
 		}
 	}
@@ -135,23 +98,22 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for k := range e.links {
-		e.pending[k] = append(e.pending[k], own...)
+	for _, m := range e.others {
+		e.pending[m.Name] = append(e.pending[m.Name], own...)
 	}
 }
 
 // run exchanges with one control until ctx ends.
-func (e *exchange) run(ctx context.Context, k *link) {
+func (e *exchange) run(ctx context.Context, m settings.Member) {
 	t := time.NewTicker(batchInterval)
 	defer t.Stop()
 	var compared time.Time
 	for {
 		select {
 		case <-ctx.Done():
-			k.drop()
 			return
 		case now := <-t.C:
-			l := e.takePending(k.member.Name)
+			l := e.takePending(m.Name)
 			compare := now.Sub(compared) >= compareInterval
 			if len(l) == 0 && !compare {
 				continue
@@ -159,9 +121,8 @@
 			if compare {
 				compared = now
 			}
-			if err := e.call(ctx, k, l, compare); err != nil {
-				e.log.V(1).Info("registry exchange failed", "control", k.member.Name, "cause", err.Error())
-				k.drop()
+			if err := e.call(ctx, m, l, compare); err != nil {
+				e.log.V(1).Info("registry exchange failed", "control", m.Name, "cause", err.Error())
 			}
 		}
 	}
@@ -178,22 +139,18 @@
 	return l[:n]
 }
 
-func (e *exchange) call(ctx context.Context, k *link, l []wire.NodeRecord, compare bool) error {
+func (e *exchange) call(ctx context.Context, m settings.Member, l []wire.NodeRecord, compare bool) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	c, err := k.get(ctx)
-	if err != nil {
-		return err
-	}
 	q := &wire.RegistrySyncRequest{Control: e.control, Records: l}
 	if compare {
 		q.Buckets = e.registry.Buckets()
 	}
-	a, err := wire.Call[wire.RegistrySyncRequest, wire.RegistrySyncResponse](ctx, c, wire.MethodRegistrySync, q)
+	a, err := wire.PoolCall[wire.RegistrySyncRequest, wire.RegistrySyncResponse](ctx, e.pool, m.Address, wire.MethodRegistrySync, q)
 	if err != nil {
 		return err
 	}
-	e.heard(k.member.Name)
+	e.heard(m.Name)
 	e.take(a.Records)
 	return nil
 }
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -411,6 +411,13 @@
 	}
 }
 
+// Len returns the number of connected nodes.
+func (s *Streams) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.nodes)
+}
+
 // Reports returns what this control knows of its nodes, connected ones and
 // those that were lost recently.
 func (s *Streams) Reports(now time.Time) []wire.NodeReport {
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -203,7 +203,9 @@
 	n.record.Sequence++
 	n.record.Gone = true
 	n.record.Upstreams = nil
+	r := n.record
 	n.mu.Unlock()
+	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
 	select {
 	case n.changed <- struct{}{}:
 	default:
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,304 @@
+// Package node is the node process: the small process beside an upstream that
+// serves callers, routes their requests and keeps the configuration in force.
+//
+// # Usage
+//
+//	n, err := node.New(node.Config{Settings: s, Log: l})
+//	if err != nil {
+//		return err
+//	}
+//	err = n.Run(ctx) // stops gracefully when ctx ends
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/admin"
+	"github.com/gooseberrypick/gooseberrypick/internal/caller"
+	"github.com/gooseberrypick/gooseberrypick/internal/distribution"
+	"github.com/gooseberrypick/gooseberrypick/internal/idempotency"
+	"github.com/gooseberrypick/gooseberrypick/internal/peer"
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/router"
+	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+const (
+	// maxPeerConnections bounds connections from other nodes; each request
+	// under way uses one.
+	maxPeerConnections = 8192
+	// lameDuck is how long a stopping node still takes requests, so that the
+	// rest of the fleet learns of the stop first. It is well below the 3 s
+	// within which no new work may arrive.
+	lameDuck = 500 * time.Millisecond
+	// expireInterval is how often announcements are checked.
+	expireInterval = 250 * time.Millisecond
+	headerTimeout  = 5 * time.Second
+	// flushLimit bounds the recording of outcomes at a stop.
+	flushLimit = 2 * time.Second
+)
+
+// Config holds what a Node needs.
+type Config struct {
+	Settings settings.Node
+	Log      logr.Logger
+	// Dial opens inner connections; nil means TCP.
+	Dial wire.Dialer
+}
+
+// Node is one node process.
+type Node struct {
+	c             Config
+	registry      *registry.Registry
+	distribution  *distribution.Client
+	local         *upstream.Local
+	announcements *upstream.Announcements
+	peers         *peer.Client
+	once          *idempotency.Client
+	controls      *controls
+	metrics       *nodeMetrics
+	callers       *http.Server
+	upstreams     *http.Server
+	admin         *http.Server
+	listeners     listeners
+	stopping      chan struct{}
+}
+
+type listeners struct{ caller, upstream, peer, admin net.Listener }
+
+// New opens the listeners and prepares the node.
+func New(c Config) (*Node, error) {
+	if c.Dial == nil {
+		c.Dial = wire.DialTCP
+	}
+	l, err := listen(c.Settings)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	n := &Node{c: c, registry: registry.New(), listeners: l, metrics: newMetrics(), stopping: make(chan struct{})}
+	n.distribution = distribution.New(distribution.Config{
+		Node:             c.Settings.Name,
+		AvailabilityZone: c.Settings.AvailabilityZone,
+		PeerAddress:      c.Settings.PeerListen,
+		Incarnation:      uint64(now.UnixNano()),
+		Controls:         c.Settings.Control,
+		Dial:             c.Dial,
+		Registry:         n.registry,
+		Log:              c.Log.WithName("distribution"),
+		Seed:             uint64(now.UnixNano()),
+		Applied:          n.metrics.applied,
+	})
+	n.local = upstream.NewLocal(upstream.Config{
+		Table:   n.distribution.Table,
+		Log:     c.Log.WithName("upstream"),
+		Observe: n.metrics.queued,
+	})
+	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n.upstreamsChanged)
+	n.peers = peer.NewClient(c.Dial)
+	n.controls = &controls{pool: wire.NewPool(c.Dial), addresses: c.Settings.Control, preferred: n.distribution.Control}
+	n.once = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
+	n.serversOf(now)
+	return n, nil
+}
+
+func (n *Node) serversOf(now time.Time) {
+	s := n.c.Settings
+	r := router.New(router.Config{
+		Node:       s.Name,
+		Zone:       s.AvailabilityZone,
+		Registry:   n.registry,
+		Local:      n.local,
+		Peers:      n.peers,
+		Log:        n.c.Log.WithName("router"),
+		Seed:       uint64(now.UnixNano()),
+		SeeVersion: n.distribution.SeeVersion,
+		Retried:    n.metrics.retried,
+	})
+	n.callers = caller.NewServer(caller.New(caller.Config{
+		Table:   n.distribution.Table,
+		Router:  r,
+		Once:    &onceRunner{client: n.once, router: r},
+		Log:     n.c.Log.WithName("caller"),
+		Observe: n.metrics.answered,
+	}))
+	n.upstreams = &http.Server{Handler: n.announcements.Handler(), ReadHeaderTimeout: headerTimeout}
+	n.admin = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: admin.New(admin.Config{
+		Metrics: n.metrics.registry,
+		Ready:   n.ready,
+		Version: func() any { return n.status() },
+		Pprof:   s.Pprof,
+	})}
+}
+
+func listen(s settings.Node) (listeners, error) {
+	var l listeners
+	for _, e := range []struct {
+		to      *net.Listener
+		key     string
+		address string
+	}{
+		{&l.caller, "Listen", s.Listen},
+		{&l.upstream, "UpstreamListen", s.UpstreamListen},
+		{&l.peer, "PeerListen", s.PeerListen},
+		{&l.admin, "AdminListen", s.AdminListen},
+	} {
+		k, err := net.Listen("tcp", e.address)
+		if err != nil {
+			l.close()
+			return l, errors.Wrapf(err, "%s %s: cannot listen; is another process using the address", e.key, e.address)
+		}
+		*e.to = k
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, k := range []net.Listener{l.caller, l.upstream, l.peer, l.admin} {
+		if k != nil {
+			k.Close()
+		}
+	}
+}
+
+// Status is the body of /v1/version.
+type Status struct {
+	Node     string
+	Version  uint64
+	Control  string
+	Nodes    int
+	Services map[string]int
+}
+
+func (n *Node) status() Status {
+	s := Status{
+		Node:     n.c.Settings.Name,
+		Version:  n.distribution.Table().Version(),
+		Control:  n.distribution.Control(),
+		Nodes:    n.registry.Len(),
+		Services: map[string]int{},
+	}
+	for _, c := range n.distribution.Table().Configs() {
+		for _, v := range c.Services() {
+			s.Services[v.Name] = len(n.registry.Candidates(v.Name))
+		}
+	}
+	return s
+}
+
+func (n *Node) ready() error {
+	select {
+	case <-n.stopping:
+		return errors.New("the node is stopping")
+	default:
+		return n.distribution.Ready()
+	}
+}
+
+// upstreamsChanged passes the announced upstreams to the queue and the fleet.
+func (n *Node) upstreamsChanged(l []upstream.Announced) {
+	n.local.Set(l)
+	u := make([]wire.Upstream, 0, len(l))
+	for _, a := range l {
+		u = append(u, wire.Upstream{
+			Name: a.Name, Service: a.Service, State: a.State,
+			Slots: a.Slots, Connections: a.Connections, Since: a.Since,
+		})
+	}
+	n.distribution.SetUpstreams(u)
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	// The servers live longer than ctx: a graceful stop needs them.
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	m := wire.NewMux()
+	peer.Register(m, n.local)
+	g, serving := errgroup.WithContext(serving)
+	g.Go(func() error { return ignoreClosed(n.callers.Serve(n.listeners.caller)) })
+	g.Go(func() error { return ignoreClosed(n.upstreams.Serve(n.listeners.upstream)) })
+	g.Go(func() error { return ignoreClosed(n.admin.Serve(n.listeners.admin)) })
+	g.Go(func() error {
+		return wire.Serve(serving, n.listeners.peer, m, wire.ServeOptions{Log: n.c.Log.WithName("peer"), MaxConnections: maxPeerConnections})
+	})
+	g.Go(func() error { n.distribution.Run(serving); return nil })
+	g.Go(func() error { n.local.Run(serving); return nil })
+	g.Go(func() error { n.expire(serving); return nil })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-serving.Done(): // a server failed
+		}
+		defer cancel()
+		return n.stop()
+	})
+	n.c.Log.Info("node started", "node", n.c.Settings.Name, "availabilityZone", n.c.Settings.AvailabilityZone,
+		"listen", n.c.Settings.Listen, "control", n.c.Settings.Control)
+	err := g.Wait()
+	flush, stop := context.WithTimeout(context.WithoutCancel(ctx), flushLimit)
+	defer stop()
+	if e := n.once.Close(flush); e != nil {
+		n.c.Log.Error(e, "claims left without outcome at the stop")
+	}
+	n.controls.pool.Close()
+	n.peers.Close()
+	n.c.Log.Info("node stopped")
+	return err
+}
+
+func (n *Node) expire(ctx context.Context) {
+	t := time.NewTicker(expireInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			n.announcements.Expire(now)
+			n.metrics.sample(n)
+			if now.UnixNano()%int64(time.Minute) < int64(expireInterval) {
+				n.registry.Compact(now)
+			}
+		}
+	}
+}
+
+// stop announces that the node leaves, waits until the fleet knows, refuses new
+// work and finishes what is in flight.
+func (n *Node) stop() error {
+	close(n.stopping)
+	n.c.Log.Info("node stops: announcing, then finishing requests in flight", "limit", n.c.Settings.StopLimit.String())
+	ctx, cancel := context.WithTimeout(context.Background(), n.c.Settings.StopLimit)
+	defer cancel()
+	n.distribution.Leave(ctx)
+	time.Sleep(min(lameDuck, n.c.Settings.StopLimit/4))
+	n.local.Refuse()
+	err := n.callers.Shutdown(ctx)
+	if e := n.local.Wait(ctx); err == nil {
+		err = e
+	}
+	n.upstreams.Close()
+	n.admin.Close()
+	if err != nil {
+		n.callers.Close()
+		return errors.Wrapf(err, "graceful stop within %s", n.c.Settings.StopLimit)
+	}
+	return nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -16,22 +16,22 @@
 
 // Client calls other nodes.
 type Client struct {
-	pool *pool
+	pool *wire.Pool
 }
 
 // NewClient returns a Client that connects with d.
-func NewClient(d wire.Dialer) *Client { return &Client{pool: newPool(d)} }
+func NewClient(d wire.Dialer) *Client { return &Client{pool: wire.NewPool(d)} }
 
 // Close closes the idle connections.
-func (c *Client) Close() error { return c.pool.close() }
+func (c *Client) Close() error { return c.pool.Close() }
 
 // Call sends r to the owner node at address.
 func (c *Client) Call(ctx context.Context, address string, r *call.Request) (*call.Response, error) {
-	conn, err := c.pool.get(ctx, address)
+	conn, err := c.pool.Get(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{request: r, conn: conn, release: func(clean bool) { c.pool.put(address, conn, clean) }}
+	x := &exchange{request: r, conn: conn, release: func(clean bool) { c.pool.Put(address, conn, clean) }}
 	a, err := x.start(ctx)
 	if err != nil {
 		x.finish(x.clean)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,14 +20,13 @@
 import (
 	"context"
 	"io"
-	"time"
 
+	"github.com/pkg/errors"
 	"storj.io/drpc"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
-	"github.com/pkg/errors"
 )
 
 // Register serves Forward streams on m from t.
@@ -145,7 +144,3 @@
 	c.rest = c.rest[n:]
 	return n, nil
 }
-
-// idleTimeout closes pooled connections that were not used; peers keep theirs
-// open for longer, so that a request does not meet a closing connection.
-const idleTimeout = time.Minute
--- a/internal/upstream/local.go
+++ b/internal/upstream/local.go
@@ -123,12 +123,16 @@
 	return w, nil
 }
 
-// Stop refuses new requests and waits until those in flight have ended or ctx
-// ends.
-func (l *Local) Stop(ctx context.Context) error {
+// Refuse refuses new requests from now on.
+func (l *Local) Refuse() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.stopping = true
-	l.mu.Unlock()
+}
+
+// Wait returns once the requests in flight have ended, or with an error when
+// ctx ends first. Call Refuse before.
+func (l *Local) Wait(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
 		l.inFlight.Wait()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,6 +44,10 @@
 	MethodBootstrap    = "/control/Bootstrap"
 	MethodRegistrySync = "/control/RegistrySync"
 	MethodNodeReports  = "/control/NodeReports"
+	// The following are forwarded to the leader of a claim group.
+	MethodLeaderClaim    = "/control/Claim"
+	MethodLeaderComplete = "/control/Complete"
+	MethodLeaderRelease  = "/control/Release"
 )
 
 // Encoding is the drpc encoding of all inner messages: CBOR with integer keys.
--- /dev/null
+++ b/pkg/announce/announce.go
@@ -0,0 +1,150 @@
+// Package announce lets an upstream announce itself to the node beside it.
+//
+// # Usage
+//
+//	a := announce.New(announce.Config{
+//		Node: "127.0.0.1:21103", Name: "level-display-1", Service: "level-display",
+//		Address: "127.0.0.1:9101", Slots: 20, Connections: 100,
+//	})
+//	go a.Run(ctx) // announces Serving and renews until ctx ends
+//	…
+//	a.Leave(ctx) // before a planned stop: no new work from now on
+package announce
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// retryInterval spaces the tries while the node does not answer.
+	retryInterval = 500 * time.Millisecond
+	callTimeout   = 2 * time.Second
+	maxAnswer     = 16 << 10
+)
+
+// Config describes the upstream.
+type Config struct {
+	// Node is the UpstreamListen address of the node.
+	Node        string
+	Name        string
+	Service     string
+	Address     string
+	Slots       int
+	Connections int
+	// Failed is called when an announcement fails; it may be nil.
+	Failed func(error)
+}
+
+// Announcer keeps an upstream announced.
+type Announcer struct {
+	c      Config
+	client *http.Client
+	mu     sync.Mutex
+	state  string
+}
+
+// New returns an Announcer in state Serving.
+func New(c Config) *Announcer {
+	if c.Failed == nil {
+		c.Failed = func(error) {}
+	}
+	return &Announcer{c: c, client: &http.Client{Timeout: callTimeout}, state: "Serving"}
+}
+
+type announcement struct {
+	Service     string
+	Address     string
+	Slots       int
+	Connections int
+	State       string
+}
+
+type renewal struct{ RenewWithin string }
+
+// Run announces and renews until ctx ends.
+func (a *Announcer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := retryInterval
+		if d, err := a.Announce(ctx); err != nil {
+			a.c.Failed(err)
+		} else {
+			wait = d / 3 // two renewals may be lost
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+		case <-t.C:
+		}
+	}
+}
+
+// Announce announces the present state once and returns the time within which
+// it must be renewed.
+func (a *Announcer) Announce(ctx context.Context) (time.Duration, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, err := json.Marshal(announcement{a.c.Service, a.c.Address, a.c.Slots, a.c.Connections, a.state})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode announcement")
+	}
+	var r renewal
+	if err := a.call(ctx, http.MethodPut, b, &r); err != nil {
+		return 0, err
+	}
+	d, err := time.ParseDuration(r.RenewWithin)
+	if err != nil || d <= 0 {
+		return 0, errors.Errorf("node answered with RenewWithin %q", r.RenewWithin)
+	}
+	return d, nil
+}
+
+// Leave announces that the upstream stops. Its node gives it no new work from
+// then on; the rest of the fleet follows within 3 s.
+func (a *Announcer) Leave(ctx context.Context) error {
+	a.mu.Lock()
+	a.state = "Leaving"
+	a.mu.Unlock()
+	_, err := a.Announce(ctx)
+	return err
+}
+
+// Withdraw removes the announcement.
+func (a *Announcer) Withdraw(ctx context.Context) error {
+	return a.call(ctx, http.MethodDelete, nil, nil)
+}
+
+func (a *Announcer) call(ctx context.Context, method string, body []byte, answer any) error {
+	u := fmt.Sprintf("http://%s/v1/upstreams/%s", a.c.Node, url.PathEscape(a.c.Name))
+	q, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	q.Header.Set("Content-Type", "application/json")
+	r, err := a.client.Do(q)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer))
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	if r.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("node answered %s: %s", r.Status, bytes.TrimSpace(b))
+	}
+	if answer == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(b, answer), "decode answer of node")
+}
