Add consensus groups of control members: raft, wal and replica

Cause: accepted versions and claims need a log that a majority holds on disk, with a leader that notices when it is cut off. The package comment of replica shows how a control wires it up.

--- /dev/null
+++ b/internal/raft/status.go
@@ -0,0 +1,43 @@
+package raft
+
+import (
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+// Status is what a member knows of its group.
+type Status struct {
+	Role     Role
+	Term     uint64
+	Leader   string // identity; empty when unknown
+	Commit   uint64
+	LastLog  uint64
+	FirstLog uint64
+	Members  []wire.RaftMember
+	// CurrentUntil is the time until which the member counts as confirmed with
+	// a majority.
+	CurrentUntil time.Duration
+}
+
+// Status returns the status of n.
+func (n *Node) Status(now time.Duration) Status {
+	s := Status{
+		Role: n.role, Term: n.hard.Term, Leader: n.leader, Commit: n.commit,
+		LastLog: n.log.last(), FirstLog: n.log.base + 1,
+		Members: n.membership().Members, CurrentUntil: n.current,
+	}
+	if n.role == Leader {
+		s.CurrentUntil = 0
+		if n.committedInTerm() {
+			s.CurrentUntil = n.leaseStart(now) + n.c.lease()
+		}
+	}
+	return s
+}
+
+// Leader returns the identity of the leader, or an empty string.
+func (n *Node) Leader() string { return n.leader }
+
+// Member returns the member with the given identity.
+func (n *Node) Member(identity string) (wire.RaftMember, bool) { return n.member(identity) }
--- /dev/null
+++ b/internal/replica/cluster_test.go
@@ -0,0 +1,198 @@
+package replica_test
+
+import (
+	"context"
+	"path/filepath"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/replica"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// journal is a state machine that keeps its commands.
+type journal struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (j *journal) Apply(_ uint64, command []byte) any {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = append(j.commands, string(command))
+	return len(j.commands)
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return wire.Marshal(j.commands)
+}
+
+func (j *journal) Restore(b []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = nil
+	return wire.Unmarshal(b, &j.commands)
+}
+
+func (j *journal) list() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.commands...)
+}
+
+// cluster connects members in memory. Members are named a, b, c.
+type cluster struct {
+	t        *testing.T
+	folder   string
+	members  []replica.Member
+	mu       sync.Mutex
+	groups   map[string]*replica.Group
+	machines map[string]*journal
+	cut      map[string]bool
+	tune     func(*replica.Config)
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{
+		t: t, folder: t.TempDir(), groups: map[string]*replica.Group{},
+		machines: map[string]*journal{}, cut: map[string]bool{},
+	}
+	for _, name := range []string{"a", "b", "c"}[:n] {
+		c.members = append(c.members, replica.Member{Name: name, Address: name + ":1"})
+	}
+	return c
+}
+
+func (c *cluster) start(names ...string) {
+	c.t.Helper()
+	for _, name := range names {
+		j := &journal{}
+		config := replica.Config{
+			Group: "g", Name: name, Members: c.members, Log: logr.Discard(),
+			Folder: filepath.Join(c.folder, name), Peers: link{c, name},
+		}
+		if c.tune != nil {
+			c.tune(&config)
+		}
+		g, err := replica.New(config, j, link{c, name})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.mu.Lock()
+		c.groups[name], c.machines[name] = g, j
+		c.mu.Unlock()
+	}
+}
+
+func (c *cluster) stop(names ...string) {
+	for _, name := range names {
+		c.mu.Lock()
+		g := c.groups[name]
+		delete(c.groups, name)
+		c.mu.Unlock()
+		if g != nil {
+			g.Close()
+		}
+	}
+}
+
+func (c *cluster) group(name string) *replica.Group {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.groups[name]
+}
+
+// leader waits for a member that is leader and current.
+func (c *cluster) leader() *replica.Group {
+	c.t.Helper()
+	for range 1000 {
+		for _, m := range c.members {
+			if g := c.group(m.Name); g != nil && g.Status().Role == replica.LeaderRole && g.Status().Current {
+				return g
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatal("no leader within 10 s")
+	return nil
+}
+
+func (c *cluster) propose(command string) any {
+	c.t.Helper()
+	v, err := c.leader().Propose(c.t.Context(), []byte(command))
+	if err != nil {
+		c.t.Fatalf("propose %s: %v", command, err)
+	}
+	return v
+}
+
+// link is the view that one member has of the others.
+type link struct {
+	c    *cluster
+	from string
+}
+
+func (l link) to(name string) (*replica.Group, error) {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	g := l.c.groups[name]
+	if g == nil || l.c.cut[name] || l.c.cut[l.from] {
+		return nil, errkind.New(errkind.Unreachable, "%s is unreachable", name)
+	}
+	return g, nil
+}
+
+func (l link) Send(to string, m wire.RaftMessage) {
+	time.AfterFunc(time.Millisecond, func() {
+		if g, err := l.to(to); err == nil {
+			g.Step(m)
+		}
+	})
+}
+
+func (l link) Probe(ctx context.Context, name string, r *wire.ProbeRequest) (*wire.ProbeResponse, error) {
+	g, err := l.to(name)
+	if err != nil {
+		return nil, err
+	}
+	return g.Probe(ctx, r)
+}
+
+func (l link) Bootstrap(ctx context.Context, name string, r *wire.BootstrapRequest) (*wire.Empty, error) {
+	g, err := l.to(name)
+	if err != nil {
+		return nil, err
+	}
+	return g.Bootstrap(ctx, r)
+}
+
+func (l link) Join(ctx context.Context, name string, r *wire.JoinRequest) (*wire.JoinResponse, error) {
+	g, err := l.to(name)
+	if err != nil {
+		return nil, err
+	}
+	return g.Join(ctx, r)
+}
+
+// run runs f in a bubble with n configured members.
+func run(t *testing.T, n int, f func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, n)
+		defer c.stop("a", "b", "c")
+		f(t, c)
+	})
+}
+
+func equal[T comparable](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
--- /dev/null
+++ b/internal/replica/config.go
@@ -0,0 +1,130 @@
+package replica
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	mathrand "math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wal"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// Defaults of Config.
+const (
+	// DefaultElectionTimeout leaves room for a slow sync of a busy disk, during
+	// which the member sends and hears nothing.
+	DefaultElectionTimeout = time.Second
+	// DefaultHeartbeatInterval lets several heartbeats go missing in a lease.
+	DefaultHeartbeatInterval = 100 * time.Millisecond
+	// DefaultSnapshotEntries is the number of applied entries between snapshots.
+	DefaultSnapshotEntries = 4096
+)
+
+// Member is a configured member of a group.
+type Member struct{ Name, Address string }
+
+// Machine is the replicated state machine. All methods are called by one
+// goroutine.
+type Machine interface {
+	// Apply executes a committed command and returns its result.
+	Apply(index uint64, command []byte) any
+	// Snapshot returns the encoded state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state.
+	Restore(snapshot []byte) error
+}
+
+// Transport sends messages between members. It must not block and may drop
+// messages. To is the name of a configured member.
+type Transport interface {
+	Send(to string, m wire.RaftMessage)
+}
+
+// Peers calls other members by name while a member with an empty folder finds
+// its place. The calls end with ctx.
+type Peers interface {
+	Probe(ctx context.Context, name string, r *wire.ProbeRequest) (*wire.ProbeResponse, error)
+	Bootstrap(ctx context.Context, name string, r *wire.BootstrapRequest) (*wire.Empty, error)
+	Join(ctx context.Context, name string, r *wire.JoinRequest) (*wire.JoinResponse, error)
+}
+
+// Config describes one member of a group.
+type Config struct {
+	// Group names the group in messages.
+	Group string
+	// Name is the name of this member in Members.
+	Name string
+	// Members are all configured members, including this one.
+	Members []Member
+	// Folder holds the state of this group alone.
+	Folder string
+	// Peers is not needed for a group of one.
+	Peers Peers
+	Log   logr.Logger
+
+	// Zero values of the following fields select the defaults.
+	ElectionTimeout   time.Duration
+	HeartbeatInterval time.Duration
+	SnapshotEntries   int
+	FS                wal.FS
+	// Rand spreads timeouts and makes identities; the default has a random seed.
+	Rand *mathrand.Rand
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if c.ElectionTimeout == 0 {
+		c.ElectionTimeout = DefaultElectionTimeout
+	}
+	if c.HeartbeatInterval == 0 {
+		c.HeartbeatInterval = DefaultHeartbeatInterval
+	}
+	if c.SnapshotEntries == 0 {
+		c.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if c.FS == nil {
+		c.FS = wal.OS{}
+	}
+	if c.Rand == nil {
+		c.Rand = newRand()
+	}
+	c.Members = slices.Clone(c.Members)
+	slices.SortFunc(c.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	if _, ok := c.member(c.Name); !ok {
+		return c, errkind.New(errkind.Usage, "group %s: member %q is not among the configured members", c.Group, c.Name)
+	}
+	if len(c.Members) > 1 && c.Peers == nil {
+		return c, errkind.New(errkind.Usage, "group %s: %d members need Peers", c.Group, len(c.Members))
+	}
+	return c, nil
+}
+
+func (c Config) member(name string) (Member, bool) {
+	for _, m := range c.Members {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func newRand() *mathrand.Rand {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(b[:]), binary.LittleEndian.Uint64(b[8:])))
+}
+
+// randomID returns 128 random bits in hex.
+func randomID(r *mathrand.Rand) string {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], r.Uint64())
+	binary.LittleEndian.PutUint64(b[8:], r.Uint64())
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/replica/flush.go
@@ -0,0 +1,129 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/raft"
+	"github.com/gooseberrypick/gooseberrypick/internal/wal"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// flush does the work that the events so far led to.
+func (e *engine) flush(now time.Duration) {
+	for e.node != nil && e.failure == nil && e.node.HasReady() {
+		r := e.node.Ready(now)
+		err := e.save(now, r)
+		if err == nil {
+			e.sendAll(r.Messages)
+		} else if errkind.Of(err) != errkind.DiskFull {
+			e.fail(err)
+			return
+		}
+		for _, c := range r.Committed {
+			e.apply(c)
+		}
+		for _, c := range r.Reads {
+			if q := e.reads[c.ID]; q != nil {
+				q.confirmed, q.index = true, c.Index
+			}
+		}
+		e.finishReads()
+		if err != nil {
+			break // without space, trying again at once would not help
+		}
+	}
+	e.noteRole(now)
+}
+
+// save makes the state in r durable. Messages that depend on it are sent only
+// after that; those of a leader may go out between write and sync, as the leader
+// counts its own entries only once they are durable.
+func (e *engine) save(now time.Duration, r raft.Ready) error {
+	if r.HardState != nil {
+		if err := e.log.SaveHardState(wal.HardState(*r.HardState)); err != nil {
+			return err
+		}
+	}
+	err := e.log.Append(r.Entries)
+	sent := false
+	if err == nil {
+		e.sendAll(r.Early)
+		sent = len(r.Early) > 0
+		err = e.log.Sync()
+	}
+	if err == nil {
+		e.node.Saved(r)
+		return nil
+	}
+	if errkind.Of(err) != errkind.DiskFull {
+		return err
+	}
+	e.node.Discard(now, r, sent)
+	if !sent {
+		e.refuse(r.Entries, err)
+	}
+	e.c.Log.Error(err, "log entries not written", "group", e.c.Group, "entries", len(r.Entries))
+	return err
+}
+
+// refuse answers the proposals of entries that nobody has seen.
+func (e *engine) refuse(es []wire.RaftEntry, cause error) {
+	for _, x := range es {
+		if p := e.pending[x.Index]; p != nil && p.term == x.Term {
+			p.finish(nil, errkind.Wrap(cause, errkind.DiskFull, "the command was not appended"))
+			delete(e.pending, x.Index)
+		}
+	}
+}
+
+func (e *engine) sendAll(ms []wire.RaftMessage) {
+	for _, m := range ms {
+		to := e.nameOf(m.To)
+		if to == "" || to == e.c.Name {
+			continue
+		}
+		m.Group, m.Lineage, m.FromName = e.c.Group, e.self.Lineage, e.c.Name
+		e.send.Send(to, m)
+	}
+}
+
+func (e *engine) apply(x wire.RaftEntry) {
+	var v any
+	if x.Kind == wire.EntryCommand {
+		v = e.machine.Apply(x.Index, x.Data)
+	}
+	e.applied = x.Index
+	p := e.pending[x.Index]
+	if p == nil {
+		return
+	}
+	delete(e.pending, x.Index)
+	if p.term != x.Term {
+		p.finish(nil, errkind.New(errkind.NotLeader, "the command was overwritten by another leader").WithExecution(errkind.NotRun))
+		return
+	}
+	p.finish(v, nil)
+}
+
+func (e *engine) finishReads() {
+	for id, r := range e.reads {
+		if r.confirmed && r.index <= e.applied {
+			r.done <- nil
+			delete(e.reads, id)
+		}
+	}
+}
+
+// noteRole starts the grace period of pending proposals when leadership was lost:
+// the next leader's first entries usually show what became of them.
+func (e *engine) noteRole(now time.Duration) {
+	if e.node == nil {
+		return
+	}
+	leading := e.node.Leader() == e.self.Identity
+	if e.leading && !leading && len(e.pending) > 0 {
+		e.lostAt = now
+	}
+	e.leading = leading
+}
--- /dev/null
+++ b/internal/replica/form.go
@@ -0,0 +1,179 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+const (
+	// probeTimeout bounds one call to another member.
+	probeTimeout = time.Second
+	// minProbePause and maxProbePause bound the time between two rounds of
+	// calls: short while a group starts, longer while a member stays away.
+	minProbePause = 50 * time.Millisecond
+	maxProbePause = time.Second
+)
+
+// former finds a place for a member with an empty folder.
+type former struct {
+	c        Config
+	identity string
+	rand     *rand.Rand
+}
+
+func newFormer(c Config, identity string) *former {
+	return &former{c: c, identity: identity, rand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64()))}
+}
+
+// plan is what an empty member does next.
+type plan struct {
+	// lineage and initial are set to bootstrap or to adopt a bootstrap.
+	lineage string
+	initial []wire.RaftMember
+	drive   bool
+	// join holds the names of members to ask for admission.
+	join []string
+}
+
+// decide returns the plan for the answers of the other configured members. An
+// empty plan means to ask again.
+func (f *former) decide(answers map[string]*wire.ProbeResponse) plan {
+	var p plan
+	empty := 0
+	for _, m := range f.c.Members {
+		a := answers[m.Name]
+		switch {
+		case m.Name == f.c.Name || a == nil:
+		case a.Lineage == "":
+			empty++
+		case f.among(a.Initial):
+			// This identity was counted at bootstrap but not told yet.
+			return plan{lineage: a.Lineage, initial: a.Initial}
+		default:
+			p.join = append(p.join, m.Name)
+		}
+	}
+	if len(p.join) > 0 || empty < len(f.c.Members)-1 || f.c.Members[0].Name != f.c.Name {
+		return p
+	}
+	p.drive, p.lineage = true, randomID(f.rand)
+	for _, m := range f.c.Members {
+		id := f.identity
+		if m.Name != f.c.Name {
+			id = answers[m.Name].Identity
+		}
+		p.initial = append(p.initial, wire.RaftMember{Identity: id, Name: m.Name, Address: m.Address, Voter: true})
+	}
+	return p
+}
+
+func (f *former) among(ms []wire.RaftMember) bool {
+	for _, m := range ms {
+		if m.Identity == f.identity {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *former) run(ctx context.Context, g *Group) {
+	pause := minProbePause
+	for ctx.Err() == nil && g.Lineage() == "" {
+		p := f.decide(f.probe(ctx))
+		switch {
+		case p.lineage != "":
+			f.bootstrap(ctx, g, p)
+		case len(p.join) > 0:
+			f.join(ctx, g, p.join)
+		}
+		select {
+		case <-time.After(pause/2 + time.Duration(f.rand.Int64N(int64(pause)))):
+			pause = min(2*pause, maxProbePause)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// probe asks all other members at once.
+func (f *former) probe(ctx context.Context) map[string]*wire.ProbeResponse {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var (
+		w       sync.WaitGroup
+		mu      sync.Mutex
+		answers = map[string]*wire.ProbeResponse{}
+	)
+	for _, m := range f.c.Members {
+		if m.Name == f.c.Name {
+			continue
+		}
+		w.Go(func() {
+			a, err := f.c.Peers.Probe(ctx, m.Name, &wire.ProbeRequest{Group: f.c.Group, Name: f.c.Name, Identity: f.identity})
+			if err != nil || a.Name != m.Name {
+				f.c.Log.V(1).Info("member did not answer", "group", f.c.Group, "member", m.Name, "cause", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers[m.Name] = a
+		})
+	}
+	w.Wait()
+	return answers
+}
+
+// bootstrap makes the group durable here first. Others that are not told here
+// learn of it from their own probes.
+func (f *former) bootstrap(ctx context.Context, g *Group, p plan) {
+	if err := g.bootstrap(ctx, p.lineage, p.initial, p.drive); err != nil {
+		f.c.Log.Error(err, "bootstrap failed", "group", f.c.Group)
+		return
+	}
+	if !p.drive {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var w sync.WaitGroup
+	for _, m := range p.initial {
+		if m.Name == f.c.Name {
+			continue
+		}
+		w.Go(func() {
+			_, err := f.c.Peers.Bootstrap(ctx, m.Name, &wire.BootstrapRequest{
+				Group: f.c.Group, Driver: f.identity, Lineage: p.lineage, Members: p.initial,
+			})
+			if err != nil {
+				f.c.Log.Info("member not told of the bootstrap", "group", f.c.Group, "member", m.Name, "cause", err.Error())
+			}
+		})
+	}
+	w.Wait()
+}
+
+// join asks the members in turn; only the leader admits.
+func (f *former) join(ctx context.Context, g *Group, names []string) {
+	self, _ := f.c.member(f.c.Name)
+	for _, n := range names {
+		c, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+		a, err := f.c.Peers.Join(c, n, &wire.JoinRequest{
+			Group: f.c.Group, Identity: f.identity, Name: self.Name, Address: self.Address,
+		})
+		cancel()
+		if err == nil {
+			err = g.admit(ctx, a.Lineage)
+		}
+		if err == nil {
+			f.c.Log.Info("joined as a learner", "group", f.c.Group, "identity", f.identity)
+			return
+		}
+		if errkind.Of(err) != errkind.NotLeader {
+			f.c.Log.Info("not admitted", "group", f.c.Group, "by", n, "cause", err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/group.go
@@ -0,0 +1,288 @@
+// Package replica keeps one Raft group member running: it drives the timer, the
+// disk, the messages and the state machine of the group.
+//
+// # Usage
+//
+// A control process creates one Group for each group, with a folder of its own:
+//
+//	g, err := replica.New(replica.Config{
+//		Group: "config", Name: settings.Name, Members: members,
+//		Folder: filepath.Join(settings.DataFolder, "config"),
+//		Peers: peers, Log: log,
+//	}, machine, transport)
+//	defer g.Close()
+//
+// transport sends each message on a drpc stream of method wire.MethodRaft to the
+// named member and drops it when the stream is down or its queue is full.
+// peers calls the named member with a deadline:
+//
+//	func (p *peers) Probe(ctx context.Context, name string, r *wire.ProbeRequest) (*wire.ProbeResponse, error) {
+//		return wire.Call[wire.ProbeRequest, wire.ProbeResponse](ctx, p.conn(name), wire.MethodProbe, r)
+//	}
+//
+// The control serves the same methods and hands them to the group that the
+// message names:
+//
+//	mux.HandleStream(wire.MethodRaft, func(s drpc.Stream) error {
+//		for {
+//			var m wire.RaftMessage
+//			if err := s.MsgRecv(&m, wire.Encoding{}); err != nil {
+//				return err
+//			}
+//			groups[m.Group].Step(m)
+//		}
+//	})
+//	wire.HandleUnary(mux, wire.MethodProbe, func(ctx context.Context, r *wire.ProbeRequest) (*wire.ProbeResponse, error) {
+//		return groups[r.Group].Probe(ctx, r)
+//	})
+//	wire.HandleUnary(mux, wire.MethodBootstrap, ...) // Group.Bootstrap
+//	wire.HandleUnary(mux, wire.MethodJoin, ...)      // Group.Join
+//	wire.HandleUnary(mux, wire.MethodPropose, ...)   // Group.Propose, result encoded by the control
+//
+// Propose runs on the leader only. A follower returns errkind.NotLeader, and the
+// control forwards the command to Status().Leader with wire.MethodPropose.
+// ReadBarrier works on every member:
+//
+//	result, err := g.Propose(ctx, command) // what Machine.Apply returned
+//	if err := g.ReadBarrier(ctx); err != nil { ... }
+//	// the machine now holds everything that was committed when ReadBarrier began
+//
+// Machine.Apply runs on the goroutine of the group, so a machine that is also
+// read by others needs a lock of its own. Status().Current tells whether the
+// member was confirmed with a majority within the lease; a member that a silent
+// partition cuts off stops being current without any error.
+//
+// # Bootstrap and replacement
+//
+// A member with an empty folder asks all configured members. When all answer and
+// all folders are empty, the member with the lowest name bootstraps the group.
+// Otherwise the member joins as a learner with a new identity, and the leader
+// removes the old identity of the same name and makes the learner a voter once it
+// holds the whole state. Until then Propose and ReadBarrier return
+// errkind.NotReady.
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wal"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+const (
+	// inboxSize bounds messages that wait for the goroutine; more are dropped.
+	inboxSize = 1024
+	// callsSize bounds calls that wait for the goroutine; more wait in their
+	// own goroutines.
+	callsSize = 256
+	// maxCommandBytes leaves room for the envelope in a message.
+	maxCommandBytes = wire.MaxMessageBytes - 64<<10
+)
+
+// Group is this process's member of one group. Its methods are safe for
+// concurrent use.
+type Group struct {
+	c      Config
+	inbox  chan wire.RaftMessage
+	calls  chan func(*engine, time.Duration)
+	status atomic.Pointer[published]
+	start  time.Time
+	base   time.Duration
+	stop   context.CancelFunc
+	stopped,
+	done chan struct{}
+	joining sync.WaitGroup
+	closed  sync.Once
+}
+
+// New opens the member's folder and starts the member. It returns at once; the
+// member is ready when Status says so.
+func New(c Config, m Machine, t Transport) (*Group, error) {
+	c, err := c.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	l, err := wal.Open(wal.Options{
+		Folder: c.Folder, FS: c.FS,
+		Identity: wal.Identity{Identity: randomID(c.Rand), Name: c.Name},
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	g := &Group{
+		c: c, stop: stop, start: time.Now(),
+		inbox: make(chan wire.RaftMessage, inboxSize),
+		calls: make(chan func(*engine, time.Duration), callsSize),
+		done:  make(chan struct{}), stopped: make(chan struct{}),
+	}
+	// The clock goes on after a restart, so that a delayed echo of the earlier
+	// process is not taken for a recent one.
+	g.base = time.Duration(g.start.UnixNano())
+	e, err := newEngine(c, l, m, t, g.now())
+	if err != nil {
+		stop()
+		_ = l.Close() // the first error matters
+		return nil, err
+	}
+	g.publish(e, g.now())
+	go func() {
+		defer close(g.done)
+		g.run(e)
+	}()
+	if e.node == nil {
+		g.joining.Add(1)
+		f := newFormer(c, l.State().Identity.Identity)
+		go func() {
+			defer g.joining.Done()
+			f.run(ctx, g)
+		}()
+	}
+	return g, nil
+}
+
+// now is a monotonic clock.
+func (g *Group) now() time.Duration { return g.base + time.Since(g.start) }
+
+// run is the goroutine of the group.
+func (g *Group) run(e *engine) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.stopped:
+			e.close()
+			return
+		case m := <-g.inbox:
+			e.step(g.now(), m)
+		case f := <-g.calls:
+			f(e, g.now())
+		case <-t.C:
+		}
+		g.drain(e)
+		now := g.now()
+		e.tick(now)
+		e.flush(now)
+		now = g.now()
+		g.publish(e, now)
+		t.Reset(max(0, e.deadline()-now))
+	}
+}
+
+// drain takes what arrived meanwhile, so that it shares one sync.
+func (g *Group) drain(e *engine) {
+	for range inboxSize {
+		select {
+		case m := <-g.inbox:
+			e.step(g.now(), m)
+		case f := <-g.calls:
+			f(e, g.now())
+		default:
+			return
+		}
+	}
+}
+
+// call runs f on the goroutine of the group.
+func (g *Group) call(ctx context.Context, f func(*engine, time.Duration)) error {
+	select {
+	case <-g.stopped:
+		return errClosed()
+	default:
+	}
+	select {
+	case g.calls <- f:
+		return nil
+	case <-ctx.Done():
+		return contextError(ctx).WithExecution(errkind.NotRun)
+	case <-g.stopped:
+		return errClosed()
+	}
+}
+
+// Step hands a received message to the member. It drops the message when too
+// many wait.
+func (g *Group) Step(m wire.RaftMessage) {
+	select {
+	case g.inbox <- m:
+	default:
+	}
+}
+
+// Propose appends command to the log and returns what Machine.Apply returned for
+// it. Until the command was appended, errors say not-run; later ones are of kind
+// OutcomeUnknown, unless the entry is known to have been overwritten.
+func (g *Group) Propose(ctx context.Context, command []byte) (any, error) {
+	if len(command) > maxCommandBytes {
+		return nil, errkind.New(errkind.TooLarge, "command of %d bytes exceeds %d", len(command), maxCommandBytes)
+	}
+	p := newProposal()
+	if err := g.call(ctx, func(e *engine, now time.Duration) { e.propose(now, p, command) }); err != nil {
+		return nil, err
+	}
+	return g.wait(ctx, p)
+}
+
+func (g *Group) wait(ctx context.Context, p *proposal) (any, error) {
+	select {
+	case r := <-p.done:
+		return r.value, r.err
+	case <-ctx.Done():
+		if p.cancel() {
+			return nil, contextError(ctx).WithExecution(errkind.NotRun)
+		}
+		return nil, errkind.Wrap(context.Cause(ctx), errkind.OutcomeUnknown, "the command may still be committed")
+	case <-g.done:
+	}
+	select {
+	case r := <-p.done:
+		return r.value, r.err
+	default:
+		return nil, errClosed() // never taken from the queue
+	}
+}
+
+// ReadBarrier returns once the machine holds everything that was committed when
+// ReadBarrier was called. It works on every member that reaches the leader.
+func (g *Group) ReadBarrier(ctx context.Context) error {
+	r := &read{done: make(chan error, 1)}
+	if err := g.call(ctx, func(e *engine, now time.Duration) { e.read(now, r) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-r.done:
+		return err
+	case <-ctx.Done():
+		r.canceled.Store(true)
+		return errkind.Wrap(context.Cause(ctx), errkind.NotCurrent, "no majority confirmed the read")
+	case <-g.done:
+		return errClosed()
+	}
+}
+
+// Close stops the member. Proposals under way end as OutcomeUnknown.
+func (g *Group) Close() error {
+	g.closed.Do(func() {
+		g.stop()
+		close(g.stopped)
+	})
+	<-g.done
+	g.joining.Wait()
+	return nil
+}
+
+func errClosed() error { return errkind.New(errkind.NotReady, "the group member is closed") }
+
+func contextError(ctx context.Context) *errkind.Error {
+	k := errkind.Canceled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		k = errkind.DeadlineExceeded
+	}
+	return errkind.Wrap(context.Cause(ctx), k, "the command was not appended")
+}
--- /dev/null
+++ b/internal/replica/group_test.go
@@ -0,0 +1,142 @@
+package replica_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/replica"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// A control of its own that waits for elections would delay every start.
+func TestGroupOfOneIsReadyAtOnce(t *testing.T) {
+	run(t, 1, func(t *testing.T, c *cluster) {
+		start := time.Now()
+		c.start("a")
+		equal(t, "result", c.propose("x").(int), 1)
+		if d := time.Since(start); d > 100*time.Millisecond {
+			t.Errorf("ready after %s, want at most 100ms", d)
+		}
+	})
+}
+
+// Hundreds of entries must survive a restart of the only member, and of all
+// members at once.
+func TestRestartKeepsEntries(t *testing.T) {
+	for _, n := range []int{1, 3} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			run(t, n, func(t *testing.T, c *cluster) {
+				names := []string{"a", "b", "c"}[:n]
+				c.start(names...)
+				var want []string
+				for i := range 500 {
+					want = append(want, fmt.Sprint("x", i))
+					c.propose(want[i])
+				}
+				lineage := c.leader().Lineage()
+				c.stop(names...)
+				c.start(names...)
+				equal(t, "lineage", c.leader().Lineage(), lineage)
+				for _, name := range names {
+					if err := c.group(name).ReadBarrier(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+					if got := c.machines[name].list(); !slices.Equal(got, want) {
+						t.Errorf("%s: got %d commands, want %d", name, len(got), len(want))
+					}
+				}
+			})
+		})
+	}
+}
+
+// A follower that accepted commands would fork the log; one without the leader's
+// name would leave the caller without a place to send the command.
+func TestProposeOnFollowerNamesTheLeader(t *testing.T) {
+	run(t, 3, func(t *testing.T, c *cluster) {
+		c.start("a", "b", "c")
+		l := c.leader().Status().Leader
+		time.Sleep(time.Second)
+		for _, m := range c.members {
+			if m == l {
+				continue
+			}
+			_, err := c.group(m.Name).Propose(t.Context(), []byte("x"))
+			e := errkind.From(err)
+			equal(t, "kind", e.Kind, errkind.NotLeader)
+			equal(t, "execution", e.Execution, errkind.NotRun)
+			equal(t, "leader", c.group(m.Name).Status().Leader, l)
+			equal(t, "current", c.group(m.Name).Status().Current, true)
+		}
+	})
+}
+
+// A bootstrap without all members could create a second group beside one whose
+// members are merely unreachable.
+func TestBootstrapWaitsForAllMembers(t *testing.T) {
+	run(t, 3, func(t *testing.T, c *cluster) {
+		c.start("a", "b")
+		time.Sleep(time.Minute)
+		for _, name := range []string{"a", "b"} {
+			equal(t, name, c.group(name).Status().Role, replica.Forming)
+		}
+		c.start("c")
+		c.propose("x")
+		want := c.leader().Lineage()
+		for _, m := range c.members {
+			equal(t, m.Name, c.group(m.Name).Lineage(), want)
+		}
+	})
+}
+
+// A member that lost its disk must not vote again under its old identity, and
+// must become a voter again by itself.
+func TestLostDiskIsReplaced(t *testing.T) {
+	run(t, 3, func(t *testing.T, c *cluster) {
+		c.start("a", "b", "c")
+		for i := range 10 {
+			c.propose(fmt.Sprint("x", i))
+		}
+		old := c.group("c").Status().Identity
+		c.stop("c")
+		if err := os.RemoveAll(filepath.Join(c.folder, "c")); err != nil {
+			t.Fatal(err)
+		}
+		c.start("c")
+		time.Sleep(10 * time.Second)
+		s := c.leader().Status()
+		equal(t, "members", len(s.Members), 3)
+		for _, m := range s.Members {
+			equal(t, m.Name+" votes", m.Voter, true)
+			equal(t, "old identity kept", m.Identity == old, false)
+		}
+		if err := c.group("c").ReadBarrier(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		equal(t, "commands", len(c.machines["c"].list()), 10)
+	})
+}
+
+// A leader that does not notice a silent partition would go on answering.
+func TestPartitionedLeaderIsNotCurrent(t *testing.T) {
+	run(t, 3, func(t *testing.T, c *cluster) {
+		c.start("a", "b", "c")
+		c.propose("x")
+		l := c.leader()
+		name := l.Status().Leader.Name
+		c.mu.Lock()
+		c.cut[name] = true
+		c.mu.Unlock()
+		time.Sleep(replica.DefaultElectionTimeout)
+		synctest.Wait()
+		equal(t, "current", l.Status().Current, false)
+		_, err := l.Propose(t.Context(), []byte("y"))
+		equal(t, "execution", errkind.From(err).Execution, errkind.NotRun)
+		c.propose("z")
+	})
+}
--- /dev/null
+++ b/internal/wal/load.go
@@ -0,0 +1,147 @@
+package wal
+
+import (
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+// loadSegments reads all segments, truncates a torn tail, and leaves the last
+// segment open for writing.
+func (l *Log) loadSegments(names []string) error {
+	for _, n := range names {
+		stem, ok := strings.CutSuffix(n, segmentSuffix)
+		if !ok {
+			continue
+		}
+		number, err := strconv.ParseUint(stem, 16, 64)
+		if err != nil {
+			return l.corrupt(n, 0, "the name is not that of a segment")
+		}
+		if k := len(l.segments); k > 0 && l.segments[k-1].number+1 != number {
+			return l.corrupt(n, 0, "the segment before it is missing")
+		}
+		l.segments = append(l.segments, segment{number: number})
+	}
+	if len(l.segments) == 0 {
+		return l.rotate()
+	}
+	var es []wire.RaftEntry
+	for i := range l.segments {
+		var err error
+		if es, err = l.loadSegment(i, es); err != nil {
+			return err
+		}
+	}
+	return l.keep(es)
+}
+
+// loadSegment adds the entries of segment i to es.
+func (l *Log) loadSegment(i int, es []wire.RaftEntry) ([]wire.RaftEntry, error) {
+	s, last := &l.segments[i], i == len(l.segments)-1
+	p := filepath.Join(l.folder, s.name())
+	f, err := l.fs.Open(p)
+	if err != nil {
+		return nil, diskError(err, "open %s", p)
+	}
+	if last {
+		l.active = f
+	} else {
+		defer f.Close()
+	}
+	b, err := readAll(f, p)
+	if err != nil {
+		return nil, err
+	}
+	var at int64
+	for at < int64(len(b)) {
+		e, _, next, ok := readRecord(b, s.number, at)
+		if !ok {
+			break
+		}
+		if es, ok = place(es, e); !ok {
+			return nil, l.corrupt(s.name(), at, "entries are missing before this one")
+		}
+		s.highest = max(s.highest, e.Index)
+		at = next
+	}
+	if at < int64(len(b)) {
+		if !last || damagedAfterSync(b, s.number, at) {
+			return nil, l.corrupt(s.name(), at, "damaged record")
+		}
+		if err := f.Truncate(at); err != nil {
+			return nil, diskError(err, "truncate %s", p)
+		}
+	}
+	if last {
+		// Also covers records that an earlier process wrote but did not sync.
+		if err := f.Sync(); err != nil {
+			return nil, diskError(err, "sync %s", p)
+		}
+		l.end, l.synced = at, at
+	}
+	return es, nil
+}
+
+// place adds e behind es, or in the place of an entry with the same index.
+func place(es []wire.RaftEntry, e wire.RaftEntry) ([]wire.RaftEntry, bool) {
+	if len(es) == 0 || e.Index <= es[0].Index {
+		return append(es[:0], e), true
+	}
+	k := e.Index - es[0].Index
+	if k > uint64(len(es)) {
+		return es, false
+	}
+	return append(es[:k], e), true
+}
+
+// keep sets the entries that follow the snapshot.
+func (l *Log) keep(es []wire.RaftEntry) error {
+	m := l.state.Snapshot
+	l.last = m.Index
+	if len(es) == 0 {
+		return nil
+	}
+	first, last := es[0].Index, es[len(es)-1].Index
+	if first > m.Index+1 {
+		return l.corrupt(l.segments[0].name(), 0, "entries before this segment are missing")
+	}
+	if last < m.Index || m.Index >= first && es[m.Index-first].Term != m.Term {
+		// A crash came between saving a received snapshot and dropping the log
+		// that it replaces.
+		return l.Reset()
+	}
+	l.state.Entries = es[m.Index+1-first:]
+	l.last = last
+	return nil
+}
+
+// Reset drops all entries, after a snapshot that replaces them was saved.
+func (l *Log) Reset() error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if err := l.rotate(); err != nil {
+		return err
+	}
+	l.last = l.state.Snapshot.Index
+	return l.dropSegments(len(l.segments) - 1)
+}
+
+// dropSegments removes the n oldest segments, the oldest first, so that a crash
+// leaves no hole.
+func (l *Log) dropSegments(n int) error {
+	for ; n > 0; n-- {
+		p := filepath.Join(l.folder, l.segments[0].name())
+		if err := l.fs.Remove(p); err != nil {
+			return diskError(err, "remove %s", p)
+		}
+		l.segments = l.segments[1:]
+		if err := l.fs.SyncFolder(l.folder); err != nil {
+			return l.fail(err, "sync folder "+l.folder)
+		}
+	}
+	return nil
+}
