--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -52,13 +52,13 @@
 }
 
 func (d *Document) decode(path string, n hujson.Value, v reflect.Value) bool {
+	if v.Type() == rawType {
+		return true
+	}
 	if name, ok := reference(n); ok && d.parameters != nil {
 		return d.refer(path, name, n, v)
 	}
-	switch {
-	case v.Type() == rawType:
-		return true
-	case kindOf(n) != wantKind(v.Type()):
+	if kindOf(n) != wantKind(v.Type()) {
 		d.addAt(n.StartOffset, path, "wrong type "+kindName(n), expectedOf(v.Type()))
 		return false
 	}
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -86,6 +86,10 @@
 	v, err := hujson.Parse(append(data[:len(data):len(data)], '\n'))
 	if err != nil {
 		line, column, problem := splitSyntax(err.Error())
+		if line > len(d.lines) { // at the newline that was added
+			line = len(d.lines)
+			column = len(data) - d.lines[line-1] + 1
+		}
 		d.broken = true
 		d.add(Fault{d.file, line, column, fileKey, problem, "JSON with comments"})
 		return d
--- a/internal/jsonc/kind.go
+++ b/internal/jsonc/kind.go
@@ -55,7 +55,7 @@
 func expectedOf(t reflect.Type) string {
 	switch t {
 	case rawType:
-		return "a value"
+		return "a value" // of a required key that is missing
 	case durationType:
 		return `a duration such as "1m30s"`
 	}
--- a/pkg/customer/check.go
+++ b/pkg/customer/check.go
@@ -22,6 +22,8 @@
 
 var (
 	namePattern = regexp.MustCompile(`^[A-Za-z0-9.-]{1,100}$`)
+	// pathPattern refuses what the path of a request cannot hold.
+	pathPattern = regexp.MustCompile(`^/[^?#\x00-\x1f\x7f]*$`)
 	executions  = []string{string(Idempotent), string(AtMostOnce), string(Once)}
 	// methods lacks CONNECT and TRACE, which a proxy answers itself.
 	methods = []string{
@@ -110,8 +112,8 @@
 	host, method, path := jsonc.Path(p, "Host"), jsonc.Path(p, "Method"), jsonc.Path(p, "Path")
 	ok := c.host(host, r.Host)
 	ok = c.oneOf(method, "method", r.Method, methods) && ok
-	if c.d.Valid(path) && !strings.HasPrefix(r.Path, "/") {
-		c.d.Fault(path, "bad path "+jsonc.Quote(r.Path), `a path that starts with "/"`)
+	if c.d.Valid(path) && !pathPattern.MatchString(r.Path) {
+		c.d.Fault(path, "bad path "+jsonc.Quote(r.Path), `a path that starts with "/", without a query`)
 	}
 	if m := r.Method + " " + strings.ToLower(r.Host) + r.Path; ok && c.d.Valid(path) {
 		if matches[m] {
--- a/pkg/customer/parameter.go
+++ b/pkg/customer/parameter.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"regexp"
 	"slices"
 	"strings"
@@ -47,7 +48,7 @@
 		d.Fault("Parameters", fmt.Sprintf("%d entries", len(l)), fmt.Sprintf("at most %d", maxParameters))
 	}
 	used := d.References()
-	for name, p := range l {
+	for _, name := range slices.Sorted(maps.Keys(l)) {
 		path := jsonc.Path("Parameters", name)
 		switch {
 		case !parameterName.MatchString(name):
@@ -55,7 +56,7 @@
 		case !used[name]:
 			d.Fault(path, "unused parameter", "a reference to it in the file")
 		}
-		m[name] = jsonc.Parameter{Value: parameter(d, path, p)}
+		m[name] = jsonc.Parameter{Value: parameter(d, path, l[name])}
 	}
 	return m
 }
@@ -75,8 +76,8 @@
 	case typeBoolean:
 		return value[bool](d, path, p.Type)
 	}
-	if p := jsonc.Path(path, "Type"); d.Valid(p) {
-		d.Fault(p, "unknown type", jsonc.OneOf(quoted(types)))
+	if t := jsonc.Path(path, "Type"); d.Valid(t) {
+		d.Fault(t, "unknown type "+jsonc.Quote(p.Type), jsonc.OneOf(quoted(types)))
 	}
 	return nil
 }
--- a/pkg/customer/resource.go
+++ b/pkg/customer/resource.go
@@ -130,20 +130,25 @@
 func (c *Config) upsert(r Resource) error {
 	switch r.Kind {
 	case KindService:
-		return decode(c.services, r)
+		return decode(c.services, r, func(s Service) string { return s.Name })
 	case KindRank:
-		return decode(c.ranks, r)
+		return decode(c.ranks, r, func(r Rank) string { return r.Name })
 	case KindRoute:
-		return decode(c.routes, r)
+		return decode(c.routes, r, Route.Name)
 	}
 	return errors.New("unknown resource kind")
 }
 
-func decode[T any](m map[string]T, r Resource) error {
+// decode refuses data with another name than the resource, because a later
+// removal would miss it.
+func decode[T any](m map[string]T, r Resource, name func(T) string) error {
 	var v T
 	if err := cbor.Unmarshal(r.Data, &v); err != nil {
 		return errors.Wrap(err, "decode")
 	}
+	if n := name(v); n != r.Name {
+		return errors.Errorf("data is named %q", n)
+	}
 	m[r.Name] = v
 	return nil
 }
