Run the whole path as separate processes

Cause: no process existed to carry a request from a caller to an upstream. Change: commands control and node, embedded example customers, a stand-in upstream.

--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,25 @@
+// Package examples holds the example customers for programs that load them
+// without a file.
+//
+// # Usage
+//
+//	c, err := customer.Parse(examples.PichlerFile, examples.Pichler)
+package examples
+
+import _ "embed" // for the customer files
+
+// Names of the customer files, for messages.
+const (
+	PichlerFile     = "examples/pichler/customer.jsonc"
+	VinetaNorteFile = "examples/vineta-norte/customer.jsonc"
+)
+
+// Pichler is the customer file of Pichler.
+//
+//go:embed pichler/customer.jsonc
+var Pichler []byte
+
+// VinetaNorte is the customer file of Viñeta Norte.
+//
+//go:embed vineta-norte/customer.jsonc
+var VinetaNorte []byte
--- a/examples/upstream/main.go
+++ b/examples/upstream/main.go
@@ -6,9 +6,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -17,21 +15,12 @@
 	"syscall"
 	"time"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/standin"
 	"github.com/gooseberrypick/gooseberrypick/pkg/announce"
 )
 
 const stopLimit = 20 * time.Second
 
-// answer is the body of each answer.
-type answer struct {
-	Upstream  string
-	Method    string
-	Path      string
-	RequestID string `json:"RequestId"`
-	Deadline  string
-	Bytes     int64
-}
-
 func main() {
 	node := flag.String("node", "127.0.0.1:21103", "UpstreamListen address of the node")
 	name := flag.String("name", "upstream-1", "name of this upstream")
@@ -57,7 +46,7 @@
 		return err
 	}
 	c.Address = l.Addr().String()
-	s := &http.Server{Handler: handler(c.Name, delay), ReadHeaderTimeout: stopLimit}
+	s := &http.Server{Handler: standin.New(c.Name, delay), ReadHeaderTimeout: stopLimit}
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(l) }()
 	a := announce.New(c)
@@ -85,24 +74,3 @@
 	}
 	return a.Withdraw(ctx)
 }
-
-func handler(name string, delay time.Duration) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n, err := io.Copy(io.Discard, r.Body)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		select {
-		case <-time.After(delay):
-		case <-r.Context().Done():
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(answer{ // the caller has gone
-			Upstream: name, Method: r.Method, Path: r.URL.RequestURI(), Bytes: n,
-			RequestID: r.Header.Get("Gooseberrypick-Request-Id"),
-			Deadline:  r.Header.Get("Gooseberrypick-Deadline"),
-		})
-	})
-}
--- a/internal/commands/control.go
+++ b/internal/commands/control.go
@@ -20,7 +20,7 @@
 				return err
 			}
 			return runProcess(c, s.LogLevel, func(l logr.Logger) (runner, error) {
-				return control.New(control.Config{Settings: s, Log: l})
+				return control.New(control.Config{Settings: *s, Log: l})
 			})
 		},
 	}
--- a/internal/commands/node.go
+++ b/internal/commands/node.go
@@ -20,7 +20,7 @@
 				return err
 			}
 			return runProcess(c, s.LogLevel, func(l logr.Logger) (runner, error) {
-				return node.New(node.Config{Settings: s, Log: l})
+				return node.New(node.Config{Settings: *s, Log: l})
 			})
 		},
 	}
--- a/internal/commands/root.go
+++ b/internal/commands/root.go
@@ -31,10 +31,12 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	c := &cobra.Command{
 		Use:           "gooseberrypick",
 		Short:         "Configuration distribution for a service mesh",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	c.AddCommand(newControl(), newNode())
+	return c
 }
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,50 @@
+// Package standin is a small upstream for demonstrations and tests: it answers
+// every request with its name and what it received.
+//
+// # Usage
+//
+//	s := &http.Server{Handler: standin.New("level-display-1", 0)}
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Answer is the body of each answer.
+type Answer struct {
+	Upstream  string
+	Method    string
+	Path      string
+	RequestID string `json:"RequestId"`
+	Deadline  string
+	Bytes     int64
+}
+
+// New returns a handler that takes delay for each request and ends early when
+// the caller goes away.
+func New(name string, delay time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(Answer{ // the caller has gone
+			Upstream:  name,
+			Method:    r.Method,
+			Path:      r.URL.RequestURI(),
+			RequestID: r.Header.Get("Gooseberrypick-Request-Id"),
+			Deadline:  r.Header.Get("Gooseberrypick-Deadline"),
+			Bytes:     n,
+		})
+	})
+}
