Let a control that knows all nodes correct stale records of a node

Cause: a node that was away for longer than removals are remembered kept dead nodes for ever; marking them removed instead of forgetting them would hide a live node whose record had not reached the control yet. Change: whole buckets per message, marked authoritative by a control that is settled and current; Retain forgets what they lack. Result: the registry test covers both directions; with removal marks in Retain, the last check of TestRetainDropsOnlyListedBuckets fails.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -114,6 +114,7 @@
 	k.streams = newStreams(s.Name, k.config, k.registry, k.log)
 	k.streams.seen = k.names.add
 	k.exchange = newExchange(s.Name, s.Members, k.pool, k.streams, k.log)
+	k.streams.settled = func() bool { return k.exchange.settled(time.Now()) }
 	return k.openServers()
 }
 
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -66,8 +66,12 @@
 	e.take(q.Records)
 	a := &wire.RegistrySyncResponse{}
 	if len(q.Buckets) > 0 {
-		a.Records, _ = e.registry.Differing(q.Buckets)
-		a.Records = a.Records[:min(len(a.Records), endpointChunk)]
+		for _, b := range e.registry.Differing(q.Buckets) {
+			if len(a.Records)+len(b.Records) > endpointChunk {
+				break // the next comparison continues
+			}
+			a.Records = append(a.Records, b.Records...)
+		}
 	}
 	return a, nil
 }
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -314,16 +314,22 @@
 	return 0
 }
 
-func (s *Streams) sendDiffering(n *nodeStream, buckets []uint64) error {
-	l, numbers := s.registry.Differing(buckets)
-	e := &wire.Endpoints{Buckets: numbers}
-	for len(l) > endpointChunk {
-		if err := sendControl(n.stream, &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: l[:endpointChunk]}}); err != nil {
-			return err
+// sendDiffering sends the buckets that the node does not hold, whole buckets in
+// each message. It always sends at least one message, which tells the node that
+// it is in step.
+func (s *Streams) sendDiffering(n *nodeStream, digests []uint64) error {
+	authoritative := s.settled() && s.source.IsCurrent()
+	e := &wire.Endpoints{Authoritative: authoritative}
+	for _, b := range s.registry.Differing(digests) {
+		if len(e.Records) > 0 && len(e.Records)+len(b.Records) > endpointChunk {
+			if err := sendControl(n.stream, &wire.ControlMessage{Endpoints: e}); err != nil {
+				return err
+			}
+			e = &wire.Endpoints{Authoritative: authoritative}
 		}
-		l = l[endpointChunk:]
+		e.Buckets = append(e.Buckets, b.Number)
+		e.Records = append(e.Records, b.Records...)
 	}
-	e.Records = l
 	return sendControl(n.stream, &wire.ControlMessage{Endpoints: e})
 }
 
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -209,7 +209,7 @@
 	}
 	n.c.Registry.Put(now, l)
 	if e.Authoritative {
-		n.c.Registry.Retain(now, e.Buckets, append(l, n.currentRecord()))
+		n.c.Registry.Retain(e.Buckets, append(l, n.currentRecord()))
 	}
 	// The first message of every stream lists the buckets that differ, or none.
 	n.synced.Store(true)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -84,7 +84,7 @@
 		n, err := readSome(a.Body, b, m.Head != nil)
 		m.Chunk = b[:n]
 		sent += int64(n)
-		if err == io.EOF {
+		if err == io.EOF { //nolint:errorlint // an answer that broke off may wrap io.EOF
 			m.End = &wire.ResponseEnd{RequestID: a.Head.RequestID, Bytes: sent, Trailer: a.Trailer()}
 			m.Load = a.Load()
 			return send(s, m)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,7 +10,7 @@
 //
 //	r := registry.New()
 //	changed := r.Put(now, records)
-//	missing, buckets := r.Differing(peerBuckets)
+//	buckets := r.Differing(peerBuckets)
 //	for _, c := range r.Candidates("level-display") {
 //		fmt.Println(c.Node, c.Upstream.State)
 //	}
@@ -190,34 +190,39 @@
 	return slices.Clone(r.buckets[:])
 }
 
-// Differing returns all records, removals included, of the buckets whose
-// digests differ from b, and the numbers of these buckets.
-func (r *Registry) Differing(b []uint64) ([]wire.NodeRecord, []int) {
+// Bucket is one bucket with all its records, removals included.
+type Bucket struct {
+	Number  int
+	Records []wire.NodeRecord
+}
+
+// Differing returns the buckets whose digests differ from b.
+func (r *Registry) Differing(b []uint64) []Bucket {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	differs := [BucketCount]bool{}
-	var numbers []int
+	var l []Bucket
+	place := map[int]int{}
 	for i := range r.buckets {
 		if i >= len(b) || b[i] != r.buckets[i] {
-			differs[i] = true
-			numbers = append(numbers, i)
+			place[i] = len(l)
+			l = append(l, Bucket{Number: i})
 		}
 	}
-	if len(numbers) == 0 {
-		return nil, nil
+	if len(l) == 0 {
+		return nil
 	}
-	var l []wire.NodeRecord
 	for k, n := range r.records {
-		if differs[bucket(k)] {
-			l = append(l, n)
+		if i, ok := place[bucket(k)]; ok {
+			l[i].Records = append(l[i].Records, n)
 		}
 	}
-	return l, numbers
+	return l
 }
 
-// Retain drops the records of the listed buckets that are not in l. Use it only
-// with a list from a control that knows all nodes.
-func (r *Registry) Retain(now time.Time, buckets []int, l []wire.NodeRecord) []wire.NodeRecord {
+// Retain forgets the records of the listed buckets that are not in l. Use it
+// only with a list from a control that knows all nodes. It leaves no trace of a
+// record, so that one which the control had not received yet is taken later.
+func (r *Registry) Retain(buckets []int, l []wire.NodeRecord) {
 	keep := map[string]bool{}
 	for _, n := range l {
 		keep[n.Node] = true
@@ -226,16 +231,16 @@
 	for _, b := range buckets {
 		covered[b] = true
 	}
-	r.mu.RLock()
-	var remove []wire.NodeRecord
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for k, n := range r.records {
-		if covered[bucket(k)] && !keep[k] && !n.Gone {
-			n.Gone, n.Upstreams = true, nil
-			remove = append(remove, n)
+		if covered[bucket(k)] && !keep[k] {
+			r.toggle(n)
+			r.drop(n)
+			delete(r.records, k)
+			delete(r.gone, k)
 		}
 	}
-	r.mu.RUnlock()
-	return r.Put(now, remove)
 }
 
 // Compact forgets removals older than TombstoneAge.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -76,10 +76,11 @@
 			b.Put(start, []wire.NodeRecord{n})
 		}
 	}
-	l, _ := a.Differing(b.Buckets())
-	b.Put(start, l)
-	if l, n := a.Differing(b.Buckets()); len(l) != 0 {
-		t.Errorf("got %d records in %d differing buckets, want none", len(l), len(n))
+	for _, k := range a.Differing(b.Buckets()) {
+		b.Put(start, k.Records)
+	}
+	if got := a.Differing(b.Buckets()); len(got) != 0 {
+		t.Errorf("got %d differing buckets, want none", len(got))
 	}
 	if got, want := b.Len(), a.Len(); got != want {
 		t.Errorf("got %d nodes, want %d", got, want)
@@ -94,9 +95,15 @@
 func TestRetainDropsOnlyListedBuckets(t *testing.T) {
 	r := registry.New()
 	r.Put(start, []wire.NodeRecord{record("n", 1, 1, wire.Serving)})
-	r.Retain(start, nil, nil)
+	r.Retain(nil, nil)
 	checkStates(t, r, wire.Serving)
-	_, all := r.Differing(nil)
-	r.Retain(start, all, nil)
+	var all []int
+	for _, k := range r.Differing(nil) {
+		all = append(all, k.Number)
+	}
+	r.Retain(all, nil)
 	checkStates(t, r)
+	// The control had not received this record yet when it sent its list.
+	r.Put(start, []wire.NodeRecord{record("n", 1, 1, wire.Serving)})
+	checkStates(t, r, wire.Serving)
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -171,7 +171,7 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && err != io.EOF {
+	if err != nil && err != io.EOF { //nolint:errorlint // only the bare value is the end
 		err = errkind.Wrap(err, errkind.AnswerIncomplete, "answer of the upstream broke off")
 	}
 	return n, err
@@ -185,7 +185,7 @@
 
 // endToEnd returns a copy of h without headers that concern one connection.
 func endToEnd(h http.Header) http.Header {
-	n := http.Header(h).Clone()
+	n := h.Clone()
 	if n == nil {
 		return http.Header{}
 	}
