Test the order of faults over lines and the bound on expanded text

Cause: removing the comparison of lines, or the bound on the text that parameters expand to, passed all tests. Change: the row on order spans two lines; TestExpansionIsBounded. Result: both removals now fail a test; go test -race passes.

--- a/internal/jsonc/jsonc_test.go
+++ b/internal/jsonc/jsonc_test.go
@@ -52,7 +52,7 @@
 		"too deep":           {strings.Repeat("[", 1000), `f:1:33: file: nested too deep; expected at most 32 levels`},
 		"too large":          {strings.Repeat(" ", jsonc.MaxSize) + "{}", `f:1:1: file: larger than 1 MiB; expected at most 1048576 bytes`},
 		"unusual key":        {`{"a.b": 1}`, `f:1:2: ["a.b"]: unknown key; expected one of "Limit", "Parts"`},
-		"order of positions": {`{"Parts": [{"Name": 1}], "Limit": "x", "X": 0}`, "f:1:21: Parts[0].Name: wrong type number; expected a string\n" + `f:1:35: Limit: bad duration "x"; expected a duration such as "1m30s"` + "\n" + `f:1:40: X: unknown key; expected one of "Limit", "Parts"`},
+		"order of positions": {"{\"Parts\": [{\"List\": 1}],\n \"X\": 0, \"Limit\": 1}", "f:1:12: Parts[0].Name: missing required key; expected a string\n" + "f:1:21: Parts[0].List: wrong type number; expected a list\n" + `f:2:2: X: unknown key; expected one of "Limit", "Parts"` + "\n" + `f:2:19: Limit: wrong type number; expected a duration such as "1m30s"`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := jsonc.Parse("f", []byte(c.data))
@@ -76,6 +76,17 @@
 	}
 }
 
+// A short file that repeats a long parameter must not fill the memory.
+func TestExpansionIsBounded(t *testing.T) {
+	d := jsonc.Parse("f", []byte(`{"Parts":[`+strings.Repeat(`{"Name":"${Q}"},`, 256)+"\n"+`{"Name":{"Parameter":"Q"}}]}`))
+	d.SetParameters(map[string]jsonc.Parameter{"Q": {Value: strings.Repeat("x", 4096)}})
+	d.Decode(&timed{})
+	got, want := d.Err(), "f:2:9: Parts[256].Name: parameters expand to more than 1 MiB; expected shorter values or fewer references"
+	if got == nil || got.Error() != want {
+		t.Errorf("got %v, want %s", got, want)
+	}
+}
+
 // FuzzDecode guards against panics on hostile files and against values that
 // differ from those of encoding/json.
 func FuzzDecode(f *testing.F) {
