Refuse a customer file that overlaps with another customer

Cause: upstreams announce a service without a customer and nodes match routes over all customers, so a second customer with the same service name or route would be accepted and then refused by every node. Change: View.CheckOverlap, applied by the state machine and by plan. The property test now uses names of their own per customer, since it met the refusal.

--- a/internal/operator/convert.go
+++ b/internal/operator/convert.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return Plan{}, err
 	}
+	if err := v.CheckOverlap(c); err != nil {
+		return Plan{}, err
+	}
 	return Compare(v, c), nil
 }
 
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -158,6 +158,9 @@
 	if err != nil {
 		return refused(errkind.InvalidFile, "%v", err)
 	}
+	if err := v.CheckOverlap(n); err != nil {
+		return refusal(err)
+	}
 	next := v.with(a, n)
 	m.keepRequest(request{ID: a.RequestID, Content: content, Version: next.version})
 	m.current.Store(next)
--- a/internal/versions/versions_test.go
+++ b/internal/versions/versions_test.go
@@ -29,6 +29,7 @@
 func config(name string, services ...string) *customer.Config {
 	c := customer.NewConfig(name).WithRank(customer.Rank{Name: "top", Order: 1})
 	for _, s := range services {
+		s = name + "-" + s // names of services and routes belong to one customer
 		c = c.WithService(customer.Service{Name: s, Slots: len(services)})
 		c = c.WithRoute(customer.Route{Host: "h", Method: "GET", Path: "/" + s, Service: s, Rank: "top"})
 	}
--- a/pkg/customer/config.go
+++ b/pkg/customer/config.go
@@ -80,6 +80,9 @@
 // Rank returns the named rank.
 func (c *Config) Rank(name string) (Rank, bool) { r, ok := c.ranks[name]; return r, ok }
 
+// Route returns the route with the given name; see Route.Name.
+func (c *Config) Route(name string) (Route, bool) { r, ok := c.routes[name]; return r, ok }
+
 // Services returns all services by name.
 func (c *Config) Services() []Service { return sorted(c.services) }
 
