policybench: compare request policies in virtual time

Cause: the request policies need figures next to simpler policies before they are trusted. Change: event loop, fake upstreams, owner and entry nodes that drive queue, limit, balance and retry; scenarios of both customers; Markdown table.

--- /dev/null
+++ b/internal/policybench/result.go
@@ -0,0 +1,136 @@
+package policybench
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// Tally counts the calls of one rank that arrived during the measurement.
+type Tally struct {
+	Rank     string
+	Calls    int
+	OnTime   int
+	Refused  int // ended in a refusal, provably not run
+	Retries  int
+	Worth    float64
+	Slot     time.Duration // slot time within the measurement
+	Wasted   time.Duration // part of Slot whose answer was late or none
+	Latency  []time.Duration
+	capacity time.Duration
+}
+
+// InTarget is the share of calls answered within the target, in percent.
+func (t *Tally) InTarget() float64 { return percent(float64(t.OnTime), float64(t.Calls)) }
+
+// SlotShare is the share of the service's slot time, in percent.
+func (t *Tally) SlotShare() float64 { return percent(float64(t.Slot), float64(t.capacity)) }
+
+// RetryShare is the number of retries by calls, in percent.
+func (t *Tally) RetryShare() float64 { return percent(float64(t.Retries), float64(t.Calls)) }
+
+func percent(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return 100 * a / b
+}
+
+// Quantile returns a quantile of the latency of answered calls.
+func (t *Tally) Quantile(q float64) time.Duration {
+	if len(t.Latency) == 0 {
+		return 0
+	}
+	slices.Sort(t.Latency)
+	return t.Latency[int(q*float64(len(t.Latency)-1))]
+}
+
+func (t *Tally) finish(w *Work, took time.Duration, answered bool, x errkind.Execution) {
+	if !answered {
+		if x == errkind.NotRun {
+			t.Refused++
+		}
+		return
+	}
+	t.Latency = append(t.Latency, took)
+	if took <= w.Target {
+		t.OnTime++
+		t.Worth += w.Worth
+	}
+}
+
+// Result holds the tallies of one run.
+type Result struct {
+	Scenario Scenario
+	Policy   Policy
+	Tallies  []*Tally
+	// FloodCaller counts the calls of a single flooding caller.
+	FloodCaller *Tally
+}
+
+func newResult(s Scenario, p Policy) *Result {
+	r := &Result{Scenario: s, Policy: p}
+	c := time.Duration(s.Capacity() * float64(s.Measured))
+	for _, w := range s.Work {
+		r.Tallies = append(r.Tallies, &Tally{Rank: w.Name, capacity: c})
+	}
+	if s.FloodCaller != "" {
+		r.FloodCaller = &Tally{Rank: s.Flood + ", flooding caller", capacity: c}
+	}
+	return r
+}
+
+// Rank returns the tally of the named rank, without a single flooding caller.
+func (r *Result) Rank(name string) *Tally {
+	for _, t := range r.Tallies {
+		if t.Rank == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func (r *Result) tally(rank string, flood bool) *Tally {
+	if flood && r.FloodCaller != nil {
+		return r.FloodCaller
+	}
+	return r.Rank(rank)
+}
+
+func (r *Result) occupied(rank string, from, to time.Time, useful bool) {
+	d := to.Sub(from)
+	if d <= 0 {
+		return
+	}
+	t := r.Rank(rank)
+	t.Slot += d
+	if !useful {
+		t.Wasted += d
+	}
+}
+
+// Header starts the Markdown table of results.
+const Header = `| Scenario | Policy | Rank | Calls/s | In target % | Worth/s | p50 ms | p99 ms | Not run % | Slot time % | Wasted % | Retries % |
+| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |
+`
+
+// Write prints the rows of r.
+func (r *Result) Write(w io.Writer) {
+	l := r.Tallies
+	if r.FloodCaller != nil {
+		l = append(slices.Clone(l), r.FloodCaller)
+	}
+	s := r.Scenario.Measured.Seconds()
+	for _, t := range l {
+		fmt.Fprintf(w, "| %s | %s | %s | %.0f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f |\n",
+			r.Scenario.Name, r.Policy.Name, t.Rank, float64(t.Calls)/s, t.InTarget(), t.Worth/s,
+			milliseconds(t.Quantile(0.5)), milliseconds(t.Quantile(0.99)),
+			percent(float64(t.Refused), float64(t.Calls)), t.SlotShare(),
+			percent(float64(t.Wasted), float64(t.capacity)), t.RetryShare())
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1000 }
--- /dev/null
+++ b/internal/policybench/scenario.go
@@ -0,0 +1,160 @@
+package policybench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/queue"
+)
+
+// Work is one rank's work at the measured service.
+type Work struct {
+	queue.Rank
+	Worth    float64
+	Deadline time.Duration
+	// Service is the mean slot time. Half of it is fixed, half exponential.
+	Service time.Duration
+	// Load is the ordinary demand as a share of the service's capacity.
+	Load       float64
+	Idempotent bool
+}
+
+// Fault is what goes wrong with the first upstream.
+type Fault int
+
+// Faults.
+const (
+	NoFault Fault = iota
+	// Stalled completes nothing during the fault.
+	Stalled
+	// Lost is gone with its node from the start of the fault.
+	Lost
+	// Failing answers errors within a millisecond.
+	Failing
+	// Shrunk has a quarter of its slots and queues the rest inside.
+	Shrunk
+)
+
+// Scenario is one load on one service.
+type Scenario struct {
+	Name    string
+	Workers int
+	Slots   int
+	Zones   []string
+	// Hop is the time between two zones, one way.
+	Hop  time.Duration
+	Work []Work
+	// Flood is the rank that arrives at Times the capacity; empty for none.
+	Flood string
+	Times float64
+	// FloodCaller is the single caller of the flood; empty for the usual ones.
+	FloodCaller string
+	Fault       Fault
+	// Warm is the ordinary time before the flood and the measurement, Measured
+	// the length of the measurement. A fault starts a third into it and lasts a
+	// third.
+	Warm, Measured time.Duration
+}
+
+// Capacity is the number of slots of the service.
+func (s Scenario) Capacity() float64 { return float64(s.Workers * s.Slots) }
+
+// WithFlood returns a copy with a flood of the named rank.
+func (s Scenario) WithFlood(rank string, times float64) Scenario {
+	s.Flood, s.Times = rank, times
+	s.Name = fmt.Sprintf("%s, %g times %s", s.Name, times, rank)
+	if times > 5 {
+		s.Measured = min(s.Measured, 10*time.Second) // bounds the number of events
+	}
+	return s
+}
+
+// WithFloodCaller returns a copy whose flood comes from one caller.
+func (s Scenario) WithFloodCaller(name string) Scenario {
+	s.FloodCaller = name
+	s.Name += " from one caller"
+	return s
+}
+
+// WithFault returns a copy with a fault of one upstream.
+func (s Scenario) WithFault(f Fault, name string) Scenario {
+	s.Fault = f
+	s.Name += ", " + name
+	return s
+}
+
+// WithMeasured returns a copy with another measured time.
+func (s Scenario) WithMeasured(d time.Duration) Scenario { s.Measured = d; return s }
+
+// WithWork returns a copy that serves only the named ranks.
+func (s Scenario) WithWork(names ...string) Scenario {
+	var l []Work
+	for _, w := range s.Work {
+		for _, n := range names {
+			if w.Name == n {
+				l = append(l, w)
+			}
+		}
+	}
+	s.Work = l
+	s.Name += " " + names[0] + " alone"
+	return s
+}
+
+func rank(name string, order int, target time.Duration, floor float64) queue.Rank {
+	return queue.Rank{Name: name, Order: order, Target: target, Floor: floor}
+}
+
+// Pichler is a service of 5 workers with 20 slots that serves all its ranks.
+func Pichler() Scenario {
+	return Scenario{
+		Name: "Pichler shared 5×20", Workers: 5, Slots: 20, Hop: 1500 * time.Microsecond,
+		Zones: []string{"innsbruck-a", "innsbruck-b", "kufstein"},
+		Work: []Work{
+			{rank("level", 1, 250*time.Millisecond, 0.4), 10, time.Second, 20 * time.Millisecond, 0.3, true},
+			{rank("alarm", 2, 500*time.Millisecond, 0.2), 8, 2 * time.Second, 40 * time.Millisecond, 0.1, false},
+			{rank("survey", 3, 10*time.Second, 0.1), 1, 30 * time.Second, 800 * time.Millisecond, 0.25, false},
+		},
+		Warm: 5 * time.Second, Measured: 20 * time.Second,
+	}
+}
+
+// Vineta is a service of 5 workers with 5 slots that serves all its ranks.
+func Vineta() Scenario {
+	return Scenario{
+		Name: "Viñeta Norte shared 5×5", Workers: 5, Slots: 5, Hop: 500 * time.Microsecond,
+		Zones: []string{"bilbao", "oviedo", "santander"},
+		Work: []Work{
+			{rank("swap", 1, 300*time.Millisecond, 0.3), 10, 2 * time.Second, 30 * time.Millisecond, 0.1, false},
+			{rank("page", 2, 200*time.Millisecond, 0.3), 3, 1500 * time.Millisecond, 25 * time.Millisecond, 0.3, true},
+			{rank("scan", 3, 5*time.Second, 0.1), 1, 15 * time.Second, 500 * time.Millisecond, 0.25, false},
+		},
+		Warm: 5 * time.Second, Measured: 20 * time.Second,
+	}
+}
+
+// Scenarios lists all measured scenarios.
+func Scenarios() []Scenario {
+	var l []Scenario
+	for _, s := range []Scenario{Pichler(), Vineta()} {
+		top, low := s.Work[0].Name, s.Work[len(s.Work)-1].Name
+		l = append(l, s)
+		for _, times := range []float64{2, 5, 20} {
+			l = append(l, s.WithFlood(low, times))
+		}
+		for _, times := range []float64{2, 5, 20} {
+			l = append(l, s.WithFlood(top, times))
+		}
+		l = append(l,
+			s.WithFlood(s.Work[1].Name, 5).WithFloodCaller("flood"),
+			s.WithFault(Stalled, "one upstream stalled"),
+			s.WithFault(Lost, "one node lost"),
+			s.WithFault(Failing, "one upstream failing fast"),
+			s.WithFault(Shrunk, "one upstream with a quarter of its slots"),
+			s.WithFlood(low, 5).WithFault(Stalled, "one upstream stalled"),
+			s.WithFlood(low, 5).WithFault(Lost, "one node lost"),
+		)
+	}
+	alone := Pichler().WithWork("level")
+	return append(l, alone, alone.WithFlood("level", 2), alone.WithFlood("level", 5))
+}
--- /dev/null
+++ b/internal/policybench/sim.go
@@ -0,0 +1,312 @@
+package policybench
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/balance"
+	"github.com/gooseberrypick/gooseberrypick/internal/limit"
+	"github.com/gooseberrypick/gooseberrypick/internal/queue"
+	"github.com/gooseberrypick/gooseberrypick/internal/retry"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+const (
+	callersPerRank = 20
+	localHop       = 200 * time.Microsecond
+	// leaseTime is how long a lost node stays among the candidates.
+	leaseTime = 3 * time.Second
+	// firstPause and maxPause bound the growing pause between unbounded retries.
+	firstPause = 10 * time.Millisecond
+	maxPause   = time.Second
+)
+
+// call is one request of a caller.
+type call struct {
+	work     *Work
+	tally    *Tally
+	entry    *entry
+	caller   string
+	arrived  time.Time
+	deadline time.Time
+	service  time.Duration
+	tries    int
+	open     int // tries without a reply
+	tried    map[string]bool
+	ran      bool
+	over     bool
+}
+
+// entry is one node that callers reach.
+type entry struct {
+	zone     string
+	balancer *balance.Balancer
+	budget   *retry.Budget
+	turn     int
+}
+
+type sim struct {
+	loop     loop
+	scenario Scenario
+	policy   Policy
+	owners   map[string]*owner
+	entries  []*entry
+	set      *balance.Set
+	names    []string
+	from, to time.Time
+	result   *Result
+	nextID   uint64
+}
+
+// Run measures one scenario under one policy.
+func Run(s Scenario, p Policy, seed uint64) *Result {
+	m := &sim{
+		loop: loop{now: epoch}, scenario: s, policy: p, owners: map[string]*owner{},
+		from: epoch.Add(s.Warm), to: epoch.Add(s.Warm + s.Measured), result: newResult(s, p),
+	}
+	m.build(seed)
+	for i := range s.Work {
+		w := &s.Work[i]
+		rate := w.Load * s.Capacity() / w.Service.Seconds()
+		m.arrivals(w, rate, epoch, "", rand.New(rand.NewPCG(seed, uint64(i))))
+		if w.Name == s.Flood {
+			rate = s.Times * s.Capacity() / w.Service.Seconds()
+			m.arrivals(w, rate, m.from, s.FloodCaller, rand.New(rand.NewPCG(seed, uint64(100+i))))
+		}
+	}
+	m.planFault()
+	end := m.to
+	for _, w := range s.Work {
+		end = cmp.Or(end, m.to)
+		if t := m.to.Add(w.Deadline + time.Second); t.After(end) {
+			end = t
+		}
+	}
+	m.loop.runUntil(end)
+	return m.result
+}
+
+func (m *sim) build(seed uint64) {
+	s := m.scenario
+	var ranks []queue.Rank
+	for _, w := range s.Work {
+		ranks = append(ranks, w.Rank)
+	}
+	var l []balance.Candidate
+	for i := range s.Workers {
+		name, zone := fmt.Sprintf("node-%d", i), s.Zones[i%len(s.Zones)]
+		o := &owner{
+			sim: m, name: name, zone: zone, line: m.policy.line(ranks, s.Slots),
+			limiter:  limit.New(limit.Config{Slots: s.Slots}),
+			upstream: &upstream{loop: &m.loop, slots: s.Slots},
+			tries:    map[uint64]*try{},
+		}
+		m.owners[name] = o
+		m.names = append(m.names, name)
+		l = append(l, balance.Candidate{Name: name, Node: name, Zone: zone, Slots: s.Slots, State: wire.Serving})
+		m.entries = append(m.entries, &entry{
+			zone:     zone,
+			balancer: balance.New(balance.Config{Seed: seed + uint64(i)}),
+			budget:   retry.New(retry.Config{}),
+		})
+		if m.policy.adaptive {
+			o.tick()
+		}
+	}
+	m.set = balance.NewSet(l)
+}
+
+// arrivals plans a Poisson stream of calls until the end of the measurement.
+func (m *sim) arrivals(w *Work, rate float64, start time.Time, caller string, r *rand.Rand) {
+	if rate <= 0 {
+		return
+	}
+	var next func()
+	plan := func() {
+		if t := m.loop.now.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second))); t.Before(m.to) {
+			m.loop.at(t, next)
+		}
+	}
+	next = func() {
+		c := &call{work: w, caller: caller, arrived: m.loop.now, deadline: m.loop.now.Add(w.Deadline)}
+		if caller == "" {
+			c.caller = fmt.Sprintf("caller-%d", r.IntN(callersPerRank))
+		}
+		c.entry = m.entries[r.IntN(len(m.entries))]
+		c.service = time.Duration((0.5 + 0.5*r.ExpFloat64()) * float64(w.Service))
+		if !c.arrived.Before(m.from) {
+			c.tally = m.result.tally(w.Name, caller != "")
+			c.tally.Calls++
+		}
+		c.entry.budget.Call(m.loop.now, w.Name)
+		m.send(c)
+		plan()
+	}
+	m.loop.at(start, plan)
+}
+
+func (m *sim) planFault() {
+	o := m.owners[m.names[0]]
+	third := m.scenario.Measured / 3
+	begin, end := m.from.Add(third), m.from.Add(2*third)
+	u := o.upstream
+	switch m.scenario.Fault {
+	case NoFault:
+	case Stalled:
+		m.loop.at(begin, func() { u.stalled = true })
+		m.loop.at(end, u.resume)
+	case Lost:
+		m.loop.at(begin, o.lose)
+		m.loop.at(begin.Add(leaseTime), func() { m.remove(o.name) })
+	case Failing:
+		m.loop.at(begin, func() { u.failing = true })
+		m.loop.at(end, func() { u.failing = false })
+	case Shrunk:
+		m.loop.at(begin, func() { u.slots = max(1, u.slots/4) })
+		m.loop.at(end, func() { u.slots = m.scenario.Slots })
+	}
+}
+
+// remove takes a node out of the candidates, as the registry does.
+func (m *sim) remove(name string) {
+	var l []balance.Candidate
+	m.names = slices.DeleteFunc(m.names, func(n string) bool { return n == name })
+	for _, n := range m.names {
+		o := m.owners[n]
+		l = append(l, balance.Candidate{Name: n, Node: n, Zone: o.zone, Slots: m.scenario.Slots, State: wire.Serving})
+	}
+	m.set = balance.NewSet(l)
+}
+
+func (m *sim) choose(c *call) (string, bool) {
+	e := c.entry
+	if m.policy.turns {
+		e.turn++
+		return m.names[e.turn%len(m.names)], true
+	}
+	ch, ok := e.balancer.Choose(m.loop.now, m.set, balance.Query{Zone: e.zone, Exclude: c.tried, NoProbe: !c.work.Idempotent})
+	return ch.Candidate.Name, ok
+}
+
+func (m *sim) send(c *call) {
+	name, ok := m.choose(c)
+	if !ok {
+		m.finish(c, false, errkind.NotRun)
+		return
+	}
+	o := m.owners[name]
+	c.tries++
+	c.open++
+	if c.tries > 1 && c.tally != nil {
+		c.tally.Retries++
+	}
+	m.nextID++
+	t := &try{id: m.nextID, call: c, owner: o, sent: m.loop.now, hop: localHop}
+	if o.zone != c.entry.zone {
+		t.hop = m.scenario.Hop
+	}
+	c.entry.balancer.Started(m.loop.now, name)
+	m.loop.after(t.hop, func() { o.offer(t) })
+	if m.policy.unbounded {
+		m.loop.after(c.work.Target, func() {
+			if !c.over && c.work.Idempotent && m.loop.now.Before(c.deadline) {
+				m.send(c)
+			}
+		})
+	}
+}
+
+func (m *sim) replied(t *try, r reply) {
+	c := t.call
+	c.open--
+	took := m.loop.now.Sub(t.sent)
+	c.entry.balancer.Finished(m.loop.now, t.owner.name, balance.Outcome{Result: r.result, Route: c.work.Name, Latency: took, Load: r.load})
+	if c.over {
+		return
+	}
+	if r.result == balance.OK {
+		m.finish(c, true, "")
+		return
+	}
+	if m.again(c, t, r) {
+		return
+	}
+	if c.open == 0 {
+		m.finish(c, false, r.execution)
+	}
+}
+
+// again sends another try if the policy allows it.
+func (m *sim) again(c *call, t *try, r reply) bool {
+	if m.policy.unbounded {
+		ok := (r.execution == errkind.NotRun || c.work.Idempotent) && m.loop.now.Before(c.deadline)
+		if ok {
+			c.open++
+			m.loop.after(min(firstPause<<min(c.tries, 10), maxPause), func() {
+				c.open--
+				if !c.over {
+					m.retryUnbounded(c, r)
+				}
+			})
+		}
+		return ok
+	}
+	d := c.entry.budget.Decide(m.loop.now, retry.Try{
+		Kind: r.kind, Execution: r.execution, Idempotent: c.work.Idempotent, Inbound: 1, Tries: c.tries,
+		Remaining: c.deadline.Sub(m.loop.now), Usual: c.work.Service, Rank: c.work.Name,
+	})
+	if !d.Retry {
+		return false
+	}
+	if c.tried == nil {
+		c.tried = map[string]bool{}
+	}
+	c.tried[t.owner.name] = true
+	m.send(c)
+	return true
+}
+
+// retryUnbounded sends another try unless the deadline has passed.
+func (m *sim) retryUnbounded(c *call, r reply) {
+	if m.loop.now.Before(c.deadline) {
+		m.send(c)
+		return
+	}
+	if c.open == 0 {
+		m.finish(c, false, r.execution)
+	}
+}
+
+func (m *sim) finish(c *call, answered bool, x errkind.Execution) {
+	c.over = true
+	if c.tally != nil {
+		c.tally.finish(c.work, m.loop.now.Sub(c.arrived), answered, x)
+	}
+}
+
+// occupied accounts the slot time of a try within the measurement.
+func (m *sim) occupied(c *call, from, to time.Time) {
+	useful := !c.over && to.Sub(c.arrived) <= c.work.Target
+	m.result.occupied(c.work.Name, maxTime(from, m.from), minTime(to, m.to), useful)
+}
+
+func sortedKeys(m map[uint64]*try) []uint64 { return slices.Sorted(maps.Keys(m)) }
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
