limit: compare slot times with their standard errors

Cause: the limit of healthy upstreams shrank by chance: a ratio of 1.3 between two moving means of varying slot times is common, and the probe at half the limit lasted six times the longest service time. Change: means with variance and a difference of 4.5 standard errors; a probe ends with 30 samples or after 2 s.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -173,7 +173,7 @@
 		// The upstream says that it cannot take as many as were in flight.
 		l.goal = max(1, min(l.limit, float64(w.shedAt))*0.9)
 		l.shrink(now, l.goal)
-	case l.saturated():
+	case l.limit > 1 && l.ratio() > saturation:
 		l.goal = l.limit * max(0.7, 1/l.ratio())
 		l.shrink(now, l.goal)
 		l.forgetRoutes()
--- a/internal/limit/route.go
+++ b/internal/limit/route.go
@@ -1,39 +1,67 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // route compares slot times of one route at low and at high occupancy. The
 // comparison needs no absolute baseline: a smallest observed time would be far
 // below the mean for routes of varying size and would look like saturation.
 type route struct {
-	low, high mean
-	all       mean
+	low, high moments
+	usual     float64 // moving mean in seconds
+	n         int
 }
 
-type mean struct {
-	value float64
-	n     int
-	at    time.Time
+// moments are the mean and variance of a sample.
+type moments struct {
+	n, mean, m2 float64
+	at          time.Time
 }
 
-func (m *mean) add(now time.Time, v float64) {
+const (
+	// enough samples on both sides make a comparison.
+	enough = 30
+	// remembered bounds the weight of old samples.
+	remembered = 400
+	// certainty is the number of standard errors by which slot times must
+	// differ. The comparison is repeated with every window, so at two or three
+	// chance alone would shrink the limit of a healthy upstream every minute.
+	certainty = 4.5
+	maxRoutes = 1024
+	// probeEvery is how often the limit is halved to learn the slot time at low
+	// occupancy while the upstream is never less than half busy; a probe ends
+	// with enough samples or after probeFor.
+	probeEvery = 60 * time.Second
+	probeFor   = 2 * time.Second
+)
+
+func (m *moments) add(now time.Time, v float64) {
+	if m.n >= remembered {
+		m.n, m.m2 = m.n/2, m.m2/2
+	}
 	m.n++
-	m.value += (v - m.value) * max(0.05, 1/float64(m.n))
+	d := v - m.mean
+	m.mean += d / m.n
+	m.m2 += d * (v - m.mean)
 	m.at = now
 }
 
-const (
-	// enoughLow and enoughHigh samples make a comparison; with fewer, routes of
-	// varying size differ by a third by chance.
-	enoughLow  = 20
-	enoughHigh = 30
-	maxRoutes  = 1024
-	// probeEvery is how often the limit is halved to learn the slot time at low
-	// occupancy while the upstream is never less than half busy; probeFor is how
-	// long in usual service times.
-	probeEvery = 30 * time.Second
-	probeFor   = 6
-)
+// errorSquared is the squared standard error of the mean.
+func (m moments) errorSquared() float64 { return m.m2 / max(1, m.n-1) / m.n }
+
+// ratio returns how many times longer requests take at high occupancy, or 1
+// when that is not certain.
+func (r *route) ratio() float64 {
+	if r.low.n < enough || r.high.n < enough || r.low.mean <= 0 {
+		return 1
+	}
+	if r.high.mean-r.low.mean < certainty*math.Sqrt(r.low.errorSquared()+r.high.errorSquared()) {
+		return 1
+	}
+	return r.high.mean / r.low.mean
+}
 
 type probe struct {
 	last, until time.Time
@@ -50,38 +78,32 @@
 		r = &route{}
 		l.routes[name] = r
 	}
-	r.all.add(now, seconds)
+	r.n++
+	r.usual += (seconds - r.usual) * max(0.05, 1/float64(r.n))
 	switch n := float64(s.inFlight); {
 	case n <= max(1, l.limit/2):
 		r.low.add(now, seconds)
+		if r.low.n >= enough {
+			l.probe.until = time.Time{}
+		}
 	case n > 0.8*l.limit:
 		r.high.add(now, seconds)
 	}
 }
 
-// ratio compares slot times at high and low occupancy over all routes that
-// have both, weighted by their samples.
+// ratio is the largest certain ratio of slot times at high and low occupancy.
 func (l *Limiter) ratio() float64 {
-	var high, low float64
+	v := 1.0
 	for _, r := range l.routes {
-		if r.low.n >= enoughLow && r.high.n >= enoughHigh && r.low.value > 0 {
-			w := float64(min(r.high.n, 1000)) / r.low.value
-			high += w * r.high.value
-			low += w * r.low.value
-		}
+		v = max(v, r.ratio())
 	}
-	if low == 0 {
-		return 1
-	}
-	return high / low
+	return v
 }
 
-func (l *Limiter) saturated() bool { return l.limit > 1 && l.ratio() > saturation }
-
 // forgetRoutes starts the comparison anew after the limit changed.
 func (l *Limiter) forgetRoutes() {
 	for _, r := range l.routes {
-		r.low, r.high = mean{}, mean{}
+		r.low, r.high = moments{}, moments{}
 	}
 }
 
@@ -91,11 +113,13 @@
 	if float64(peak) < l.limit || l.limit < 2 || now.Sub(l.probe.last) < probeEvery {
 		return
 	}
+	known, busy := false, false
 	for _, r := range l.routes {
-		if r.high.n >= enoughHigh && (r.low.n < enoughLow || now.Sub(r.low.at) > probeEvery) {
-			l.probe = probe{last: now, until: now.Add(probeFor * l.longest(windowMin))}
-			return
-		}
+		known = known || r.low.n >= enough && now.Sub(r.low.at) < probeEvery
+		busy = busy || r.high.n >= enough
+	}
+	if busy && !known {
+		l.probe = probe{last: now, until: now.Add(probeFor)}
 	}
 }
 
@@ -103,7 +127,7 @@
 func (l *Limiter) longest(least time.Duration) time.Duration {
 	d := least
 	for _, r := range l.routes {
-		d = max(d, time.Duration(r.all.value*float64(time.Second)))
+		d = max(d, time.Duration(r.usual*float64(time.Second)))
 	}
 	return d
 }
