balance: let probes of a stalled upstream grow apart

Cause: a probe that did not come back left the time of the next probe in the past, so every choice became a probe; refusals by the owner node also counted as progress of a stalled upstream. Change: each probe sets the next one, and the interval doubles when the one before is still open or was refused.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -139,10 +139,8 @@
 	}
 	e.inFlight++
 	e.used = now
-	if e.suspect && !e.probing {
-		e.probing = true
-		// A probe that never comes back must not block the next one.
-		e.probeAt = now.Add(2 * e.interval)
+	if e.suspect {
+		e.probe(now)
 	}
 }
 
@@ -165,7 +163,8 @@
 		e.succeed(now)
 		b.observe(now, e, o)
 	case Shed:
-		e.progress = now
+		// A refusal by the owner node says nothing about the upstream's progress.
+		e.probeFailed(now)
 		e.shed = decay(e.shed, now.Sub(e.shedAt), failHalfLife)
 		e.shed += (1 - e.shed) * failWeight
 		e.shedAt = now
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -101,18 +101,35 @@
 	}
 }
 
-// suspectNow makes e suspect, or doubles the interval of one that is and whose
-// probe failed.
+// suspectNow makes e suspect, or notes that a probe of a suspect failed.
 func (e *estimate) suspectNow(now time.Time) {
-	switch {
-	case !e.suspect:
-		e.suspect, e.interval = true, firstProbe
-	case e.probing:
+	if e.suspect {
+		e.probeFailed(now)
+		return
+	}
+	e.suspect, e.probing, e.interval = true, false, firstProbe
+	e.probeAt = now.Add(e.interval)
+}
+
+// probe notes that a request was sent to a suspect. The interval grows at once
+// if the probe before has not come back, so that a stalled upstream does not
+// collect probes.
+func (e *estimate) probe(now time.Time) {
+	if e.probing {
 		e.interval = min(2*e.interval, maxProbe)
-	default:
-		return // a late failure of work sent before the suspicion
+	}
+	e.probing = true
+	e.probeAt = now.Add(e.interval)
+}
+
+// probeFailed doubles the interval. Failures of work sent before the suspicion
+// do not count.
+func (e *estimate) probeFailed(now time.Time) {
+	if !e.suspect || !e.probing {
+		return
 	}
 	e.probing = false
+	e.interval = min(2*e.interval, maxProbe)
 	e.probeAt = now.Add(e.interval)
 }
 
