balance: load reports as each rank sees them

Cause: during a flood of scans the waiting scans dominated every load report, so the choice for pages ignored how many pages waited at each upstream. Change: queue.Load, balance.Started, Query and Outcome take the rank; waiting work of less urgent ranks does not count as ahead. policybench counts retries over all calls, as the budget does.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -40,7 +40,8 @@
 
 // Load is what an answer says about the owner node's queue.
 type Load struct {
-	InFlight  int
+	InFlight int
+	// Waiting counts the requests that go before one of the answer's rank.
 	Waiting   int
 	Limit     int
 	QueueWait time.Duration
@@ -66,6 +67,7 @@
 // Outcome describes a finished try.
 type Outcome struct {
 	Result Result
+	Rank   string
 	// Route groups tries of similar latency.
 	Route   string
 	Latency time.Duration
@@ -76,6 +78,7 @@
 // Query describes one choice.
 type Query struct {
 	Zone string
+	Rank string
 	// Exclude names candidates that were already tried.
 	Exclude map[string]bool
 	// NoProbe is set for requests that must not be used to probe a suspect:
@@ -126,8 +129,8 @@
 	}
 }
 
-// Started notes that a try was sent to the named upstream.
-func (b *Balancer) Started(now time.Time, name string) {
+// Started notes that a try of the given rank was sent to the named upstream.
+func (b *Balancer) Started(now time.Time, name, rank string) {
 	e := b.known[name]
 	if e == nil {
 		b.forgetIdle(now)
@@ -138,6 +141,7 @@
 		e.progress = now
 	}
 	e.inFlight++
+	e.view(rank).inFlight++
 	e.used = now
 	if e.suspect {
 		e.probe(now)
@@ -152,8 +156,11 @@
 	}
 	e.inFlight = max(0, e.inFlight-1)
 	e.used = now
+	v := e.view(o.Rank)
+	v.inFlight = max(0, v.inFlight-1)
 	if o.Load != nil {
 		e.load, e.loadAt = *o.Load, now
+		v.waiting, v.waitingAt = o.Load.Waiting, now
 	}
 	switch o.Result {
 	case OK:
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -68,7 +68,7 @@
 			}
 			continue
 		}
-		score, load := b.judge(now, e, c)
+		score, load := b.judge(now, e, c, q.Rank)
 		if !best.ok || score < best.score {
 			best = option{index: i, score: score, load: load, ok: true}
 		}
@@ -123,11 +123,11 @@
 	return b.longestUsual
 }
 
-func (b *Balancer) judge(now time.Time, e *estimate, c *Candidate) (score, load float64) {
+func (b *Balancer) judge(now time.Time, e *estimate, c *Candidate, rank string) (score, load float64) {
 	if e == nil {
 		e = &estimate{slow: 1}
 	}
-	load = (e.ahead(now) + 1) / e.slots(now, c)
+	load = (e.ahead(now, rank) + 1) / e.slots(now, c)
 	score = load * e.slowness(now)
 	score *= 1 + (shedPenalty-1)*decay(e.shed, now.Sub(e.shedAt), failHalfLife)
 	return score, load
@@ -142,7 +142,7 @@
 		if q.Exclude[c.Name] {
 			continue
 		}
-		score, load := b.judge(now, b.known[c.Name], c)
+		score, load := b.judge(now, b.known[c.Name], c, q.Rank)
 		if !best.ok || score < best.score {
 			best = option{index: i, score: score, load: load, ok: true}
 		}
--- a/internal/balance/doc.go
+++ b/internal/balance/doc.go
@@ -24,10 +24,10 @@
 //
 //	b := balance.New(balance.Config{Seed: seed})
 //	set := balance.NewSet(candidates)
-//	c, ok := b.Choose(now, set, balance.Query{Zone: "kufstein"})
-//	b.Started(now, c.Candidate.Name)
+//	c, ok := b.Choose(now, set, balance.Query{Zone: "kufstein", Rank: rank})
+//	b.Started(now, c.Candidate.Name, rank)
 //	…
-//	b.Finished(now, c.Candidate.Name, balance.Outcome{Result: balance.OK, Route: route, Latency: d, Load: load})
+//	b.Finished(now, c.Candidate.Name, balance.Outcome{Result: balance.OK, Rank: rank, Route: route, Latency: d, Load: load})
 //
 // A choice draws a bounded number of candidates, whatever the size of the set.
 // Started and Finished must be called in pairs.
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -31,9 +31,18 @@
 	maxSlow    = 20
 )
 
+// view is what one rank sees of an upstream.
+type view struct {
+	rank      string
+	inFlight  int
+	waiting   int
+	waitingAt time.Time
+}
+
 // estimate is what this node knows about one upstream.
 type estimate struct {
 	inFlight int
+	views    []view // few; one per rank
 	// progress is the last completion, or the start of the first request after
 	// an idle time.
 	progress time.Time
@@ -68,10 +77,22 @@
 	return 1 + decay(e.slow-1, now.Sub(e.slowAt), slowHalfLife)
 }
 
-// ahead is the expected number of requests before a new one.
-func (e *estimate) ahead(now time.Time) float64 {
-	reported := decay(float64(e.load.InFlight+e.load.Waiting), now.Sub(e.loadAt), loadHalfLife)
-	return max(float64(e.inFlight), reported)
+func (e *estimate) view(rank string) *view {
+	for i := range e.views {
+		if e.views[i].rank == rank {
+			return &e.views[i]
+		}
+	}
+	e.views = append(e.views, view{rank: rank})
+	return &e.views[len(e.views)-1]
+}
+
+// ahead is the expected number of requests before a new one of the rank.
+func (e *estimate) ahead(now time.Time, rank string) float64 {
+	v := e.view(rank)
+	reported := decay(float64(e.load.InFlight), now.Sub(e.loadAt), loadHalfLife) +
+		decay(float64(v.waiting), now.Sub(v.waitingAt), loadHalfLife)
+	return max(float64(v.inFlight), reported)
 }
 
 // slots is the capacity that the upstream is believed to have.
--- a/internal/policybench/owner.go
+++ b/internal/policybench/owner.go
@@ -157,7 +157,7 @@
 func (o *owner) answer(t *try, r reply) {
 	t.over = true
 	if !o.lost {
-		l := o.line.Load(o.sim.loop.now)
+		l := o.line.Load(o.sim.loop.now, t.call.work.Name)
 		r.load = &balance.Load{InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait}
 	}
 	o.sim.loop.after(t.hop, func() { o.sim.replied(t, r) })
--- a/internal/policybench/policy.go
+++ b/internal/policybench/policy.go
@@ -41,7 +41,7 @@
 	Cancel(now time.Time, id uint64) bool
 	Done(now time.Time, id uint64, complete bool)
 	SetLimit(now time.Time, n int)
-	Load(now time.Time) queue.Load
+	Load(now time.Time, rank string) queue.Load
 	Wake(now time.Time) (time.Time, bool)
 }
 
@@ -107,6 +107,6 @@
 func (p *plain) Done(time.Time, uint64, bool)     { p.running-- }
 func (p *plain) SetLimit(_ time.Time, n int)      { p.limit = n }
 func (p *plain) Wake(time.Time) (time.Time, bool) { return time.Time{}, false }
-func (p *plain) Load(time.Time) queue.Load {
+func (p *plain) Load(time.Time, string) queue.Load {
 	return queue.Load{InFlight: p.running, Waiting: len(p.waiting), Limit: p.limit}
 }
--- a/internal/policybench/result.go
+++ b/internal/policybench/result.go
@@ -15,7 +15,8 @@
 	Calls    int
 	OnTime   int
 	Refused  int // ended in a refusal, provably not run
-	Retries  int
+	Retries  int // of all calls, including those before the measurement
+	AllCalls int
 	Worth    float64
 	Slot     time.Duration // slot time within the measurement
 	Wasted   time.Duration // part of Slot whose answer was late or none
@@ -30,7 +31,7 @@
 func (t *Tally) SlotShare() float64 { return percent(float64(t.Slot), float64(t.capacity)) }
 
 // RetryShare is the number of retries by calls, in percent.
-func (t *Tally) RetryShare() float64 { return percent(float64(t.Retries), float64(t.Calls)) }
+func (t *Tally) RetryShare() float64 { return percent(float64(t.Retries), float64(t.AllCalls)) }
 
 func percent(a, b float64) float64 {
 	if b == 0 {
--- a/internal/policybench/sim.go
+++ b/internal/policybench/sim.go
@@ -30,6 +30,7 @@
 type call struct {
 	work     *Work
 	tally    *Tally
+	measured bool
 	entry    *entry
 	caller   string
 	arrived  time.Time
@@ -139,8 +140,9 @@
 		}
 		c.entry = m.entries[r.IntN(len(m.entries))]
 		c.service = time.Duration((0.5 + 0.5*r.ExpFloat64()) * float64(w.Service))
-		if !c.arrived.Before(m.from) {
-			c.tally = m.result.tally(w.Name, caller != "")
+		c.tally = m.result.tally(w.Name, caller != "")
+		c.tally.AllCalls++
+		if c.measured = !c.arrived.Before(m.from); c.measured {
 			c.tally.Calls++
 		}
 		c.entry.budget.Call(m.loop.now, w.Name)
@@ -189,7 +191,7 @@
 		e.turn++
 		return m.names[e.turn%len(m.names)], true
 	}
-	ch, ok := e.balancer.Choose(m.loop.now, m.set, balance.Query{Zone: e.zone, Exclude: c.tried, NoProbe: !c.work.Idempotent})
+	ch, ok := e.balancer.Choose(m.loop.now, m.set, balance.Query{Zone: e.zone, Exclude: c.tried, Rank: c.work.Name, NoProbe: !c.work.Idempotent})
 	return ch.Candidate.Name, ok
 }
 
@@ -202,7 +204,7 @@
 	o := m.owners[name]
 	c.tries++
 	c.open++
-	if c.tries > 1 && c.tally != nil {
+	if c.tries > 1 {
 		c.tally.Retries++
 	}
 	m.nextID++
@@ -210,7 +212,7 @@
 	if o.zone != c.entry.zone {
 		t.hop = m.scenario.Hop
 	}
-	c.entry.balancer.Started(m.loop.now, name)
+	c.entry.balancer.Started(m.loop.now, name, c.work.Name)
 	m.loop.after(t.hop, func() { o.offer(t) })
 	if m.policy.unbounded {
 		m.loop.after(c.work.Target, func() {
@@ -225,7 +227,7 @@
 	c := t.call
 	c.open--
 	took := m.loop.now.Sub(t.sent)
-	c.entry.balancer.Finished(m.loop.now, t.owner.name, balance.Outcome{Result: r.result, Route: c.work.Name, Latency: took, Load: r.load})
+	c.entry.balancer.Finished(m.loop.now, t.owner.name, balance.Outcome{Result: r.result, Rank: c.work.Name, Route: c.work.Name, Latency: took, Load: r.load})
 	if c.over {
 		return
 	}
@@ -284,7 +286,7 @@
 
 func (m *sim) finish(c *call, answered bool, x errkind.Execution) {
 	c.over = true
-	if c.tally != nil {
+	if c.measured {
 		c.tally.finish(c.work, m.loop.now.Sub(c.arrived), answered, x)
 	}
 }
--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -69,7 +69,7 @@
 	it.rank.running++
 	q.running++
 	q.waiting--
-	q.waited.add(n, max(0, now.Sub(it.Arrived).Seconds()))
+	it.rank.waited.add(n, max(0, now.Sub(it.Arrived).Seconds()))
 }
 
 // Wake returns when Next is worth another call although nothing else happened:
--- a/internal/queue/offer.go
+++ b/internal/queue/offer.go
@@ -16,10 +16,7 @@
 // Offer adds a request at now. Admitted requests hold a slot at once.
 func (q *Queue) Offer(now time.Time, req Request) Verdict {
 	n := q.advance(now)
-	r := q.byName[req.Rank]
-	if r == nil {
-		r = q.ranks[len(q.ranks)-1]
-	}
+	r := q.rankOf(req.Rank)
 	if req.Arrived.IsZero() {
 		req.Arrived = now
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -86,12 +86,13 @@
 	RetryAfter time.Duration
 }
 
-// Load describes the queue to entry nodes.
+// Load describes the queue to entry nodes as one rank sees it.
 type Load struct {
 	InFlight int
-	Waiting  int
-	Limit    int
-	// QueueWait is the recent mean wait of the requests that got a slot.
+	// Waiting counts the requests that go before a new one of the rank.
+	Waiting int
+	Limit   int
+	// QueueWait is the recent mean wait of the rank's requests that got a slot.
 	QueueWait time.Duration
 }
 
@@ -111,7 +112,6 @@
 	seq        uint64
 	epoch      time.Time
 	now        float64 // seconds since epoch
-	waited     estimate
 
 	headroomAt    float64
 	headroomLimit int
@@ -174,13 +174,26 @@
 	q.limit = max(0, n)
 }
 
-// Load returns the load as entry nodes see it.
-func (q *Queue) Load(now time.Time) Load {
+// Load returns the load as requests of the named rank see it. A flood of a less
+// urgent rank must not make the upstream look busy to the others.
+func (q *Queue) Load(now time.Time, rank string) Load {
 	n := q.advance(now)
-	return Load{
-		InFlight: q.running, Waiting: q.waiting, Limit: q.limit,
-		QueueWait: seconds(q.waited.at(n)),
+	r := q.rankOf(rank)
+	l := Load{InFlight: q.running, Limit: q.limit, QueueWait: seconds(r.waited.at(n))}
+	for _, u := range q.ranks[:r.index+1] {
+		l.Waiting += u.onTime.waiting
 	}
+	return l
+}
+
+// Waiting returns the number of all waiting requests.
+func (q *Queue) Waiting() int { return q.waiting }
+
+func (q *Queue) rankOf(name string) *rank {
+	if r := q.byName[name]; r != nil {
+		return r
+	}
+	return q.ranks[len(q.ranks)-1]
 }
 
 // Refused returns the waiting requests that were refused since the last call.
--- a/internal/queue/rank.go
+++ b/internal/queue/rank.go
@@ -16,6 +16,7 @@
 	// has had beyond its floor (negative).
 	credit  float64
 	service estimate
+	waited  estimate
 	// demand is the slot time asked for per second, over a short and a long
 	// window: the short one follows the start of a burst, the long one keeps
 	// headroom between bursts.
