queue: headroom by the rank's own slot time

Cause: pages had to leave headroom to swaps because scans, below them, hold slots long. Pages themselves free a slot within 25 ms. Change: only the slot time of the rank itself decides whether it leaves headroom.

--- a/internal/queue/headroom.go
+++ b/internal/queue/headroom.go
@@ -31,9 +31,10 @@
 }
 
 func (q *Queue) headroomFor(now float64, i int) int {
-	hold, floors := 0.0, 0.0
+	// Only the rank's own slot time counts. Short requests need leave no
+	// headroom for urgent ones even where a longer rank below them does.
+	hold, floors := q.ranks[i].service.mean, 0.0
 	for _, v := range q.ranks[i:] {
-		hold = max(hold, v.service.mean)
 		floors += v.Floor
 	}
 	demand, ratio, needed := 0.0, 0.0, false
