queue: a rank is owed at most one slot above its share at a time

Cause: credit is used up only while requests run, so a rank that was owed a little took every slot that came free at the same moment; in a test with 5 slots bulk work with a floor of 10% got 35% while urgent work flooded.

--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -40,7 +40,7 @@
 func (q *Queue) pick() *item {
 	var most *rank
 	for _, r := range q.ranks {
-		if r.owed() && (most == nil || r.credit/r.Floor > most.credit/most.Floor) {
+		if r.owed(q.limit) && (most == nil || r.credit/r.Floor > most.credit/most.Floor) {
 			most = r
 		}
 	}
--- a/internal/queue/offer.go
+++ b/internal/queue/offer.go
@@ -55,7 +55,7 @@
 		return false
 	}
 	for _, v := range q.ranks {
-		if v.owed() || v.index < r.index && v.onTime.waiting > 0 {
+		if v.owed(q.limit) || v.index < r.index && v.onTime.waiting > 0 {
 			return false
 		}
 	}
--- a/internal/queue/predict.go
+++ b/internal/queue/predict.go
@@ -23,7 +23,7 @@
 	} else {
 		own = min(own, (f.work+cost)*float64(r.onTime.byTag.len()))
 	}
-	limit := float64(q.limit)
+	limit := float64(max(1, q.limit))
 	urgent, free := 0.0, limit
 	for _, u := range q.ranks[:r.index] {
 		urgent += u.onTime.work
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -67,3 +67,23 @@
 	q.Done(at(0), 1, true)
 	equal(t, "next", fmt.Sprint(next(q, at(0))), "[4]")
 }
+
+// Guards that callers share slot time, not turns: one with requests four times
+// as long gets a quarter of the turns.
+func TestCallersShareSlotTime(t *testing.T) {
+	q := queue.New(queue.Config{Ranks: ranks()[1:2], Limit: 1})
+	now, turns := time.Duration(0), map[string]int{}
+	for i := range uint64(200) {
+		q.Offer(at(0), queue.Request{ID: 1000 + i, Rank: "usual", Caller: []string{"long", "short"}[i%2], Route: []string{"long", "short"}[i%2]})
+	}
+	running := queue.Request{ID: 1000, Caller: "long"}
+	for range 100 {
+		now += map[string]time.Duration{"long": 40 * time.Millisecond, "short": 10 * time.Millisecond}[running.Caller]
+		q.Done(at(now), running.ID, true)
+		running, _ = q.Next(at(now))
+		turns[running.Caller]++
+	}
+	if got := turns["long"]; got < 18 || got > 22 {
+		t.Errorf("turns of the caller with long requests: got %d of 100, want about 20", got)
+	}
+}
--- a/internal/queue/rank.go
+++ b/internal/queue/rank.go
@@ -56,15 +56,19 @@
 	r.credit += (share - float64(r.running)) * dt
 	top := 0.0
 	if r.waiting() > 0 {
-		top = share*maxOwed + r.service.mean
+		top = share * maxOwed
 	}
 	// Use beyond the floor is forgiven down to one request: what a rank got
 	// while nobody else wanted it must not starve it later.
 	r.credit = min(max(r.credit, -r.service.mean), top)
 }
 
-// owed reports whether the rank has had less than its floor.
-func (r *rank) owed() bool { return r.credit > 0 && r.Floor > 0 && r.waiting() > 0 }
+// owed reports whether the rank has had less than its floor of limit slots. It
+// is owed at most one slot more than its share at a time: credit is used up
+// only while requests run, and until then the rank would take every free slot.
+func (r *rank) owed(limit int) bool {
+	return r.credit > 0 && r.Floor > 0 && r.waiting() > 0 && r.running <= int(r.Floor*float64(limit))
+}
 
 // demandAt is the slots that the rank's recent arrivals would keep busy.
 func (r *rank) demandAt(now float64, limit int) float64 {
