--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -31,9 +31,18 @@
 	maxSlow    = 20
 )
 
+// view is what one rank sees of an upstream.
+type view struct {
+	rank      string
+	inFlight  int
+	waiting   int
+	waitingAt time.Time
+}
+
 // estimate is what this node knows about one upstream.
 type estimate struct {
 	inFlight int
+	views    []view // few; one per rank
 	// progress is the last completion, or the start of the first request after
 	// an idle time.
 	progress time.Time
@@ -68,10 +77,22 @@
 	return 1 + decay(e.slow-1, now.Sub(e.slowAt), slowHalfLife)
 }
 
-// ahead is the expected number of requests before a new one.
-func (e *estimate) ahead(now time.Time) float64 {
-	reported := decay(float64(e.load.InFlight+e.load.Waiting), now.Sub(e.loadAt), loadHalfLife)
-	return max(float64(e.inFlight), reported)
+func (e *estimate) view(rank string) *view {
+	for i := range e.views {
+		if e.views[i].rank == rank {
+			return &e.views[i]
+		}
+	}
+	e.views = append(e.views, view{rank: rank})
+	return &e.views[len(e.views)-1]
+}
+
+// ahead is the expected number of requests before a new one of the rank.
+func (e *estimate) ahead(now time.Time, rank string) float64 {
+	v := e.view(rank)
+	reported := decay(float64(e.load.InFlight), now.Sub(e.loadAt), loadHalfLife) +
+		decay(float64(v.waiting), now.Sub(v.waitingAt), loadHalfLife)
+	return max(float64(v.inFlight), reported)
 }
 
 // slots is the capacity that the upstream is believed to have.
@@ -101,18 +122,35 @@
 	}
 }
 
-// suspectNow makes e suspect, or doubles the interval of one that is and whose
-// probe failed.
+// suspectNow makes e suspect, or notes that a probe of a suspect failed.
 func (e *estimate) suspectNow(now time.Time) {
-	switch {
-	case !e.suspect:
-		e.suspect, e.interval = true, firstProbe
-	case e.probing:
+	if e.suspect {
+		e.probeFailed(now)
+		return
+	}
+	e.suspect, e.probing, e.interval = true, false, firstProbe
+	e.probeAt = now.Add(e.interval)
+}
+
+// probe notes that a request was sent to a suspect. The interval grows at once
+// if the probe before has not come back, so that a stalled upstream does not
+// collect probes.
+func (e *estimate) probe(now time.Time) {
+	if e.probing {
 		e.interval = min(2*e.interval, maxProbe)
-	default:
-		return // a late failure of work sent before the suspicion
+	}
+	e.probing = true
+	e.probeAt = now.Add(e.interval)
+}
+
+// probeFailed doubles the interval. Failures of work sent before the suspicion
+// do not count.
+func (e *estimate) probeFailed(now time.Time) {
+	if !e.suspect || !e.probing {
+		return
 	}
 	e.probing = false
+	e.interval = min(2*e.interval, maxProbe)
 	e.probeAt = now.Add(e.interval)
 }
 
--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -40,7 +40,7 @@
 func (q *Queue) pick() *item {
 	var most *rank
 	for _, r := range q.ranks {
-		if r.owed() && (most == nil || r.credit/r.Floor > most.credit/most.Floor) {
+		if r.owed(q.limit) && (most == nil || r.credit/r.Floor > most.credit/most.Floor) {
 			most = r
 		}
 	}
@@ -69,7 +69,7 @@
 	it.rank.running++
 	q.running++
 	q.waiting--
-	q.waited.add(n, max(0, now.Sub(it.Arrived).Seconds()))
+	it.rank.waited.add(n, max(0, now.Sub(it.Arrived).Seconds()))
 }
 
 // Wake returns when Next is worth another call although nothing else happened:
--- a/internal/queue/offer.go
+++ b/internal/queue/offer.go
@@ -16,10 +16,7 @@
 // Offer adds a request at now. Admitted requests hold a slot at once.
 func (q *Queue) Offer(now time.Time, req Request) Verdict {
 	n := q.advance(now)
-	r := q.byName[req.Rank]
-	if r == nil {
-		r = q.ranks[len(q.ranks)-1]
-	}
+	r := q.rankOf(req.Rank)
 	if req.Arrived.IsZero() {
 		req.Arrived = now
 	}
@@ -58,7 +55,7 @@
 		return false
 	}
 	for _, v := range q.ranks {
-		if v.owed() || v.index < r.index && v.onTime.waiting > 0 {
+		if v.owed(q.limit) || v.index < r.index && v.onTime.waiting > 0 {
 			return false
 		}
 	}
