--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -36,6 +36,7 @@
 		n.reply(now, m, r)
 		return
 	}
+	n.incoming = nil
 	n.merge(m.Entries)
 	r.Index = m.Index + uint64(len(m.Entries))
 	n.commit = max(n.commit, min(m.Commit, r.Index))
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -21,6 +21,9 @@
 	contact time.Duration
 	round   uint64
 	commit  uint64 // the commit index sent last
+	// transfer is set while the member gets a snapshot, because the log no
+	// longer holds the entries that it lacks.
+	transfer *transfer
 }
 
 // never is a time before any contact.
@@ -52,11 +55,22 @@
 	}
 	for id := range n.peers {
 		if !keep[id] {
+			n.endTransfer(n.peers[id])
 			delete(n.peers, id)
 		}
 	}
 }
 
+// eachPeer calls f in the order of the membership, so that the same events lead
+// to the same messages.
+func (n *Node) eachPeer(f func(id string, p *progress)) {
+	for _, m := range n.membership().Members {
+		if p := n.peers[m.Identity]; p != nil {
+			f(m.Identity, p)
+		}
+	}
+}
+
 // add appends an entry of the leader's term.
 func (n *Node) add(k wire.RaftEntryKind, data []byte) (index, term uint64) {
 	e := wire.RaftEntry{Index: n.log.last() + 1, Term: n.hard.Term, Kind: k, Data: data}
@@ -99,10 +113,13 @@
 		return
 	}
 	n.planMembership(now)
-	for id, p := range n.peers {
+	n.eachPeer(func(id string, p *progress) {
 		p.probed = false
+		if !n.alive(now, id) {
+			n.endTransfer(p)
+		}
 		n.sendAppend(now, id, p, true)
-	}
+	})
 }
 
 // leaseStart is the newest time at which a majority heard from the leader.
@@ -139,9 +156,9 @@
 		return
 	}
 	n.sendEntries = false
-	for id, p := range n.peers {
+	n.eachPeer(func(id string, p *progress) {
 		n.sendAppend(now, id, p, asked || p.commit < n.commit && !p.probing)
-	}
+	})
 	n.confirmReads()
 }
 
@@ -154,6 +171,7 @@
 		prev := p.next - 1
 		term, ok := n.log.term(prev)
 		if !ok {
+			n.sendSnapshot(now, id, p, force)
 			return
 		}
 		var es []wire.RaftEntry
@@ -164,11 +182,9 @@
 			return
 		}
 		force = false
-		n.early = append(n.early, wire.RaftMessage{
-			Type: wire.RaftAppend, From: n.c.Identity, To: id, Term: n.hard.Term,
-			Index: prev, LogTerm: term, Commit: n.commit, Entries: es, Round: n.round,
-			Sent: int64(now), Echo: n.echoes[id], Lease: n.leaseHeld(now) && n.committedInTerm(),
-		})
+		m := n.toPeer(now, id, wire.RaftAppend)
+		m.Index, m.LogTerm, m.Commit, m.Entries = prev, term, n.commit, es
+		n.early = append(n.early, m)
 		p.commit = n.commit
 		if p.probing {
 			p.probed = true
@@ -178,6 +194,14 @@
 	}
 }
 
+// toPeer returns a message that a leader may send before a sync.
+func (n *Node) toPeer(now time.Duration, id string, t wire.RaftMessageType) wire.RaftMessage {
+	return wire.RaftMessage{
+		Type: t, From: n.c.Identity, To: id, Term: n.hard.Term, Round: n.round,
+		Sent: int64(now), Echo: n.echoes[id], Lease: n.leaseHeld(now) && n.committedInTerm(),
+	}
+}
+
 func (n *Node) handleAppendResponse(now time.Duration, m wire.RaftMessage) {
 	p := n.peers[m.From]
 	if n.role != Leader || p == nil {
@@ -196,6 +220,9 @@
 		p.match = max(p.match, m.Index)
 		p.next = max(p.next, p.match+1)
 		p.probing = false
+		if p.match >= n.log.base {
+			n.endTransfer(p)
+		}
 	}
 	n.advanceCommit()
 	n.planMembership(now)
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -13,10 +13,13 @@
 //	for n.HasReady() {
 //		r := n.Ready(now)
 //		// 1. save r.HardState durably, 2. save r.Snapshot and restore from it,
-//		// 3. write r.Entries, 4. send r.Early, 5. sync, 6. n.Saved(r),
-//		// 7. send r.Messages, 8. apply r.Committed, 9. answer r.Reads
+//		// 3. write r.Entries, 4. send r.Early, and r.Chunks with their Data,
+//		// 5. sync, 6. n.Saved(r), 7. send r.Messages, 8. apply r.Committed,
+//		// 9. answer r.Reads
 //	}
 //
+// When a snapshot of what was applied is durable, Compact drops what it covers.
+//
 // Messages may be lost, delayed, duplicated and reordered, so the driver may drop
 // any of them. When entries cannot be written, the driver drops the Ready and
 // calls Discard instead of Saved.
@@ -26,6 +29,7 @@
 package raft
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -59,6 +63,8 @@
 	// maxCommittedBytes bounds the entries applied between two looks at the
 	// messages that arrived.
 	maxCommittedBytes = 4 << 20
+	// ChunkBytes bounds the data of one message of a snapshot.
+	ChunkBytes = 1 << 20
 	// maxReads bounds the reads that wait for a confirmation.
 	maxReads = 8192
 )
@@ -74,6 +80,12 @@
 	HeartbeatInterval time.Duration
 	// Rand spreads the election timeouts.
 	Rand *rand.Rand
+	// KeepEntries and KeepBytes bound the entries kept behind the newest
+	// snapshot.
+	KeepEntries, KeepBytes int
+	// PinBytes bounds the entries kept behind an older snapshot while it is
+	// being sent.
+	PinBytes int
 }
 
 // lease is shorter than the time for which followers refuse votes, so that the
@@ -87,12 +99,6 @@
 	Vote string
 }
 
-// SnapshotMeta says what a snapshot covers.
-type SnapshotMeta struct {
-	Index, Term uint64
-	Membership  wire.RaftMembership
-}
-
 // Stored is what a member finds on its disk.
 type Stored struct {
 	HardState HardState
@@ -118,17 +124,14 @@
 	Snapshot  *Snapshot
 	Entries   []wire.RaftEntry
 	Early     []wire.RaftMessage
+	// Chunks are messages of type RaftSnapshot. Their Data is that of the
+	// snapshot of their Index from their Offset on, at most ChunkBytes.
+	Chunks    []wire.RaftMessage
 	Messages  []wire.RaftMessage
 	Committed []wire.RaftEntry
 	Reads     []Read
 }
 
-// Snapshot is a complete received snapshot.
-type Snapshot struct {
-	SnapshotMeta
-	Data []byte
-}
-
 // Node is one member of a group. It is not safe for concurrent use.
 type Node struct {
 	c       Config
@@ -140,6 +143,7 @@
 	commit  uint64
 	applied uint64 // handed out for applying
 	members []membershipAt
+	newest  SnapshotMeta // the newest durable snapshot
 	// heard is when the leader last spoke; before heard plus ElectionTimeout
 	// the member helps no other candidate.
 	heard      time.Duration
@@ -148,6 +152,7 @@
 	granted    map[string]time.Duration // own clock when the vote was asked for
 	echoes     map[string]int64         // newest clock seen of other members
 	current    time.Duration            // follower: until when it counts as current
+	incoming   *incoming
 
 	// Leader only.
 	peers       map[string]*progress
@@ -157,8 +162,10 @@
 	waiting     []pendingRead // not part of a round yet
 	reads       []pendingRead // by rising round
 	sendEntries bool
+	pinned      *SnapshotMeta // what transfers send
 
 	early, messages []wire.RaftMessage
+	chunks          []wire.RaftMessage
 	confirmed       []Read
 	snapshot        *Snapshot
 }
@@ -170,7 +177,9 @@
 		echoes: map[string]int64{}, granted: map[string]time.Duration{}, heard: -c.ElectionTimeout,
 		commit: max(s.Snapshot.Index, s.Committed), applied: s.Snapshot.Index,
 	}
-	n.log = entryLog{base: s.Snapshot.Index, baseTerm: s.Snapshot.Term, entries: s.Entries}
+	n.newest = s.Snapshot
+	n.log = entryLog{base: s.Snapshot.Index, baseTerm: s.Snapshot.Term}
+	n.log.add(s.Entries...)
 	n.log.stable = n.log.last()
 	n.members = []membershipAt{{index: s.Snapshot.Index, membership: s.Snapshot.Membership}}
 	n.noteMemberships(s.Entries)
@@ -187,6 +196,9 @@
 
 // Tick handles the passing of time. Call it at Deadline at the latest.
 func (n *Node) Tick(now time.Duration) {
+	if n.snapshot != nil {
+		return // the log is about to be replaced
+	}
 	if n.role == Leader {
 		n.tickLeader(now)
 		return
@@ -216,18 +228,19 @@
 func (n *Node) follow(now time.Duration, term uint64, leader string) {
 	if term > n.hard.Term {
 		n.hard = HardState{Term: term}
+		n.incoming = nil
 	}
 	if n.role != Follower {
 		n.resetElection(now)
 	}
 	n.role, n.leader = Follower, leader
-	n.peers, n.waiting, n.reads = nil, nil, nil
+	n.peers, n.waiting, n.reads, n.pinned = nil, nil, nil, nil
 	n.sendEntries = false
 }
 
 // Step handles a message of another member.
 func (n *Node) Step(now time.Duration, m wire.RaftMessage) {
-	if m.To != n.c.Identity || m.From == n.c.Identity {
+	if m.To != n.c.Identity || m.From == n.c.Identity || n.snapshot != nil {
 		return
 	}
 	if m.Type == wire.RaftPreVote || m.Type == wire.RaftVote {
@@ -261,6 +274,10 @@
 		n.handleAppend(now, m)
 	case wire.RaftAppendResponse:
 		n.handleAppendResponse(now, m)
+	case wire.RaftSnapshot:
+		n.handleSnapshot(now, m)
+	case wire.RaftSnapshotResponse:
+		n.handleSnapshotResponse(now, m)
 	case wire.RaftReadIndex:
 		n.handleReadIndex(m)
 	case wire.RaftReadIndexResponse:
@@ -286,7 +303,7 @@
 func (n *Node) HasReady() bool {
 	return n.hard != n.saved || n.log.last() > n.log.stable || n.applied < min(n.commit, n.log.stable) ||
 		n.sendEntries || len(n.waiting) > 0 && n.committedInTerm() ||
-		len(n.early)+len(n.messages)+len(n.confirmed) > 0 || n.snapshot != nil
+		len(n.early)+len(n.chunks)+len(n.messages)+len(n.confirmed) > 0 || n.snapshot != nil
 }
 
 // Ready returns the work that the events so far led to.
@@ -296,15 +313,17 @@
 	}
 	r := Ready{
 		Snapshot: n.snapshot,
-		Entries:  n.log.slice(n.log.stable+1, n.log.last(), int(^uint(0)>>1)),
-		Early:    n.early, Messages: n.messages, Reads: n.confirmed,
-		Committed: n.log.slice(n.applied+1, min(n.commit, n.log.stable), maxCommittedBytes),
+		Early:    n.early, Chunks: n.chunks, Messages: n.messages, Reads: n.confirmed,
+	}
+	if r.Snapshot == nil { // it replaces the entries
+		r.Entries = n.log.slice(n.log.stable+1, n.log.last(), math.MaxInt)
+		r.Committed = n.log.slice(n.applied+1, min(n.commit, n.log.stable), maxCommittedBytes)
 	}
 	if n.hard != n.saved {
 		h := n.hard
 		r.HardState = &h
 	}
-	n.early, n.messages, n.confirmed, n.snapshot = nil, nil, nil, nil
+	n.early, n.chunks, n.messages, n.confirmed, n.snapshot = nil, nil, nil, nil, nil
 	n.applied += uint64(len(r.Committed))
 	return r
 }
@@ -314,6 +333,9 @@
 	if r.HardState != nil {
 		n.saved = *r.HardState
 	}
+	if r.Snapshot != nil {
+		n.install(r.Snapshot.SnapshotMeta)
+	}
 	if k := len(r.Entries); k > 0 {
 		n.log.stable = r.Entries[k-1].Index
 		n.commitAlone()
@@ -321,13 +343,17 @@
 	}
 }
 
-// Discard tells that the entries of r could not be written. They are dropped as
-// if they had never arrived. With sent, other members may hold them, and a
+// Discard tells that the snapshot or the entries of r could not be written. The
+// snapshot is tried again later; the entries are dropped as if they had never
+// arrived. With sent, other members may hold them, and a
 // leader steps down, because it must not use their indexes again in its term.
 func (n *Node) Discard(now time.Duration, r Ready, sent bool) {
 	if r.HardState != nil {
 		n.saved = *r.HardState
 	}
+	if r.Snapshot != nil {
+		n.incoming = &incoming{Snapshot: *r.Snapshot, term: n.hard.Term, retryAt: now + n.c.ElectionTimeout}
+	}
 	if len(r.Entries) == 0 {
 		return
 	}
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -14,6 +14,8 @@
 	Commit   uint64
 	LastLog  uint64
 	FirstLog uint64
+	LogBytes int
+	Snapshot uint64 // index of the newest snapshot
 	Members  []wire.RaftMember
 	// CurrentUntil is the time until which the member counts as confirmed with
 	// a majority.
@@ -24,7 +26,7 @@
 func (n *Node) Status(now time.Duration) Status {
 	s := Status{
 		Role: n.role, Term: n.hard.Term, Leader: n.leader, Commit: n.commit,
-		LastLog: n.log.last(), FirstLog: n.log.base + 1,
+		LastLog: n.log.last(), FirstLog: n.log.base + 1, LogBytes: n.log.bytes, Snapshot: n.newest.Index,
 		Members: n.membership().Members, CurrentUntil: n.current,
 	}
 	if n.role == Leader {
@@ -39,5 +41,14 @@
 // Leader returns the identity of the leader, or an empty string.
 func (n *Node) Leader() string { return n.leader }
 
+// TermAt returns the term of the entry at index, or 0 when it was dropped.
+func (n *Node) TermAt(index uint64) uint64 {
+	t, _ := n.log.term(index)
+	return t
+}
+
+// LogBytes returns the size of the entries in memory.
+func (n *Node) LogBytes() int { return n.log.bytes }
+
 // Member returns the member with the given identity.
 func (n *Node) Member(identity string) (wire.RaftMember, bool) { return n.member(identity) }
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -19,6 +19,7 @@
 type journal struct {
 	mu       sync.Mutex
 	commands []string
+	restored int
 }
 
 func (j *journal) Apply(_ uint64, command []byte) any {
@@ -38,7 +39,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.commands = nil
-	return wire.Unmarshal(b, &j.commands)
+	j.restored++
+	return wire.UnmarshalLarge(b, &j.commands)
 }
 
 func (j *journal) list() []string {
@@ -57,6 +59,8 @@
 	machines map[string]*journal
 	cut      map[string]bool
 	tune     func(*replica.Config)
+	chunks   int // messages that carried data of a snapshot
+	largest  int // size of the largest message
 }
 
 func newCluster(t *testing.T, n int) *cluster {
@@ -150,6 +154,16 @@
 }
 
 func (l link) Send(to string, m wire.RaftMessage) {
+	b, err := wire.Marshal(&m)
+	if err != nil {
+		l.c.t.Error(err)
+	}
+	l.c.mu.Lock()
+	l.c.largest = max(l.c.largest, len(b))
+	if len(m.Data) > 0 {
+		l.c.chunks++
+	}
+	l.c.mu.Unlock()
 	time.AfterFunc(time.Millisecond, func() {
 		if g, err := l.to(to); err == nil {
 			g.Step(m)
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -26,6 +26,9 @@
 	DefaultHeartbeatInterval = 100 * time.Millisecond
 	// DefaultSnapshotEntries is the number of applied entries between snapshots.
 	DefaultSnapshotEntries = 4096
+	// DefaultSnapshotBytes is the size of the applied entries between snapshots,
+	// and with it of the log in memory.
+	DefaultSnapshotBytes = 16 << 20
 )
 
 // Member is a configured member of a group.
@@ -73,8 +76,11 @@
 	// Zero values of the following fields select the defaults.
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
-	SnapshotEntries   int
-	FS                wal.FS
+	// SnapshotEntries and SnapshotBytes each lead to a snapshot once as much was
+	// applied since the last one.
+	SnapshotEntries int
+	SnapshotBytes   int
+	FS              wal.FS
 	// Rand spreads timeouts and makes identities; the default has a random seed.
 	Rand *mathrand.Rand
 }
@@ -89,6 +95,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.FS == nil {
 		c.FS = wal.OS{}
 	}
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -1,6 +1,9 @@
 package replica
 
 import (
+	"maps"
+	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +19,8 @@
 	// readRetry is how long a read waits before it asks again, because its
 	// message or the leader may be lost.
 	readRetry = 200 * time.Millisecond
+	// never is a time that does not come.
+	never = time.Duration(math.MaxInt64)
 )
 
 // engine is the member without its goroutine: it handles one event at a time and
@@ -24,7 +29,6 @@
 	c       Config
 	log     *wal.Log
 	machine Machine
-	send    Transport
 	node    *raft.Node // nil until the member belongs to a group
 	self    wal.Identity
 	names   map[string]string // identity to name, from messages
@@ -33,10 +37,14 @@
 	pending map[uint64]*proposal
 	reads   map[uint64]*read
 	nextID  uint64
+	// retryAt is when reads that are not confirmed are asked again.
+	retryAt time.Duration
 	// lostAt is when leadership was lost with proposals pending.
 	lostAt  time.Duration
 	leading bool
 	failure error
+	runtime
+	snapshots
 }
 
 // Proposal states: a proposal is canceled or appended, never both.
@@ -72,12 +80,22 @@
 	confirmed bool
 }
 
-func newEngine(c Config, l *wal.Log, m Machine, t Transport, now time.Duration) (*engine, error) {
+// runtime is what an engine needs of its surroundings. Background runs a function
+// beside the engine.
+type runtime struct {
+	clock      func() time.Duration
+	background func(func())
+	send       Transport
+}
+
+func newEngine(c Config, l *wal.Log, m Machine, r runtime) (*engine, error) {
 	s := l.State()
 	e := &engine{
-		c: c, log: l, machine: m, send: t, self: s.Identity,
+		c: c, log: l, machine: m, runtime: r, self: s.Identity,
 		names: map[string]string{}, pending: map[uint64]*proposal{}, reads: map[uint64]*read{},
-		nextID: c.Rand.Uint64(), // differs from the IDs of earlier processes
+		nextID:    c.Rand.Uint64(), // differs from the IDs of earlier processes
+		retryAt:   never,
+		snapshots: snapshots{written: make(chan writtenSnapshot, 1)},
 	}
 	if s.Identity.Lineage == "" {
 		return e, nil
@@ -90,11 +108,14 @@
 		if err := m.Restore(b); err != nil {
 			return nil, errkind.Wrap(err, errkind.Internal, "restore the snapshot in %s", c.Folder)
 		}
+		if err := e.openSnapshot(); err != nil {
+			return nil, err
+		}
 	}
 	if err := e.initialEntry(&s); err != nil {
 		return nil, err
 	}
-	e.start(s, now, true, false)
+	e.start(s, e.clock(), true, false)
 	return e, nil
 }
 
@@ -130,19 +151,19 @@
 func (e *engine) start(s wal.State, now time.Duration, restarted, campaign bool) {
 	st := raft.Stored{
 		HardState: raft.HardState(s.HardState),
-		Snapshot: raft.SnapshotMeta{
-			Index: s.Snapshot.Index, Term: s.Snapshot.Term, Membership: s.Snapshot.Membership,
-		},
-		Entries: s.Entries, Restarted: restarted, Campaign: campaign,
+		Snapshot:  raft.SnapshotMeta(s.Snapshot),
+		Entries:   s.Entries, Restarted: restarted, Campaign: campaign,
 	}
 	if len(s.Identity.Initial) > 0 {
 		st.Committed = 1
 	}
-	e.applied = s.Snapshot.Index
+	e.applied, e.newest = s.Snapshot.Index, s.Snapshot.Index
 	e.self = s.Identity
 	e.node = raft.New(raft.Config{
 		Identity: e.self.Identity, ElectionTimeout: e.c.ElectionTimeout,
 		HeartbeatInterval: e.c.HeartbeatInterval, Rand: e.c.Rand,
+		KeepEntries: e.c.SnapshotEntries / 4, KeepBytes: e.c.SnapshotBytes / 4,
+		PinBytes: 2 * e.c.SnapshotBytes,
 	}, st, now)
 }
 
@@ -157,6 +178,13 @@
 		clear(e.names)
 	}
 	e.names[m.From] = m.FromName
+	if len(m.Entries) > 0 && e.logFull() {
+		return // sent again later
+	}
+	if m.Type == wire.RaftSnapshotResponse && m.Reject {
+		e.c.Log.Info("snapshot has a wrong checksum at its receiver, taking another", "group", e.c.Group, "receiver", m.FromName)
+		e.wanted = true
+	}
 	e.node.Step(now, m)
 }
 
@@ -168,6 +196,10 @@
 		p.finish(nil, err)
 		return
 	}
+	if e.logFull() {
+		p.finish(nil, errkind.New(errkind.QueueFull, "%d bytes of the log wait for a snapshot", e.node.LogBytes()))
+		return
+	}
 	index, term, err := e.node.Propose(now, command)
 	if err != nil {
 		p.finish(nil, e.explain(err))
@@ -235,6 +267,7 @@
 	e.nextID++
 	r.askedAt = now
 	e.reads[e.nextID] = r
+	e.retryAt = min(e.retryAt, now+readRetry)
 	e.node.ReadIndex(e.nextID)
 }
 
@@ -243,18 +276,29 @@
 		return
 	}
 	e.node.Tick(now)
-	for id, r := range e.reads {
+	if now >= e.retryAt {
+		e.retryReads(now)
+	}
+	if e.lostAt != 0 && now >= e.lostAt+2*e.c.ElectionTimeout {
+		e.failPending(errkind.New(errkind.OutcomeUnknown, "leadership was lost; the command may still be committed"))
+	}
+}
+
+// retryReads asks again, in the order of the first questions.
+func (e *engine) retryReads(now time.Duration) {
+	e.retryAt = never
+	for _, id := range slices.Sorted(maps.Keys(e.reads)) {
+		r := e.reads[id]
 		switch {
 		case r.canceled.Load():
 			delete(e.reads, id)
 		case !r.confirmed && now >= r.askedAt+readRetry:
 			delete(e.reads, id)
 			e.ask(now, r)
+		default:
+			e.retryAt = min(e.retryAt, max(now, r.askedAt)+readRetry)
 		}
 	}
-	if e.lostAt != 0 && now >= e.lostAt+2*e.c.ElectionTimeout {
-		e.failPending(errkind.New(errkind.OutcomeUnknown, "leadership was lost; the command may still be committed"))
-	}
 }
 
 func (e *engine) failPending(err error) {
@@ -268,14 +312,9 @@
 // deadline returns when tick has work.
 func (e *engine) deadline() time.Duration {
 	if e.node == nil || e.failure != nil {
-		return 1<<63 - 1
-	}
-	d := e.node.Deadline()
-	for _, r := range e.reads {
-		if !r.confirmed {
-			d = min(d, r.askedAt+readRetry)
-		}
+		return never
 	}
+	d := min(e.node.Deadline(), e.retryAt)
 	if e.lostAt != 0 {
 		d = min(d, e.lostAt+2*e.c.ElectionTimeout)
 	}
@@ -299,6 +338,7 @@
 
 func (e *engine) close() {
 	err := errClosed()
+	e.closeReaders()
 	e.failPending(errkind.Wrap(err, errkind.OutcomeUnknown, "the command may still be committed"))
 	e.failReads(err)
 	if err := e.log.Close(); err != nil {
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -34,6 +34,7 @@
 		}
 	}
 	e.noteRole(now)
+	e.takeSnapshot(now)
 }
 
 // save makes the state in r durable. Messages that depend on it are sent only
@@ -45,10 +46,17 @@
 			return err
 		}
 	}
-	err := e.log.Append(r.Entries)
+	var err error
+	if r.Snapshot != nil {
+		err = e.installSnapshot(r.Snapshot)
+	}
+	if err == nil {
+		err = e.log.Append(r.Entries)
+	}
 	sent := false
 	if err == nil {
 		e.sendAll(r.Early)
+		e.sendChunks(r.Chunks)
 		sent = len(r.Early) > 0
 		err = e.log.Sync()
 	}
@@ -94,6 +102,7 @@
 		v = e.machine.Apply(x.Index, x.Data)
 	}
 	e.applied = x.Index
+	e.appliedBytes += len(x.Data)
 	p := e.pending[x.Index]
 	if p == nil {
 		return
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -52,6 +52,14 @@
 // member was confirmed with a majority within the lease; a member that a silent
 // partition cuts off stops being current without any error.
 //
+// # Snapshots
+//
+// After SnapshotEntries commands or SnapshotBytes of them, Machine.Snapshot is
+// called between two commands; the result is written in the background. Then the
+// entries that it covers are dropped, but for a short tail. A member that lacks
+// dropped entries gets the newest snapshot in chunks, and Machine.Restore is
+// called with it.
+//
 // # Bootstrap and replacement
 //
 // A member with an empty folder asks all configured members. When all answer and
@@ -98,6 +106,7 @@
 	stopped,
 	done chan struct{}
 	joining sync.WaitGroup
+	working sync.WaitGroup // snapshots being written
 	closed  sync.Once
 }
 
@@ -125,7 +134,7 @@
 	// The clock goes on after a restart, so that a delayed echo of the earlier
 	// process is not taken for a recent one.
 	g.base = time.Duration(g.start.UnixNano())
-	e, err := newEngine(c, l, m, t, g.now())
+	e, err := newEngine(c, l, m, runtime{clock: g.now, background: g.working.Go, send: t})
 	if err != nil {
 		stop()
 		_ = l.Close() // the first error matters
@@ -157,12 +166,15 @@
 	for {
 		select {
 		case <-g.stopped:
+			g.working.Wait()
 			e.close()
 			return
 		case m := <-g.inbox:
 			e.step(g.now(), m)
 		case f := <-g.calls:
 			f(e, g.now())
+		case w := <-e.written:
+			e.finishSnapshot(g.now(), w)
 		case <-t.C:
 		}
 		g.drain(e)
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -100,7 +101,6 @@
 // keep sets the entries that follow the snapshot.
 func (l *Log) keep(es []wire.RaftEntry) error {
 	m := l.state.Snapshot
-	l.last = m.Index
 	if len(es) == 0 {
 		return nil
 	}
@@ -113,8 +113,7 @@
 		// that it replaces.
 		return l.Reset()
 	}
-	l.state.Entries = es[m.Index+1-first:]
-	l.last = last
+	l.state.Entries = slices.Clone(es[m.Index+1-first:]) // frees the others
 	return nil
 }
 
@@ -126,7 +125,6 @@
 	if err := l.rotate(); err != nil {
 		return err
 	}
-	l.last = l.state.Snapshot.Index
 	return l.dropSegments(len(l.segments) - 1)
 }
 
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -15,6 +15,13 @@
 //	err := l.Append(entries)
 //	err = l.Sync()
 //
+// A snapshot is written beside the log and then takes the place of the entries
+// that it covers:
+//
+//	meta, err := l.WriteSnapshot(meta, data) // may run in another goroutine
+//	l.UseSnapshot(meta)
+//	err = l.Compact()
+//
 // An error of kind DiskFull leaves the log as it was before the call. After any
 // other error of Append or Sync the log refuses further writes, because the
 // content of the disk is not known; open it again.
@@ -88,7 +95,6 @@
 	segments     []segment // in order; the last one is open for writing
 	active       File
 	end, synced  int64 // offsets in the active segment
-	last         uint64
 	failed       error
 }
 
@@ -170,8 +176,7 @@
 		return l.undo(err, a.name())
 	}
 	l.end += int64(len(b))
-	l.last = es[len(es)-1].Index
-	a.highest = max(a.highest, l.last)
+	a.highest = max(a.highest, es[len(es)-1].Index)
 	return nil
 }
 
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -7,10 +7,17 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
-const snapshotSuffix = ".snapshot"
+const (
+	snapshotSuffix = ".snapshot"
+	// compactFraction is the part of a full segment from which on Compact ends
+	// it. Ending every segment would cost a file for a handful of entries.
+	compactFraction = 16
+)
 
 // SnapshotMeta says what a snapshot covers.
 type SnapshotMeta struct {
@@ -18,42 +25,99 @@
 	Index      uint64              `cbor:"1,keyasint"`
 	Term       uint64              `cbor:"2,keyasint"`
 	Membership wire.RaftMembership `cbor:"3,keyasint"`
-	// Size is the number of bytes of the data.
+	// Size is the number of bytes of the data, Sum its xxhash.
 	Size uint64 `cbor:"4,keyasint"`
+	Sum  uint64 `cbor:"5,keyasint"`
 }
 
 func snapshotName(index uint64) string { return fmt.Sprintf("%016x%s", index, snapshotSuffix) }
 
-// SaveSnapshot saves a snapshot durably and removes older ones.
-func (l *Log) SaveSnapshot(m SnapshotMeta, data []byte) error {
+// WriteSnapshot writes a snapshot durably. It may run while other methods append
+// to the log, but not beside another WriteSnapshot of the same index. It counts
+// only after UseSnapshot, which gets the result.
+func (l *Log) WriteSnapshot(m SnapshotMeta, data []byte) (SnapshotMeta, error) {
+	m.Size, m.Sum = uint64(len(data)), xxhash.Sum64(data)
+	b, err := wire.Marshal(&m)
+	if err != nil {
+		return m, err
+	}
+	h := binary.LittleEndian.AppendUint32(nil, uint32(len(b)))
+	return m, l.writeFramed(snapshotName(m.Index), h, b, data)
+}
+
+// UseSnapshot makes a written snapshot the newest one and removes the other. It
+// reports false when a newer one was saved meanwhile.
+func (l *Log) UseSnapshot(m SnapshotMeta) bool {
+	old := l.state.Snapshot.Index
+	newer := m.Index > old
+	if newer {
+		l.state.Snapshot = m
+	} else {
+		old = m.Index
+	}
+	if old != 0 && old != l.state.Snapshot.Index {
+		_ = l.fs.Remove(filepath.Join(l.folder, snapshotName(old))) // a leftover is removed at Open
+	}
+	return newer
+}
+
+// InstallSnapshot saves a received snapshot durably and drops the log that it
+// replaces.
+func (l *Log) InstallSnapshot(m SnapshotMeta, data []byte) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	m.Size = uint64(len(data))
-	b, err := wire.Marshal(&m)
+	m, err := l.WriteSnapshot(m, data)
 	if err != nil {
 		return err
 	}
-	h := binary.LittleEndian.AppendUint32(nil, uint32(len(b)))
-	if err := l.writeFramed(snapshotName(m.Index), h, b, data); err != nil {
-		return err
+	l.UseSnapshot(m)
+	return l.Reset()
+}
+
+// SnapshotReader reads the data of one snapshot. It stays usable when a newer
+// snapshot replaces that one.
+type SnapshotReader struct {
+	// Index is that of the last entry covered.
+	Index uint64
+	file  File
+	start int64
+}
+
+// OpenSnapshot opens the newest snapshot, whose content was checked when it was
+// written or loaded.
+func (l *Log) OpenSnapshot() (*SnapshotReader, error) {
+	m := l.state.Snapshot
+	p := filepath.Join(l.folder, snapshotName(m.Index))
+	f, err := l.fs.Open(p)
+	if err != nil {
+		return nil, diskError(err, "open %s", p)
 	}
-	old := l.state.Snapshot.Index
-	l.state.Snapshot = m
-	l.last = max(l.last, m.Index)
-	if old != 0 && old != m.Index {
-		_ = l.fs.Remove(filepath.Join(l.folder, snapshotName(old))) // a leftover is removed at Open
+	n, err := f.Size()
+	if err != nil {
+		f.Close()
+		return nil, diskError(err, "size of %s", p)
 	}
-	return nil
+	return &SnapshotReader{Index: m.Index, file: f, start: n - int64(m.Size)}, nil
+}
+
+// ReadAt implements io.ReaderAt for the data.
+func (r *SnapshotReader) ReadAt(b []byte, offset int64) (int, error) {
+	return r.file.ReadAt(b, r.start+offset)
 }
 
+// Close closes the file.
+func (r *SnapshotReader) Close() error { return r.file.Close() }
+
 // ReadSnapshot returns the data of the newest snapshot.
 func (l *Log) ReadSnapshot() ([]byte, error) {
 	_, d, err := l.readSnapshot(snapshotName(l.state.Snapshot.Index))
 	return d, err
 }
 
-// Compact drops the segments that the newest snapshot covers.
+// Compact drops the segments that the newest snapshot covers. The active segment
+// ends when it is large, so that the next Compact can drop it: its entries are
+// read at every Open until then.
 func (l *Log) Compact() error {
 	if l.failed != nil {
 		return l.failed
@@ -62,7 +126,13 @@
 	for n < len(l.segments)-1 && l.segments[n].highest <= l.state.Snapshot.Index {
 		n++
 	}
-	return l.dropSegments(n)
+	if err := l.dropSegments(n); err != nil {
+		return err
+	}
+	if l.end < l.segmentBytes/compactFraction {
+		return nil
+	}
+	return l.rotate()
 }
 
 func (l *Log) readSnapshot(name string) (SnapshotMeta, []byte, error) {
--- a/internal/wire/raft.go
+++ b/internal/wire/raft.go
@@ -89,12 +89,14 @@
 	Lease bool `cbor:"17,keyasint,omitempty"`
 	// Read matches a read index response to its request.
 	Read uint64 `cbor:"18,keyasint,omitempty"`
-	// Offset, Data, Size and Membership belong to a chunk of a snapshot. In a
-	// response, Offset is the number of bytes received.
+	// Offset, Data, Size, Sum and Membership belong to a chunk of a snapshot.
+	// Size and Sum, an xxhash, are those of the whole data. In a response,
+	// Offset is the number of bytes received; with Reject the sum was wrong.
 	Offset     uint64          `cbor:"19,keyasint,omitempty"`
 	Data       []byte          `cbor:"20,keyasint,omitempty"`
 	Size       uint64          `cbor:"21,keyasint,omitempty"`
 	Membership *RaftMembership `cbor:"22,keyasint,omitempty"`
+	Sum        uint64          `cbor:"23,keyasint,omitempty"`
 }
 
 // ProposeRequest forwards a command to the leader of a group.
