Separate the control's work for nodes from its process

Cause: streams, exchange and lease expiry were wired inside the process, so that no test could run several controls without disks and sockets. Change: fleet bundles registry, streams and exchange over an interface to the config group; streams.go is split by concern. No change of behavior.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -25,7 +25,6 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
 	"github.com/gooseberrypick/gooseberrypick/internal/claims"
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
-	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
@@ -36,6 +35,8 @@
 	// target, 725 nodes hold a stream and some claim connections each.
 	maxInnerConnections = 8192
 	headerTimeout       = 5 * time.Second
+	// sampleInterval is how often gauges are updated.
+	sampleInterval = time.Second
 )
 
 // Config holds what a Control needs.
@@ -54,9 +55,7 @@
 	groups    groups
 	config    *config
 	claims    *claims.Service
-	registry  *registry.Registry
-	streams   *Streams
-	exchange  *exchange
+	fleet     *fleet
 	names     *remembrance
 	metrics   metrics.Registry
 	transport *transport
@@ -82,7 +81,6 @@
 		log:       c.Log.WithName("control"),
 		pool:      wire.NewPool(c.Dial),
 		groups:    groups{},
-		registry:  registry.New(),
 		names:     &remembrance{pending: map[string]string{}},
 		metrics:   metrics.NewRegistry(),
 		listeners: l,
@@ -111,10 +109,9 @@
 	if err := k.openClaims(p); err != nil {
 		return err
 	}
-	k.streams = newStreams(s.Name, k.config, k.registry, k.log)
-	k.streams.seen = k.names.add
-	k.exchange = newExchange(s.Name, s.Members, k.pool, k.streams, k.log)
-	k.streams.settled = func() bool { return k.exchange.settled(time.Now()) }
+	k.fleet = newFleet(fleetConfig{
+		Control: s.Name, Members: s.Members, Source: k.config, Pool: k.pool, Log: k.log, Seen: k.names.add,
+	})
 	return k.openServers()
 }
 
@@ -200,10 +197,9 @@
 func (k *Control) mux() *wire.Mux {
 	m := wire.NewMux()
 	k.groups.register(m)
-	m.HandleStream(wire.MethodSubscribe, k.streams.Subscribe)
+	k.fleet.register(m)
 	registerClaims(m, k.claims, k.config.peers)
 	wire.HandleUnary(m, wire.MethodPropose, k.config.serve)
-	wire.HandleUnary(m, wire.MethodRegistrySync, k.exchange.receive)
 	wire.HandleUnary(m, wire.MethodNodeReports, k.report)
 	return m
 }
@@ -218,10 +214,8 @@
 	g.Go(func() error {
 		return wire.Serve(serving, k.listeners.peer, k.mux(), wire.ServeOptions{Log: k.log, MaxConnections: maxInnerConnections})
 	})
-	for _, m := range k.exchange.others {
-		g.Go(func() error { k.exchange.run(serving, m); return nil })
-	}
-	g.Go(func() error { k.spread(serving); return nil })
+	g.Go(func() error { k.fleet.run(serving); return nil })
+	g.Go(func() error { k.sample(serving); return nil })
 	g.Go(func() error { k.remember(serving); return nil })
 	g.Go(func() error {
 		select {
@@ -239,37 +233,27 @@
 	return err
 }
 
-// spread sends endpoint changes to nodes and controls and ends leases.
-func (k *Control) spread(ctx context.Context) {
-	t := time.NewTicker(batchInterval)
+// sample updates the gauges until ctx ends.
+func (k *Control) sample(ctx context.Context) {
+	t := time.NewTicker(sampleInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
-			k.exchange.push(k.streams.Flush())
-			k.streams.Expire(now)
-			if k.config.IsCurrent() {
-				k.exchange.expire(now)
-			}
-			k.sample()
+		case <-t.C:
+		}
+		s := k.config.group.Status()
+		for n, v := range map[string]int64{
+			"version":         int64(k.config.Current().Version()),
+			"nodes":           int64(k.fleet.registry.Len()),
+			"connected_nodes": int64(k.fleet.streams.Len()),
+			"raft_term":       int64(s.Term),
+			"raft_commit":     int64(s.Commit),
+			"current":         boolGauge(s.Current),
+		} {
+			metrics.GetOrRegisterGauge(n, k.metrics).Update(v)
 		}
-	}
-}
-
-// sample updates the gauges.
-func (k *Control) sample() {
-	s := k.config.group.Status()
-	for n, v := range map[string]int64{
-		"version":         int64(k.config.Current().Version()),
-		"nodes":           int64(k.registry.Len()),
-		"connected_nodes": int64(k.streams.Len()),
-		"raft_term":       int64(s.Term),
-		"raft_commit":     int64(s.Commit),
-		"current":         boolGauge(s.Current),
-	} {
-		metrics.GetOrRegisterGauge(n, k.metrics).Update(v)
 	}
 }
 
@@ -287,7 +271,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), k.c.Settings.StopLimit)
 	defer cancel()
 	err := k.operators.Shutdown(ctx)
-	k.streams.Close()
+	k.fleet.streams.Close()
 	k.admin.Close()
 	return errors.Wrap(err, "graceful stop")
 }
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -22,7 +22,7 @@
 
 // report answers another control.
 func (c *Control) report(_ context.Context, _ *wire.Empty) (*wire.NodeReports, error) {
-	return &wire.NodeReports{Reports: c.streams.Reports(time.Now()), Member: c.memberReport()}, nil
+	return &wire.NodeReports{Reports: c.fleet.streams.Reports(time.Now()), Member: c.memberReport()}, nil
 }
 
 func (c *Control) memberReport() wire.MemberReport {
--- /dev/null
+++ b/internal/control/session.go
@@ -0,0 +1,191 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+// helloTimeout bounds the wait for a node's first message.
+const helloTimeout = 5 * time.Second
+
+// nodeStream is the stream of one node.
+type nodeStream struct {
+	name   string
+	stream drpc.Stream
+	batch  chan wire.Raw
+	ack    chan struct{}
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	report wire.NodeReport
+	heard  time.Time
+	// refusedFull is the version that the node refused as a snapshot.
+	refusedFull uint64
+}
+
+func receiveHello(d drpc.Stream) (*wire.Hello, error) {
+	t := time.AfterFunc(helloTimeout, func() { d.Close() })
+	defer t.Stop()
+	var m wire.NodeMessage
+	if err := d.MsgRecv(&m, wire.Encoding{}); err != nil {
+		return nil, err
+	}
+	if m.Hello == nil || m.Hello.Record.Node == "" {
+		return nil, errors.New("node sent no hello")
+	}
+	return m.Hello, nil
+}
+
+// receive handles what the node sends until the stream ends.
+func (s *Streams) receive(ctx context.Context, n *nodeStream) {
+	for ctx.Err() == nil {
+		var m wire.NodeMessage
+		if err := n.stream.MsgRecv(&m, wire.Encoding{}); err != nil {
+			s.log.V(1).Info("node stream ended", "node", n.name, "cause", err.Error())
+			return
+		}
+		switch {
+		case m.Report != nil && m.Report.Node == n.name:
+			r := *m.Report
+			r.Home = s.control
+			s.put([]wire.NodeRecord{r})
+		case m.Ack != nil:
+			s.acknowledge(n, m.Ack)
+		case m.Ping != nil:
+			n.pinged(m.Ping)
+			p := &wire.Pong{Committed: s.source.Current().Version(), Current: s.source.IsCurrent()}
+			if sendControl(n.stream, &wire.ControlMessage{Pong: p}) != nil {
+				return
+			}
+		default:
+			s.log.Info("node sent an unexpected message", "node", n.name)
+			return
+		}
+	}
+}
+
+func (n *nodeStream) pinged(p *wire.Ping) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heard = time.Now()
+	n.report.Version = max(n.report.Version, p.Version)
+}
+
+func (s *Streams) acknowledge(n *nodeStream, a *wire.Ack) {
+	n.mu.Lock()
+	n.heard = time.Now()
+	n.report.Version = max(n.report.Version, a.Version)
+	n.report.Refused, n.report.Reason = a.Refused, a.Reason
+	n.mu.Unlock()
+	if a.Refused != 0 {
+		s.log.Info("node refused a version", "node", n.name, "refused", a.Refused, "version", a.Version, "reason", a.Reason)
+	}
+	select {
+	case n.ack <- struct{}{}:
+	default:
+	}
+}
+
+func (n *nodeStream) snapshot(now time.Time) wire.NodeReport {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := n.report
+	r.SinceHeard = now.Sub(n.heard)
+	return r
+}
+
+// serve sends welcome, endpoints and configuration until the stream ends.
+func (s *Streams) serve(ctx context.Context, n *nodeStream, h *wire.Hello) error {
+	w := &wire.Welcome{Lineage: s.source.Lineage(), Control: s.control, Lease: NodeLease}
+	if err := sendControl(n.stream, &wire.ControlMessage{Welcome: w}); err != nil {
+		return err
+	}
+	if err := s.sendDiffering(n, h.Buckets); err != nil {
+		return err
+	}
+	sent := h.Version
+	for {
+		v := s.source.Current()
+		if v.Version() > sent {
+			to, err := s.sendConfig(ctx, n, v, sent)
+			if err != nil {
+				return err
+			}
+			sent = to
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-v.Superseded():
+		case b := <-n.batch:
+			if err := n.stream.MsgSend(b, wire.Encoding{}); err != nil {
+				return err
+			}
+		case <-n.ack:
+			sent = n.resendFrom(sent)
+		}
+	}
+}
+
+// resendFrom returns the version to continue from after an acknowledgement. A
+// node that refused an update gets one snapshot of the same version; if it
+// refuses that as well, it waits for the next version.
+func (n *nodeStream) resendFrom(sent uint64) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.report.Refused == 0 || n.report.Refused != sent || n.refusedFull >= sent {
+		return sent
+	}
+	n.refusedFull = sent
+	return 0
+}
+
+// sendDiffering sends the buckets that the node does not hold, whole buckets in
+// each message. It always sends at least one message, which tells the node that
+// it is in step.
+func (s *Streams) sendDiffering(n *nodeStream, digests []uint64) error {
+	authoritative := s.settled() && s.source.IsCurrent()
+	e := &wire.Endpoints{Authoritative: authoritative}
+	for _, b := range s.registry.Differing(digests) {
+		if len(e.Records) > 0 && len(e.Records)+len(b.Records) > endpointChunk {
+			if err := sendControl(n.stream, &wire.ControlMessage{Endpoints: e}); err != nil {
+				return err
+			}
+			e = &wire.Endpoints{Authoritative: authoritative}
+		}
+		e.Buckets = append(e.Buckets, b.Number)
+		e.Records = append(e.Records, b.Records...)
+	}
+	return sendControl(n.stream, &wire.ControlMessage{Endpoints: e})
+}
+
+// sendConfig brings the node from version sent to v. It returns v's version.
+func (s *Streams) sendConfig(ctx context.Context, n *nodeStream, v *versions.View, sent uint64) (uint64, error) {
+	u, err := s.updates.get(v, sent)
+	if err != nil {
+		return 0, err
+	}
+	if u.full {
+		select {
+		case s.slots <- struct{}{}:
+			defer func() { <-s.slots }()
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	for _, m := range u.messages {
+		if err := n.stream.MsgSend(m, wire.Encoding{}); err != nil {
+			return 0, err
+		}
+	}
+	return v.Version(), nil
+}
+
+func sendControl(d drpc.Stream, m *wire.ControlMessage) error { return d.MsgSend(m, wire.Encoding{}) }
--- /dev/null
+++ b/internal/control/updates.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"bytes"
+	"compress/flate"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+const (
+	// configChunkBytes bounds one piece of an update.
+	configChunkBytes = 1 << 20
+	// compressFrom is the size from which compressing an update pays.
+	compressFrom  = 1 << 10
+	cachedUpdates = 64
+)
+
+// update is one encoded update, shared by all nodes at the same version.
+type update struct {
+	full     bool
+	messages []wire.Raw
+}
+
+type updateKey struct{ from, to uint64 }
+
+// updateCache keeps recent updates, since most nodes need the same ones.
+type updateCache struct {
+	mu      sync.Mutex
+	updates map[updateKey]*update
+	order   []updateKey
+}
+
+func newUpdateCache() *updateCache { return &updateCache{updates: map[updateKey]*update{}} }
+
+func (c *updateCache) get(v *versions.View, from uint64) (*update, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := updateKey{from, v.Version()}
+	if u, ok := c.updates[k]; ok {
+		return u, nil
+	}
+	u, err := encodeUpdate(v, from)
+	if err != nil {
+		return nil, err
+	}
+	c.updates[k] = u
+	c.order = append(c.order, k)
+	if len(c.order) > cachedUpdates {
+		delete(c.updates, c.order[0])
+		c.order = c.order[1:]
+	}
+	return u, nil
+}
+
+func encodeUpdate(v *versions.View, from uint64) (*update, error) {
+	u := wire.ConfigUpdate{From: from, To: v.Version(), Digest: v.Digest()}
+	changes, ok := v.ChangeFrom(from)
+	if !ok || from == 0 {
+		changes, u.From = v.Full(), 0
+	}
+	u.Changes = changes
+	d, err := wire.Marshal(&u)
+	if err != nil {
+		return nil, err
+	}
+	packed := len(d) >= compressFrom
+	if packed {
+		if d, err = compress(d); err != nil {
+			return nil, err
+		}
+	}
+	r := &update{full: u.From == 0}
+	for len(d) > 0 {
+		k := min(len(d), configChunkBytes)
+		m, err := wire.Marshal(&wire.ControlMessage{Config: &wire.ConfigChunk{
+			To: u.To, Compressed: packed, Data: d[:k], Last: k == len(d),
+		}})
+		if err != nil {
+			return nil, err
+		}
+		r.messages = append(r.messages, m)
+		d = d[k:]
+	}
+	return r, nil
+}
+
+func compress(d []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	if _, err := w.Write(d); err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	return b.Bytes(), nil
+}
