Confirm the first version of a node when it is sent

Cause: a node without a version was confirmed when it connected. A member that was cut off later, and received an old entry late, started it with that entry. A node of another lineage was turned away without any report. Change: a read barrier before a first version that comes after the connection; nodes of another lineage are reported with the reason while they keep trying.

--- /dev/null
+++ b/internal/control/cutoff_test.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// A restarted node that took the version of a control which cannot confirm it
+// would fall behind what it had in force before.
+func TestRestartedNode(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		controls []string
+		before   func(w *world) // a is cut off from the other controls, b and c are not
+		after    func(w *world)
+		want     uint64
+	}{
+		{"at a control that is cut off", []string{"a"}, func(w *world) { w.accept(newCustomer("x", 1), "a") }, func(w *world) { w.accept(newCustomer("x", 2), "a") }, 2},
+		{"at a control that receives an old entry late", []string{"a"}, func(w *world) {
+			// The node connects before the cut.
+			w.controls["a"].source.current.Store(true)
+			time.Sleep(time.Second)
+			w.controls["a"].source.current.Store(false)
+			w.accept(newCustomer("x", 1), "a")
+		}, func(w *world) { w.accept(newCustomer("x", 2), "a") }, 2},
+		{"with another control", []string{"a", "b", "c"}, nil, nil, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, three, func(w *world) {
+				a := w.controls["a"]
+				a.source.current.Store(false)
+				w.accept(newCustomer("x", 1), "b", "c")
+				w.accept(newCustomer("x", 2), "b", "c")
+				n := w.startNode("n", c.controls...)
+				version := func(v uint64) func() bool { return func() bool { return n.Table().Version() == v } }
+				if c.before != nil {
+					c.before(w)
+					w.never(5*time.Minute, "started", func() bool { return n.Table().Version() != 0 })
+					c.after(w)
+					a.source.current.Store(true)
+				}
+				w.within(15*time.Second, "at the newest version", version(c.want))
+				if w.logged("configuration in force", `"version"=1`) > 0 {
+					t.Error("an old version was in force")
+				}
+			})
+		})
+	}
+}
+
+// A node that meets a control behind it, or of another system, must keep what it
+// has, and the operator must see why.
+func TestNodeNeverGoesDown(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		lineage string
+		accepts int
+		reason  string
+	}{
+		{"behind", "L", 2, "has version 2, the node has version 3"},
+		{"other lineage", "M", 5, "has lineage M"},
+		{"other lineage at the same version", "M", 3, "has lineage M"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, []string{"a", "b"}, func(w *world) {
+				for i := range 3 {
+					w.accept(newCustomer("x", i+1), "a")
+				}
+				b := w.controls["b"].source
+				b.lineage = c.lineage
+				for i := range c.accepts {
+					w.accept(newCustomer("y", i+1), "b")
+				}
+				n := w.startNode("n", "a", "b")
+				w.within(10*time.Second, "at version 3", func() bool { return n.Table().Version() == 3 })
+				w.crashControl("a")
+				w.never(time.Minute, "changed", func() bool { return n.Table().Version() != 3 || len(n.Table().Configs()) != 1 })
+				if w.logged("node refused", c.reason) == 0 {
+					t.Errorf("no log line with %q", c.reason)
+				}
+				if r, ok := w.report("b", "n"); ok != (c.lineage != "L") || ok && (!strings.Contains(r.Reason, c.reason) || r.Version != 3) {
+					t.Errorf("got report %+v, want reason %q", r, c.reason)
+				}
+				w.startControl("a")
+				w.accept(newCustomer("x", 9), "a")
+				w.within(15*time.Second, "at version 4", func() bool { return n.Table().Version() == 4 })
+			})
+		})
+	}
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -23,6 +24,7 @@
 		l.record.Gone = true
 		gone = append(gone, l.record)
 	}
+	maps.DeleteFunc(s.turned, func(_ string, t turnedNode) bool { return now.Sub(t.since) > NodeLease })
 	for _, n := range s.nodes {
 		if n.snapshot(now).SinceHeard > NodeLease {
 			n.cancel()
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -148,9 +148,17 @@
 		return err
 	}
 	c := cursor{sent: h.Version, from: h.Version}
-	for {
+	// admit has confirmed the first version of a node without one; one that
+	// comes later may be an old entry that reaches this member late.
+	for confirmed := true; ; confirmed = false {
 		v := s.source.Current()
 		if c.due(v.Version()) {
+			if c.sent == 0 && !confirmed {
+				if err := s.confirm(ctx); err != nil {
+					return sendControl(n.stream, &wire.ControlMessage{Fault: wire.NewFault(err)})
+				}
+				v = s.source.Current()
+			}
 			full, err := s.sendConfig(ctx, n, v, c.from)
 			if err != nil {
 				return err
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -29,6 +29,8 @@
 	// endpointChunk bounds the records of one message.
 	endpointChunk = 2000
 	barrierLimit  = 2 * time.Second
+	// maxTurnedAway bounds the reports of nodes that were turned away.
+	maxTurnedAway = 1000
 )
 
 // configSource is the part of the config group that node streams need.
@@ -56,10 +58,17 @@
 	mu    sync.Mutex
 	nodes map[string]*nodeStream
 	// lost holds the nodes whose stream ended, until their lease ends.
-	lost    map[string]lostNode
+	lost map[string]lostNode
+	// turned holds the nodes that were turned away, until they stay away.
+	turned  map[string]turnedNode
 	pending []wire.NodeRecord
 }
 
+type turnedNode struct {
+	report wire.NodeReport
+	since  time.Time
+}
+
 type lostNode struct {
 	record wire.NodeRecord
 	since  time.Time
@@ -78,6 +87,7 @@
 		seen:     func(string, string) {},
 		nodes:    map[string]*nodeStream{},
 		lost:     map[string]lostNode{},
+		turned:   map[string]turnedNode{},
 	}
 }
 
@@ -118,27 +128,51 @@
 	if l := s.source.Lineage(); l == "" {
 		return errkind.New(errkind.NotCurrent, "control %s belongs to no system yet", s.control)
 	} else if h.Version > 0 && h.Lineage != l {
-		return errkind.New(errkind.NotCurrent, "control %s has lineage %s, the node's version is of lineage %s", s.control, l, h.Lineage)
+		err := errkind.New(errkind.NotCurrent, "control %s has lineage %s, the node's version is of lineage %s", s.control, l, h.Lineage)
+		s.turnAway(h, err)
+		return err
 	}
 	if h.Version > 0 && h.Version <= s.source.Current().Version() {
 		return nil
 	}
+	if err := s.confirm(ctx); err != nil {
+		return err
+	}
+	if v := s.source.Current().Version(); h.Version > v {
+		return errkind.New(errkind.NotCurrent, "control %s has version %d, the node has version %d in force", s.control, v, h.Version)
+	}
+	return nil
+}
+
+// confirm returns once this member holds everything that was committed at the
+// call.
+func (s *Streams) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, barrierLimit)
 	defer cancel()
 	if err := s.source.ReadBarrier(ctx); err != nil {
 		return errkind.Wrap(err, errkind.NotCurrent, "control %s cannot confirm its state with a majority", s.control)
 	}
-	if v := s.source.Current().Version(); h.Version > v {
-		return errkind.New(errkind.NotCurrent, "control %s has version %d, the node has version %d in force", s.control, v, h.Version)
-	}
 	return nil
 }
 
+// turnAway keeps a report of a node that no control of this lineage can serve.
+func (s *Streams) turnAway(h *wire.Hello, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.turned) < maxTurnedAway {
+		s.turned[h.Record.Node] = turnedNode{since: time.Now(), report: wire.NodeReport{
+			Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control,
+			Refused: s.source.Current().Version(), Reason: err.Error(),
+		}}
+	}
+}
+
 func (s *Streams) add(n *nodeStream, r wire.NodeRecord) {
 	s.mu.Lock()
 	o := s.nodes[n.name]
 	s.nodes[n.name] = n
 	delete(s.lost, n.name)
+	delete(s.turned, n.name)
 	s.mu.Unlock()
 	if o != nil {
 		o.cancel() // the node came back before its old stream ended
@@ -212,12 +246,12 @@
 	return len(s.nodes)
 }
 
-// Reports returns what this control knows of its nodes, connected ones and
-// those that were lost recently.
+// Reports returns what this control knows of its nodes: connected ones, those
+// that were lost recently and those that it turned away.
 func (s *Streams) Reports(now time.Time) []wire.NodeReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := make([]wire.NodeReport, 0, len(s.nodes)+len(s.lost))
+	l := make([]wire.NodeReport, 0, len(s.nodes)+len(s.lost)+len(s.turned))
 	for _, n := range s.nodes {
 		l = append(l, n.snapshot(now))
 	}
@@ -226,6 +260,11 @@
 		r.SinceHeard += now.Sub(n.since)
 		l = append(l, r)
 	}
+	for _, n := range s.turned {
+		r := n.report
+		r.SinceHeard = now.Sub(n.since)
+		l = append(l, r)
+	}
 	return l
 }
 
