--- /dev/null
+++ b/internal/control/session.go
@@ -0,0 +1,224 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+// helloTimeout bounds the wait for a node's first message.
+const helloTimeout = 5 * time.Second
+
+// nodeStream is the stream of one node.
+type nodeStream struct {
+	name   string
+	stream drpc.Stream
+	batch  chan wire.Raw
+	// ack holds the newest acknowledgement that serve has not seen.
+	ack    chan wire.Ack
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	report wire.NodeReport
+	heard  time.Time
+}
+
+// cursor decides what configuration a node gets next. Updates are sent without
+// waiting for the acknowledgement of the one before. A node that refused an
+// update gets one snapshot; if it refuses that as well, it waits for the next
+// version.
+type cursor struct {
+	// sent is the newest version that was sent; full tells that as a snapshot.
+	sent uint64
+	full bool
+	// from is the version that the next update starts from, zero for a snapshot.
+	from uint64
+	// retry asks for an update although no newer version exists.
+	retry bool
+}
+
+// due reports whether an update to version is to be sent.
+func (c cursor) due(version uint64) bool { return version > c.sent || c.retry && version > 0 }
+
+// advanced returns the cursor after an update to version.
+func (c cursor) advanced(version uint64, full bool) cursor {
+	return cursor{sent: version, full: full, from: version}
+}
+
+// acknowledged returns the cursor after a. A refusal of an older update than
+// the last one says nothing new: the node refuses the later one as well, since
+// it starts from the refused version.
+func (c cursor) acknowledged(a wire.Ack) cursor {
+	if a.Refused == 0 || a.Refused != c.sent {
+		return c
+	}
+	if c.full {
+		c.from = a.Version
+		return c
+	}
+	c.from, c.retry = 0, true
+	return c
+}
+
+func receiveHello(d drpc.Stream) (*wire.Hello, error) {
+	t := time.AfterFunc(helloTimeout, func() { d.Close() })
+	defer t.Stop()
+	var m wire.NodeMessage
+	if err := d.MsgRecv(&m, wire.Encoding{}); err != nil {
+		return nil, err
+	}
+	if m.Hello == nil || m.Hello.Record.Node == "" {
+		return nil, errors.New("node sent no hello")
+	}
+	return m.Hello, nil
+}
+
+// receive handles what the node sends until the stream ends.
+func (s *Streams) receive(ctx context.Context, n *nodeStream) {
+	for ctx.Err() == nil {
+		var m wire.NodeMessage
+		if err := n.stream.MsgRecv(&m, wire.Encoding{}); err != nil {
+			s.log.V(1).Info("node stream ended", "node", n.name, "cause", err.Error())
+			return
+		}
+		switch {
+		case m.Report != nil && m.Report.Node == n.name:
+			r := *m.Report
+			r.Home = s.control
+			s.put([]wire.NodeRecord{r})
+		case m.Ack != nil:
+			s.acknowledge(n, m.Ack)
+		case m.Ping != nil:
+			n.pinged(m.Ping)
+			p := &wire.Pong{Committed: s.source.Current().Version(), Current: s.source.IsCurrent()}
+			if sendControl(n.stream, &wire.ControlMessage{Pong: p}) != nil {
+				return
+			}
+		default:
+			s.log.Info("node sent an unexpected message", "node", n.name)
+			return
+		}
+	}
+}
+
+func (n *nodeStream) pinged(p *wire.Ping) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heard = time.Now()
+	n.report.Version = max(n.report.Version, p.Version)
+}
+
+func (s *Streams) acknowledge(n *nodeStream, a *wire.Ack) {
+	n.mu.Lock()
+	n.heard = time.Now()
+	n.report.Version = max(n.report.Version, a.Version)
+	n.report.Refused, n.report.Reason = a.Refused, a.Reason
+	n.mu.Unlock()
+	if a.Refused != 0 {
+		s.log.Info("node refused a version", "node", n.name, "refused", a.Refused, "version", a.Version, "reason", a.Reason)
+	}
+	select {
+	case <-n.ack:
+	default:
+	}
+	n.ack <- *a
+}
+
+func (n *nodeStream) snapshot(now time.Time) wire.NodeReport {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := n.report
+	r.SinceHeard = now.Sub(n.heard)
+	return r
+}
+
+// serve sends welcome, endpoints and configuration until the stream ends.
+func (s *Streams) serve(ctx context.Context, n *nodeStream, h *wire.Hello) error {
+	w := &wire.Welcome{Lineage: s.source.Lineage(), Control: s.control, Lease: NodeLease}
+	if err := sendControl(n.stream, &wire.ControlMessage{Welcome: w}); err != nil {
+		return err
+	}
+	if err := s.sendDiffering(n, h.Buckets); err != nil {
+		return err
+	}
+	c := cursor{sent: h.Version, from: h.Version}
+	// admit has confirmed the first version of a node without one; one that
+	// comes later may be an old entry that reaches this member late.
+	for confirmed := true; ; confirmed = false {
+		v := s.source.Current()
+		if c.due(v.Version()) {
+			if c.sent == 0 && !confirmed {
+				if err := s.confirm(ctx); err != nil {
+					return sendControl(n.stream, &wire.ControlMessage{Fault: wire.NewFault(err)})
+				}
+				v = s.source.Current()
+			}
+			full, err := s.sendConfig(ctx, n, v, c.from)
+			if err != nil {
+				return err
+			}
+			c = c.advanced(v.Version(), full)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-v.Superseded():
+		case b := <-n.batch:
+			if err := n.stream.MsgSend(b, wire.Encoding{}); err != nil {
+				return err
+			}
+		case a := <-n.ack:
+			c = c.acknowledged(a)
+		}
+	}
+}
+
+// sendDiffering sends the buckets that the node does not hold, whole buckets in
+// each message. It always sends at least one message, which tells the node that
+// it is in step.
+func (s *Streams) sendDiffering(n *nodeStream, digests []uint64) error {
+	authoritative := s.settled() && s.source.IsCurrent()
+	e := &wire.Endpoints{Authoritative: authoritative}
+	for _, b := range s.registry.Differing(digests) {
+		if len(e.Records) > 0 && len(e.Records)+len(b.Records) > endpointChunk {
+			if err := sendControl(n.stream, &wire.ControlMessage{Endpoints: e}); err != nil {
+				return err
+			}
+			e = &wire.Endpoints{Authoritative: authoritative}
+		}
+		e.Buckets = append(e.Buckets, b.Number)
+		e.Records = append(e.Records, b.Records...)
+	}
+	return sendControl(n.stream, &wire.ControlMessage{Endpoints: e})
+}
+
+// sendConfig brings the node from a version to v. It reports whether that took
+// a snapshot.
+func (s *Streams) sendConfig(ctx context.Context, n *nodeStream, v *versions.View, from uint64) (bool, error) {
+	u, err := s.updates.get(v, s.source.Lineage(), from)
+	if err != nil {
+		return false, err
+	}
+	if u.full {
+		select {
+		case s.slots <- struct{}{}:
+			defer func() { <-s.slots }()
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+	}
+	for _, m := range u.messages {
+		if err := n.stream.MsgSend(m, wire.Encoding{}); err != nil {
+			return false, err
+		}
+	}
+	return u.full, nil
+}
+
+func sendControl(d drpc.Stream, m *wire.ControlMessage) error { return d.MsgSend(m, wire.Encoding{}) }
