Pass the rank to balancer and load reports

Cause: load as one number made an upstream that is flooded by a less urgent rank look busy to urgent work as well. Change: the router and the owner node name the rank of each request.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,7 +118,7 @@
 	q.Upstream = t.candidate.Upstream.Name
 	q.Remaining = remaining(ctx)
 	if q.Remaining <= 0 {
-		s.finished(t, balance.Outcome{Result: balance.Canceled})
+		s.finished(t, balance.Outcome{Result: balance.Canceled, Rank: m.Rank.Name})
 		return nil, errkind.New(errkind.DeadlineTooShort, "no time is left to call an upstream")
 	}
 	a, err := r.transport(ctx, q, t)
@@ -129,7 +129,7 @@
 	head := time.Since(t.started)
 	b := &body{ReadCloser: a.Body}
 	b.done = func(err error) {
-		o := balance.Outcome{Result: resultOf(a.Head.Status, err), Route: m.Name, Latency: head}
+		o := balance.Outcome{Result: resultOf(a.Head.Status, err), Rank: m.Rank.Name, Route: m.Name, Latency: head}
 		if l := a.Load(); l != nil {
 			o.Load = r.load(l)
 		}
@@ -154,7 +154,7 @@
 
 // outcome turns the error of a try into what the balancer learns from it.
 func (r *Router) outcome(m table.Match, t try, err error) balance.Outcome {
-	o := balance.Outcome{Result: balance.Failed, Route: m.Name, Latency: time.Since(t.started)}
+	o := balance.Outcome{Result: balance.Failed, Rank: m.Rank.Name, Route: m.Name, Latency: time.Since(t.started)}
 	var l *call.LoadError
 	if errors.As(err, &l) && l.Load != nil {
 		o.Load = r.load(l.Load)
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -51,6 +51,7 @@
 	s.refresh(l, m.Service)
 	h, ok := s.balancer.Choose(now, s.set, balance.Query{
 		Zone:    c.Zone,
+		Rank:    m.Rank.Name,
 		Exclude: tried,
 		NoProbe: m.Route.Execution != customer.Idempotent,
 	})
@@ -58,7 +59,7 @@
 		return try{}, false
 	}
 	n := h.Candidate.Name
-	s.balancer.Started(now, n)
+	s.balancer.Started(now, n, m.Rank.Name)
 	return try{candidate: s.byName[n], name: n, reason: h.Reason, started: now}, true
 }
 
--- a/internal/upstream/local.go
+++ b/internal/upstream/local.go
@@ -100,7 +100,7 @@
 	a, err := w.call(ctx, r, l.inFlight.Done)
 	if err != nil {
 		l.inFlight.Done()
-		return nil, &call.LoadError{Load: w.load(time.Now()), Err: err}
+		return nil, &call.LoadError{Load: w.load(time.Now(), r.Rank), Err: err}
 	}
 	return a, nil
 }
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -149,7 +149,7 @@
 	}
 	n := *a
 	n.Body = b
-	n.Load = func() *wire.Load { return w.load(time.Now()) }
+	n.Load = func() *wire.Load { return w.load(time.Now(), r.Rank) }
 	return &n, nil
 }
 
@@ -227,10 +227,11 @@
 	w.dispatch(now)
 }
 
-func (w *worker) load(now time.Time) *wire.Load {
+// load describes the upstream as requests of the named rank see it.
+func (w *worker) load(now time.Time, rank string) *wire.Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l := w.queue.Load(now)
+	l := w.queue.Load(now, rank)
 	return &wire.Load{
 		InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait,
 		Version: w.c.Table().Version(),
