--- /dev/null
+++ b/internal/control/streams.go
@@ -0,0 +1,278 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"storj.io/drpc"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+const (
+	// NodeLease is how long a node counts as present without a message. It is
+	// longer than a reconnect with backoff.
+	NodeLease = 10 * time.Second
+	// batchInterval collects endpoint changes before they are sent.
+	batchInterval = 100 * time.Millisecond
+	// maxSnapshots bounds the snapshots that are sent at the same time, so that
+	// a herd of restarted nodes does not hold up changes to the others.
+	maxSnapshots = 16
+	// streamBuffer is how many encoded batches may wait for one slow node. A
+	// node that falls further behind is disconnected and resumes by digests.
+	streamBuffer = 64
+	// endpointChunk bounds the records of one message.
+	endpointChunk = 2000
+	barrierLimit  = 2 * time.Second
+	// maxTurnedAway bounds the reports of nodes that were turned away.
+	maxTurnedAway = 1000
+)
+
+// configSource is the part of the config group that node streams need.
+type configSource interface {
+	Current() *versions.View
+	Lineage() string
+	// IsCurrent reports whether this member is in contact with a majority.
+	IsCurrent() bool
+	ReadBarrier(ctx context.Context) error
+}
+
+// Streams serves the streams of the nodes connected to this control.
+type Streams struct {
+	control  string
+	source   configSource
+	registry *registry.Registry
+	log      logr.Logger
+	updates  *updateCache
+	slots    chan struct{}
+	// settled reports whether this control knows all nodes.
+	settled func() bool
+	// seen is called for each node that connects.
+	seen func(node, zone string)
+
+	mu    sync.Mutex
+	nodes map[string]*nodeStream
+	// lost holds the nodes whose stream ended, until their lease ends.
+	lost map[string]lostNode
+	// turned holds the nodes that were turned away, until they stay away.
+	turned  map[string]turnedNode
+	pending []wire.NodeRecord
+}
+
+type turnedNode struct {
+	report wire.NodeReport
+	since  time.Time
+}
+
+type lostNode struct {
+	record wire.NodeRecord
+	since  time.Time
+	last   wire.NodeReport
+}
+
+func newStreams(control string, source configSource, r *registry.Registry, l logr.Logger) *Streams {
+	return &Streams{
+		control:  control,
+		source:   source,
+		registry: r,
+		log:      l,
+		updates:  newUpdateCache(),
+		slots:    make(chan struct{}, maxSnapshots),
+		settled:  func() bool { return false },
+		seen:     func(string, string) {},
+		nodes:    map[string]*nodeStream{},
+		lost:     map[string]lostNode{},
+		turned:   map[string]turnedNode{},
+	}
+}
+
+// Subscribe serves one node.
+func (s *Streams) Subscribe(d drpc.Stream) error {
+	ctx, cancel := context.WithCancel(d.Context())
+	defer cancel()
+	h, err := receiveHello(d)
+	if err != nil {
+		return err
+	}
+	if err := s.admit(ctx, h); err != nil {
+		s.log.Info("node refused", "node", h.Record.Node, "reason", err.Error())
+		return sendControl(d, &wire.ControlMessage{Fault: wire.NewFault(err)})
+	}
+	n := &nodeStream{
+		name:   h.Record.Node,
+		stream: d,
+		batch:  make(chan wire.Raw, streamBuffer),
+		ack:    make(chan wire.Ack, 1),
+		cancel: cancel,
+		heard:  time.Now(),
+		report: wire.NodeReport{Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control},
+	}
+	s.add(n, h.Record)
+	defer s.remove(n)
+	go func() {
+		defer cancel()
+		s.receive(ctx, n)
+	}()
+	return s.serve(ctx, n, h)
+}
+
+// admit decides whether this control may serve the node. A node without a
+// version, or with a newer one, is served only after the member has confirmed
+// with a majority that it holds everything committed.
+func (s *Streams) admit(ctx context.Context, h *wire.Hello) error {
+	if l := s.source.Lineage(); l == "" {
+		return errkind.New(errkind.NotCurrent, "control %s belongs to no system yet", s.control)
+	} else if h.Version > 0 && h.Lineage != l {
+		err := errkind.New(errkind.NotCurrent, "control %s has lineage %s, the node's version is of lineage %s", s.control, l, h.Lineage)
+		s.turnAway(h, err)
+		return err
+	}
+	if h.Version > 0 && h.Version <= s.source.Current().Version() {
+		return nil
+	}
+	if err := s.confirm(ctx); err != nil {
+		return err
+	}
+	if v := s.source.Current().Version(); h.Version > v {
+		return errkind.New(errkind.NotCurrent, "control %s has version %d, the node has version %d in force", s.control, v, h.Version)
+	}
+	return nil
+}
+
+// confirm returns once this member holds everything that was committed at the
+// call.
+func (s *Streams) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, barrierLimit)
+	defer cancel()
+	if err := s.source.ReadBarrier(ctx); err != nil {
+		return errkind.Wrap(err, errkind.NotCurrent, "control %s cannot confirm its state with a majority", s.control)
+	}
+	return nil
+}
+
+// turnAway keeps a report of a node that no control of this lineage can serve.
+func (s *Streams) turnAway(h *wire.Hello, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.turned) < maxTurnedAway {
+		s.turned[h.Record.Node] = turnedNode{since: time.Now(), report: wire.NodeReport{
+			Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control,
+			Refused: s.source.Current().Version(), Reason: err.Error(),
+		}}
+	}
+}
+
+func (s *Streams) add(n *nodeStream, r wire.NodeRecord) {
+	s.mu.Lock()
+	o := s.nodes[n.name]
+	s.nodes[n.name] = n
+	delete(s.lost, n.name)
+	delete(s.turned, n.name)
+	s.mu.Unlock()
+	if o != nil {
+		o.cancel() // the node came back before its old stream ended
+	}
+	r.Home, r.Gone = s.control, false
+	s.put([]wire.NodeRecord{r})
+	s.seen(r.Node, r.AvailabilityZone)
+	s.log.Info("node connected", "node", n.name, "availabilityZone", r.AvailabilityZone, "version", n.report.Version)
+}
+
+func (s *Streams) remove(n *nodeStream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.nodes[n.name] != n {
+		return
+	}
+	delete(s.nodes, n.name)
+	if r, ok := s.registry.Record(n.name); ok && !r.Gone && r.Home == s.control {
+		s.lost[n.name] = lostNode{record: r, since: time.Now(), last: n.snapshot(time.Now())}
+	}
+	s.log.Info("node disconnected", "node", n.name)
+}
+
+// put stores records and queues what changed for all nodes.
+func (s *Streams) put(l []wire.NodeRecord) []wire.NodeRecord {
+	c := s.registry.Put(time.Now(), l)
+	if len(c) > 0 {
+		s.mu.Lock()
+		s.pending = append(s.pending, c...)
+		s.mu.Unlock()
+	}
+	return c
+}
+
+// Flush sends the queued endpoint changes to all nodes, encoded once.
+func (s *Streams) Flush() []wire.NodeRecord {
+	s.mu.Lock()
+	l := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	for rest := l; len(rest) > 0; {
+		k := min(len(rest), endpointChunk)
+		b, err := wire.Marshal(&wire.ControlMessage{Endpoints: &wire.Endpoints{Records: rest[:k]}})
+		if err != nil {
+			s.log.Error(err, "encode endpoints")
+			return l
+		}
+		rest = rest[k:]
+		s.broadcast(b)
+	}
+	return l
+}
+
+func (s *Streams) broadcast(b wire.Raw) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.nodes {
+		select {
+		case n.batch <- b:
+		default:
+			s.log.Info("node is too slow for endpoint changes; it will resume", "node", n.name)
+			n.cancel()
+		}
+	}
+}
+
+// Len returns the number of connected nodes.
+func (s *Streams) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.nodes)
+}
+
+// Reports returns what this control knows of its nodes: connected ones, those
+// that were lost recently and those that it turned away.
+func (s *Streams) Reports(now time.Time) []wire.NodeReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := make([]wire.NodeReport, 0, len(s.nodes)+len(s.lost)+len(s.turned))
+	for _, n := range s.nodes {
+		l = append(l, n.snapshot(now))
+	}
+	for _, n := range s.lost {
+		r := n.last
+		r.SinceHeard += now.Sub(n.since)
+		l = append(l, r)
+	}
+	for _, n := range s.turned {
+		r := n.report
+		r.SinceHeard = now.Sub(n.since)
+		l = append(l, r)
+	}
+	return l
+}
+
+// Close ends all streams.
+func (s *Streams) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.nodes {
+		n.cancel()
+	}
+}
--- /dev/null
+++ b/internal/control/updates.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"bytes"
+	"compress/flate"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+const (
+	// configChunkBytes bounds one piece of an update.
+	configChunkBytes = 1 << 20
+	// compressFrom is the size from which compressing an update pays.
+	compressFrom  = 1 << 10
+	cachedUpdates = 64
+)
+
+// update is one encoded update, shared by all nodes at the same version.
+type update struct {
+	full     bool
+	messages []wire.Raw
+}
+
+type updateKey struct{ from, to uint64 }
+
+// updateCache keeps recent updates, since most nodes need the same ones.
+type updateCache struct {
+	mu      sync.Mutex
+	updates map[updateKey]*update
+	order   []updateKey
+	encode  func(v *versions.View, lineage string, from uint64) (*update, error)
+}
+
+func newUpdateCache() *updateCache {
+	return &updateCache{updates: map[updateKey]*update{}, encode: encodeUpdate}
+}
+
+func (c *updateCache) get(v *versions.View, lineage string, from uint64) (*update, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := updateKey{from, v.Version()}
+	if u, ok := c.updates[k]; ok {
+		return u, nil
+	}
+	u, err := c.encode(v, lineage, from)
+	if err != nil {
+		return nil, err
+	}
+	c.updates[k] = u
+	c.order = append(c.order, k)
+	if len(c.order) > cachedUpdates {
+		delete(c.updates, c.order[0])
+		c.order = c.order[1:]
+	}
+	return u, nil
+}
+
+func encodeUpdate(v *versions.View, lineage string, from uint64) (*update, error) {
+	return packUpdate(newUpdate(v, lineage, from))
+}
+
+// newUpdate returns the update from a version to v, or the snapshot of v where
+// the changes from that version are no longer known.
+func newUpdate(v *versions.View, lineage string, from uint64) *wire.ConfigUpdate {
+	u := &wire.ConfigUpdate{From: from, To: v.Version(), Digest: v.Digest(), Lineage: lineage}
+	changes, ok := v.ChangeFrom(from)
+	if !ok {
+		changes, u.From = v.Full(), 0
+	}
+	u.Changes = changes
+	return u
+}
+
+// packUpdate encodes u in chunks, compressed where that pays.
+func packUpdate(u *wire.ConfigUpdate) (*update, error) {
+	d, err := wire.Marshal(u)
+	if err != nil {
+		return nil, err
+	}
+	packed := len(d) >= compressFrom
+	if packed {
+		if d, err = compress(d); err != nil {
+			return nil, err
+		}
+	}
+	r := &update{full: u.From == 0}
+	for at := 0; at < len(d); at += configChunkBytes {
+		end := min(at+configChunkBytes, len(d))
+		m, err := wire.Marshal(&wire.ControlMessage{Config: &wire.ConfigChunk{
+			To: u.To, Compressed: packed, Offset: at, Data: d[at:end], Last: end == len(d),
+		}})
+		if err != nil {
+			return nil, err
+		}
+		r.messages = append(r.messages, m)
+	}
+	return r, nil
+}
+
+func compress(d []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	if _, err := w.Write(d); err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	return b.Bytes(), nil
+}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -37,6 +37,8 @@
 	Sequence         uint64     `cbor:"5,keyasint"`
 	Gone             bool       `cbor:"6,keyasint,omitempty"`
 	Upstreams        []Upstream `cbor:"7,keyasint,omitempty"`
+	// Home is the control that holds the node's lease.
+	Home string `cbor:"8,keyasint,omitempty"`
 }
 
 // Newer reports whether r replaces o.
@@ -58,6 +60,8 @@
 	Changes []customer.Change `cbor:"3,keyasint"`
 	// Digest is the hash of all resources at version To.
 	Digest uint64 `cbor:"4,keyasint"`
+	// Lineage is the control system that To belongs to.
+	Lineage string `cbor:"5,keyasint"`
 }
 
 // NodeMessage is what a node sends on its stream; exactly one field is set.
@@ -118,17 +122,24 @@
 	Compressed bool   `cbor:"2,keyasint,omitempty"`
 	Data       []byte `cbor:"3,keyasint"`
 	Last       bool   `cbor:"4,keyasint,omitempty"`
+	// Offset is the number of bytes of the update before Data.
+	Offset int `cbor:"5,keyasint,omitempty"`
 }
 
 // Endpoints carries node records that changed.
 type Endpoints struct {
 	Records []NodeRecord `cbor:"1,keyasint"`
-	// Synced is set when the node now holds every record of the control.
-	Synced bool `cbor:"2,keyasint,omitempty"`
+	// Buckets lists the registry buckets of which Records holds every record.
+	Buckets []int `cbor:"2,keyasint,omitempty"`
+	// Authoritative is set when a record that is missing from Buckets no longer
+	// exists. A control that has just started does not know all nodes yet.
+	Authoritative bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Pong answers Ping.
 type Pong struct {
 	// Committed is the newest version that the control knows to be committed.
 	Committed uint64 `cbor:"1,keyasint"`
+	// Current is set while the control is in contact with a majority.
+	Current bool `cbor:"2,keyasint,omitempty"`
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,6 +44,10 @@
 	MethodBootstrap    = "/control/Bootstrap"
 	MethodRegistrySync = "/control/RegistrySync"
 	MethodNodeReports  = "/control/NodeReports"
+	// The following are forwarded to the leader of a claim group.
+	MethodLeaderClaim    = "/control/Claim"
+	MethodLeaderComplete = "/control/Complete"
+	MethodLeaderRelease  = "/control/Release"
 )
 
 // Encoding is the drpc encoding of all inner messages: CBOR with integer keys.
@@ -70,8 +74,17 @@
 	return m
 }
 
+// Raw is a message that is already encoded, so that one encoding serves many
+// streams.
+type Raw []byte
+
 // Marshal implements drpc.Encoding.
-func (Encoding) Marshal(m drpc.Message) ([]byte, error) { return Marshal(m) }
+func (Encoding) Marshal(m drpc.Message) ([]byte, error) {
+	if r, ok := m.(Raw); ok {
+		return r, nil
+	}
+	return Marshal(m)
+}
 
 // Unmarshal implements drpc.Encoding.
 func (Encoding) Unmarshal(b []byte, m drpc.Message) error { return Unmarshal(b, m) }
@@ -90,6 +103,11 @@
 	return errors.Wrap(decoder.Unmarshal(b, m), "decode message")
 }
 
+// UnmarshalLarge decodes b, which was assembled from several messages.
+func UnmarshalLarge(b []byte, m any) error {
+	return errors.Wrap(decoder.Unmarshal(b, m), "decode update")
+}
+
 // Fault carries an error with its kind between processes.
 type Fault struct {
 	Kind      errkind.Kind      `cbor:"1,keyasint"`
