Add the operator commands

An operator needs validate, plan, accept, status, history and show with exit codes that scripts can rely on and messages that name the next step. The commands share one set of flags, read an optional settings file with Control and TokenFile, and accept prints the exact command for resending when the outcome is unknown.

--- /dev/null
+++ b/internal/commands/commands_test.go
@@ -0,0 +1,323 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/operator"
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// backend is a control with one member.
+type backend struct {
+	*versions.Machine
+	nodes []operator.Node
+	// caughtUpAt is when all nodes get the latest version in force.
+	caughtUpAt time.Time
+	notCurrent bool
+}
+
+func (b *backend) Plan(_ context.Context, r operator.PlanRequest) (operator.Plan, error) {
+	return operator.NewPlan(b.Current(), r)
+}
+
+func (b *backend) Accept(_ context.Context, author string, r operator.AcceptRequest) (operator.Accepted, error) {
+	c, err := operator.Compile(author, r, time.Now())
+	if err != nil {
+		return operator.Accepted{}, err
+	}
+	d, err := c.Encode()
+	if err != nil {
+		return operator.Accepted{}, err
+	}
+	x := b.Apply(1, d).(versions.Result)
+	v, err := x.Outcome()
+	return operator.Accepted{Version: v, Customer: c.Customer, Base: r.Base, RequestID: r.RequestID, Repeated: x.Repeated}, err
+}
+
+func (b *backend) Status(context.Context) (operator.Status, error) {
+	v := b.Current().Version()
+	for i := range b.nodes {
+		if !b.caughtUpAt.IsZero() && !time.Now().Before(b.caughtUpAt) {
+			b.nodes[i].Version = v
+		}
+	}
+	return operator.Status{
+		Control: "control-1", Current: !b.notCurrent, Version: v,
+		Members: []operator.Member{{Name: "control-1", AvailabilityZone: "a", Role: "Leader", Current: true}},
+		Nodes:   operator.NewNodes(b.Nodes(), b.nodes, v),
+	}, nil
+}
+
+func (b *backend) History(_ context.Context, r operator.HistoryRequest) (operator.History, error) {
+	return operator.NewHistory(b.Current(), r), nil
+}
+
+func (b *backend) Version(_ context.Context, r operator.VersionRequest) (operator.Version, error) {
+	return operator.NewVersion(b.Current(), r)
+}
+
+// pipes is a listener of in-memory connections, which synctest needs.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+type loopback struct{ net.Conn }
+
+func (loopback) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 4000} }
+
+// fleet is a stand-in for the controls; run runs a command against it.
+type fleet struct {
+	backend *backend
+	handler http.Handler
+	pipes   pipes
+	// down refuses connections; loseAnswers cuts them after the request ran.
+	down, loseAnswers bool
+}
+
+func newFleet(t *testing.T, o ...operator.Operator) *fleet {
+	t.Helper()
+	b := &backend{Machine: versions.New()}
+	h, err := operator.NewHandler(operator.HandlerConfig{Backend: b, Operators: o, Log: logr.Discard()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{backend: b, handler: h, pipes: make(pipes)}
+	s := operator.NewServer(f)
+	go s.Serve(f.pipes)
+	t.Cleanup(func() {
+		close(f.pipes)
+		s.Close()
+	})
+	return f
+}
+
+// ServeHTTP implements http.Handler.
+func (f *fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !f.loseAnswers {
+		f.handler.ServeHTTP(w, r)
+		return
+	}
+	f.handler.ServeHTTP(&discard{}, r)
+	panic(http.ErrAbortHandler)
+}
+
+type discard struct{ h http.Header }
+
+func (d *discard) Header() http.Header {
+	if d.h == nil {
+		d.h = http.Header{}
+	}
+	return d.h
+}
+func (*discard) Write(b []byte) (int, error) { return len(b), nil }
+func (*discard) WriteHeader(int)             {}
+
+func (f *fleet) run(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		if f.down {
+			return nil, &net.OpError{Op: "dial", Err: errkind.New(errkind.ConnectFailed, "connection refused")}
+		}
+		c, s := net.Pipe()
+		f.pipes <- loopback{s}
+		return c, nil
+	}
+	var o, e bytes.Buffer
+	code = execute(t.Context(), dial, args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func write(t *testing.T, name, content string) string {
+	t.Helper()
+	f := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(f, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+const (
+	pichler   = "../../examples/pichler/customer.jsonc"
+	toControl = "--control=10.0.0.1:1"
+)
+
+// A wrong exit code makes a script go on after a refusal; a message that is
+// missing leaves the operator without the next step.
+func TestCommands(t *testing.T) {
+	invalid := write(t, "invalid.jsonc", `{"Customer": "p", "Bad": 1}`)
+	for name, tc := range map[string]struct {
+		args           []string
+		code           int
+		stdout, stderr string // regular expressions
+	}{
+		"validate":               {[]string{"validate", pichler}, 0, `customer pichler with 3 services`, `^$`},
+		"validate JSON":          {[]string{"validate", pichler, "--output", "json"}, 0, `"Customer": "pichler",\n  "Services": 3,`, `^$`},
+		"validate invalid":       {[]string{"validate", invalid}, 1, `^$`, `(?s)not valid:\n.*invalid.jsonc:1:19: Bad: unknown key`},
+		"validate missing":       {[]string{"validate", "none.jsonc"}, 2, `^$`, `none.jsonc: no such file`},
+		"plan":                   {[]string{"plan", pichler, toControl}, 0, `(?s)pichler \(newest version 1\).*Services: no change.*changes nothing.*Base: 1\n.*  gooseberrypick accept \S+ --base 1 --control 10.0.0.1:1\n`, `^$`},
+		"plan invalid":           {[]string{"plan", invalid, toControl}, 1, `^$`, `(?s)run validate:\n.*:1:19: Bad`},
+		"accept":                 {[]string{"accept", pichler, toControl, "--base=1"}, 0, `(?s)Version 2 of customer pichler was accepted \(base 1, request ID \w{26}\).*status --wait 10s --control 10.0.0.1:1`, `^Request ID: \w{26}\n$`},
+		"accept resent":          {[]string{"accept", pichler, toControl, "--base=0", "--request-id=first"}, 0, `Version 1 .* by an earlier request`, `^$`},
+		"accept JSON":            {[]string{"accept", pichler, toControl, "--base=1", "--output=json"}, 0, `"Version": 2,(?s).*"RequestId": "\w{26}"`, `^$`},
+		"accept conflict":        {[]string{"accept", pichler, toControl, "--base=0"}, 1, `^$`, `version 1 was accepted by loopback at .*; run plan again`},
+		"accept conflict JSON":   {[]string{"accept", pichler, toControl, "--base=0", "--output=json", "--request-id=x"}, 1, `^$`, `^\{\n  "Kind": "Conflict",(?s).*"RequestId": "x",\n  "Execution": "not-run"\n\}\n$`},
+		"accept without base":    {[]string{"accept", pichler, toControl}, 2, `^$`, `"base" not set; run with --help`},
+		"accept reused ID":       {[]string{"accept", pichler, toControl, "--base=1", "--request-id=first"}, 1, `^$`, `use a new request ID`},
+		"history":                {[]string{"history", toControl}, 0, `VERSION  TIME .*REQUEST ID\n1 .* loopback  pichler   0     3 .*  first\n`, `^$`},
+		"history of another":     {[]string{"history", toControl, "--customer=p"}, 0, `Customer p has no version`, `^$`},
+		"show":                   {[]string{"show", toControl}, 0, `^// Pichler`, `VERSION +1\n`},
+		"show customer JSON":     {[]string{"show", toControl, "--customer=pichler", "--output=json"}, 0, `"FileKept": true`, `^$`},
+		"show missing":           {[]string{"show", toControl, "--version=9"}, 1, `^$`, `version 9 does not exist; the latest is 1`},
+		"status":                 {[]string{"status", toControl}, 0, `(?s)Latest version: 1, confirmed.*Nodes: 0 known.*control-1  a     Leader  yes`, `^$`},
+		"no control":             {[]string{"status"}, 2, `^$`, `pass --control HOST:PORT`},
+		"control as URL":         {[]string{"status", "--control=http://h:1"}, 2, `^$`, `is not HOST:PORT`},
+		"unknown flag":           {[]string{"status", "--no"}, 2, `^$`, `unknown flag: --no`},
+		"unknown command":        {[]string{"stauts"}, 2, `^$`, `unknown command "stauts"`},
+		"missing argument":       {[]string{"plan", toControl}, 2, `^$`, `accepts 1 arg`},
+		"surplus argument":       {[]string{"history", "x", toControl}, 2, `^$`, `unknown command "x"`},
+		"output":                 {[]string{"status", toControl, "--output=yaml"}, 2, `^$`, `expected text or json`},
+		"version and customer":   {[]string{"show", toControl, "--version=1", "--customer=p"}, 2, `^$`, `none of the others can be`},
+		"settings of a process":  {[]string{"status", "--settings", invalid}, 2, `^$`, `invalid.jsonc:1:1: Control: missing required key`},
+		"process without a file": {[]string{"control"}, 2, `^$`, `"settings" not set`},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			if code, _, e := f.run(t, "accept", pichler, toControl, "--base=0", "--request-id=first"); code != 0 {
+				t.Fatal(e)
+			}
+			code, o, e := f.run(t, tc.args...)
+			if code != tc.code || !regexp.MustCompile(tc.stdout).MatchString(o) || !regexp.MustCompile(tc.stderr).MatchString(e) {
+				t.Errorf("%s:\ngot  %d %q %q\nwant %d %q %q", name, code, o, e, tc.code, tc.stdout, tc.stderr)
+			}
+		})
+	}
+}
+
+// A resend command that does not work as printed makes the operator guess, and
+// so accept twice or not at all.
+func TestResendCommandWorks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, file := newFleet(t), write(t, "it's a file.jsonc", `{"Customer": "p", "Services": [], "Ranks": [{"Name": "r", "Order": 1, "Target": "1s", "Worth": 1}], "Routes": []}`)
+		f.loseAnswers = true
+		code, _, e := f.run(t, "accept", file, toControl, "--base=0")
+		m := regexp.MustCompile(`the version may exist(?s).*\n  gooseberrypick (.*)\n$`).FindStringSubmatch(e)
+		if code != 3 || m == nil {
+			t.Fatalf("got %d %q, want a resend command", code, e)
+		}
+		f.loseAnswers = false
+		words := strings.Split(strings.ReplaceAll(m[1], `'\''`, "\x00"), " ")
+		args := regexp.MustCompile(`'[^']*'|\S+`).FindAllString(strings.Join(words, " "), -1)
+		for i, a := range args {
+			args[i] = strings.ReplaceAll(strings.Trim(a, "'"), "\x00", "'")
+		}
+		code, o, e := f.run(t, args...)
+		if code != 0 || !strings.Contains(o, "Version 1 of customer p was accepted by an earlier request") {
+			t.Errorf("%q: got %d %q %q, want version 1", args, code, o, e)
+		}
+	})
+}
+
+// A refusal before anything was sent must not read as an unknown outcome.
+func TestUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.down = true
+		for _, args := range [][]string{{"accept", pichler, "--base=0"}, {"status"}, {"status", "--wait=1s"}} {
+			code, _, e := f.run(t, append(args, toControl)...)
+			if code != 3 || !strings.Contains(e, "no control answered") || strings.Contains(e, "may exist") {
+				t.Errorf("%q: got %d %q, want unreachable", args, code, e)
+			}
+		}
+	})
+}
+
+// A wait that ends well while a node lags, or while newer versions may exist,
+// tells the operator that the fleet has caught up when it has not.
+func TestStatusWait(t *testing.T) {
+	for name, tc := range map[string]struct {
+		nodes      []operator.Node
+		caughtUp   time.Duration
+		silent     string
+		notCurrent bool
+		code       int
+		stderr     string
+	}{
+		"caught up":        {nodes: []operator.Node{{Name: "n1", Version: 1}}},
+		"in time":          {nodes: []operator.Node{{Name: "n1"}}, caughtUp: 9 * time.Second},
+		"too late":         {nodes: []operator.Node{{Name: "n1"}}, caughtUp: 11 * time.Second, code: 1, stderr: "n1: version 0, behind by 1"},
+		"refused":          {nodes: []operator.Node{{Name: "n1", Refused: 1, Reason: "digest\x1b[2J"}}, code: 1, stderr: "n1: refused version 1: digest?[2J\n"},
+		"never heard from": {silent: "n2", nodes: []operator.Node{{Name: "n1", Version: 1}}, code: 1, stderr: "1 of 2 nodes did not have version 1 in force within 10s:\n  n2: not heard from"},
+		"not current":      {notCurrent: true, nodes: []operator.Node{{Name: "n1", Version: 1}}, code: 1, stderr: "could not confirm"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			f.run(t, "accept", pichler, toControl, "--base=0")
+			f.backend.nodes, f.backend.notCurrent = tc.nodes, tc.notCurrent
+			if tc.caughtUp != 0 {
+				f.backend.caughtUpAt = time.Now().Add(tc.caughtUp)
+			}
+			if tc.silent != "" {
+				b, _ := versions.RememberNodes{Nodes: []versions.Node{{Name: tc.silent}}}.Encode()
+				f.backend.Apply(1, b)
+			}
+			start := time.Now()
+			code, _, e := f.run(t, "status", "--wait=10s", toControl)
+			if code != tc.code || !strings.Contains(e, tc.stderr) || (e == "") != (tc.stderr == "") {
+				t.Errorf("%s: got %d %q, want %d %q", name, code, e, tc.code, tc.stderr)
+			}
+			if d := time.Since(start); d > 10*time.Second || (tc.code != 0 && d < 10*time.Second) {
+				t.Errorf("%s: waited %s", name, d)
+			}
+		})
+	}
+}
+
+// A token that is not sent locks the operator out; one from a wrong file would
+// be disclosed.
+func TestSettingsFile(t *testing.T) {
+	hash := sha256.Sum256([]byte("secret"))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, operator.Operator{Name: "anna", TokenHash: hex.EncodeToString(hash[:])})
+		token, bad := write(t, "token", "secret\n"), write(t, "bad", "two words")
+		settings := filepath.Join(filepath.Dir(token), "settings.jsonc")
+		os.WriteFile(settings, []byte(`{"Control": ["10.0.0.1:1"], "TokenFile": "token"} // relative`), 0o600)
+		for want, args := range map[int][]string{
+			0: {"accept", pichler, "--base=0", "--settings", settings, "--output=json"},
+			1: {"accept", pichler, "--base=0", toControl},
+			2: {"accept", pichler, "--base=0", "--settings", settings, "--token-file", bad},
+		} {
+			if code, _, e := f.run(t, args...); code != want {
+				t.Errorf("%q: got %d %s, want %d", args, code, e, want)
+			}
+		}
+		_, o, _ := f.run(t, "history", "--settings", settings, "--output=json")
+		var h operator.History
+		if err := json.Unmarshal([]byte(o), &h); err != nil || len(h.Versions) != 1 || h.Versions[0].Author != "anna" {
+			t.Errorf("got %s, want one version by anna", o)
+		}
+	})
+}
--- /dev/null
+++ b/internal/commands/operation.go
@@ -0,0 +1,207 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"regexp"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/operator"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+	// maxTokenBytes bounds a token file, so that another file passed by mistake
+	// is not sent to a control.
+	maxTokenBytes = 4096
+)
+
+// operation holds the flags that the operator commands share.
+type operation struct {
+	dial      dialer
+	control   []string
+	settings  string
+	tokenFile string
+	output    string
+	// requestID is that of accept, for errors in JSON.
+	requestID string
+}
+
+// outputFlag adds --output.
+func (o *operation) outputFlag(c *cobra.Command) {
+	c.Flags().StringVar(&o.output, "output", outputText, "output format: text or json")
+}
+
+// flags adds the flags of commands that call a control.
+func (o *operation) flags(c *cobra.Command) {
+	c.Flags().StringSliceVar(&o.control, "control", nil, "Listen addresses of controls, tried in this order")
+	c.Flags().StringVar(&o.settings, "settings", "", "settings file (JSON with comments) with Control and TokenFile")
+	c.Flags().StringVar(&o.tokenFile, "token-file", "", "file with the bearer token of an operator")
+	o.outputFlag(c)
+}
+
+// run runs f with the checked output format. In JSON, an error is written to
+// standard error as a fault.
+func (o *operation) run(c *cobra.Command, f func(ctx context.Context) error) error {
+	if o.output != outputText && o.output != outputJSON {
+		return errkind.New(errkind.Usage, "--output is %q, expected text or json", o.output)
+	}
+	err := f(c.Context())
+	if err == nil || o.output == outputText {
+		return err
+	}
+	e := errkind.From(err)
+	if w := writeJSON(c.ErrOrStderr(), operator.Fault{Kind: string(e.Kind), Reason: e.Error(), RequestID: o.requestID, Execution: string(e.Execution)}); w != nil {
+		return err
+	}
+	return reported{err}
+}
+
+// reported is an error that the command has written already.
+type reported struct{ error }
+
+// Unwrap returns the error that was written.
+func (r reported) Unwrap() error { return r.error }
+
+// call runs f with a client.
+func (o *operation) call(c *cobra.Command, f func(ctx context.Context, c *operator.Client) error) error {
+	return o.run(c, func(ctx context.Context) error {
+		k, err := o.client()
+		if err != nil {
+			return err
+		}
+		defer k.Close()
+		return f(ctx, k)
+	})
+}
+
+func (o *operation) client() (*operator.Client, error) {
+	control, tokenFile := o.control, o.tokenFile
+	if o.settings != "" {
+		s, err := settings.ReadClient(o.settings)
+		if err != nil {
+			return nil, err
+		}
+		if len(control) == 0 {
+			control = s.Control
+		}
+		if tokenFile == "" {
+			tokenFile = s.TokenFile
+		}
+	}
+	token, err := readToken(tokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(operator.ClientConfig{Control: control, Token: token, Dial: o.dial})
+}
+
+func readToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	b, err := readFile(file, maxTokenBytes)
+	if err != nil {
+		return "", err
+	}
+	t := strings.TrimSpace(string(b))
+	if t == "" || strings.ContainsFunc(t, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return "", errkind.New(errkind.Usage, "token file %s does not hold one token in a line of its own", file)
+	}
+	return t, nil
+}
+
+// readCustomerFile reads a file to send to a control. JSON would change bytes
+// that are not UTF-8.
+func readCustomerFile(file string) (string, error) {
+	b, err := readFile(file, operator.MaxBodyBytes)
+	if err != nil {
+		return "", err
+	}
+	if !utf8.Valid(b) {
+		return "", errkind.New(errkind.InvalidFile, "%s is not UTF-8 text", file)
+	}
+	return string(b), nil
+}
+
+func readFile(file string, limit int64) ([]byte, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Usage, "cannot read the file")
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, limit+1))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Usage, "cannot read the file")
+	}
+	if int64(len(b)) > limit {
+		return nil, errkind.New(errkind.TooLarge, "%s exceeds %d bytes", file, limit)
+	}
+	return b, nil
+}
+
+// hints say what to do about kinds whose reason does not say it.
+var hints = map[errkind.Kind]string{
+	errkind.Unreachable: "check the addresses, which are the Listen addresses of controls, and that the controls run",
+	errkind.NoQuorum:    "nothing was changed; run status to see the controls, and try again once a majority runs",
+	errkind.NotCurrent:  "nothing was changed; run status to see the controls, and try again once a majority runs",
+	errkind.NotLeader:   "nothing was changed; try again in a second",
+	errkind.NotReady:    "nothing was changed; try again in a second",
+	errkind.Leaving:     "nothing was changed; name another control with --control",
+	errkind.DiskFull:    "nothing was changed; free space in the controls' DataFolder and try again",
+}
+
+// explain adds what to do next to an error of the client.
+func explain(err error) error {
+	e := errkind.From(err)
+	if e.Kind == errkind.InvalidFile {
+		return errkind.New(e.Kind, "the file is refused; nothing was changed; correct it and run validate:\n%s", e.Error())
+	}
+	if h, ok := hints[e.Kind]; ok {
+		return errkind.New(e.Kind, "%s; %s", e.Error(), h).WithExecution(e.Execution)
+	}
+	return err
+}
+
+// arguments returns the shared flags as they were given, for a command line
+// that the operator can copy.
+func (o *operation) arguments() []string {
+	var l []string
+	for _, f := range []struct{ name, value string }{
+		{"--control", strings.Join(o.control, ",")}, {"--settings", o.settings}, {"--token-file", o.tokenFile},
+	} {
+		if f.value != "" {
+			l = append(l, f.name, f.value)
+		}
+	}
+	return l
+}
+
+var plainWord = regexp.MustCompile(`^[A-Za-z0-9_./:,=@%+-]+$`)
+
+// commandLine quotes words for a shell.
+func commandLine(words ...string) string {
+	l := make([]string, len(words))
+	for i, w := range words {
+		if !plainWord.MatchString(w) {
+			w = "'" + strings.ReplaceAll(w, "'", `'\''`) + "'"
+		}
+		l[i] = w
+	}
+	return "gooseberrypick " + strings.Join(l, " ")
+}
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
+}
--- a/internal/commands/root.go
+++ b/internal/commands/root.go
@@ -9,34 +9,82 @@
 package commands
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// Execute runs the command that args name and returns the exit code.
+// Execute runs the command that args name and returns the exit code. SIGTERM
+// and SIGINT end the command in order; a second signal ends the program at once.
 func Execute(args []string, stdout, stderr io.Writer) int {
-	c := newRoot()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	return execute(ctx, nil, args, stdout, stderr)
+}
+
+// dialer opens connections to controls; nil stands for TCP.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+func execute(ctx context.Context, d dialer, args []string, stdout, stderr io.Writer) int {
+	c := newRoot(d)
 	c.SetArgs(args)
 	c.SetOut(stdout)
 	c.SetErr(stderr)
-	if err := c.Execute(); err != nil {
+	started := markStarted(c)
+	err := c.ExecuteContext(ctx)
+	if err == nil {
+		return errkind.ExitDone
+	}
+	// Errors before the command started are those of cobra about arguments and
+	// flags. They have no kind.
+	if e := (*errkind.Error)(nil); !*started && !errors.As(err, &e) {
+		err = errkind.New(errkind.Usage, "%v; run with --help to see the usage", err)
+	}
+	if r := (reported{}); !errors.As(err, &r) {
 		fmt.Fprintln(stderr, "Error:", err)
-		return errkind.From(err).Kind.Answer().ExitCode
 	}
-	return errkind.ExitDone
+	return errkind.From(err).Kind.Answer().ExitCode
+}
+
+// markStarted wraps all commands below c and returns whether one has started.
+func markStarted(c *cobra.Command) *bool {
+	started := new(bool)
+	var wrap func(c *cobra.Command)
+	wrap = func(c *cobra.Command) {
+		if run := c.RunE; run != nil {
+			c.RunE = func(c *cobra.Command, args []string) error {
+				*started = true
+				return run(c, args)
+			}
+		}
+		for _, s := range c.Commands() {
+			wrap(s)
+		}
+	}
+	wrap(c)
+	return started
 }
 
-func newRoot() *cobra.Command {
+func newRoot(d dialer) *cobra.Command {
 	c := &cobra.Command{
 		Use:           "gooseberrypick",
 		Short:         "Configuration distribution for a service mesh",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newControl(), newNode())
+	c.AddCommand(
+		newControl(), newNode(),
+		newValidate(), newPlan(d), newAccept(d), newStatus(d), newHistory(d), newShow(d),
+	)
 	return c
 }
