--- /dev/null
+++ b/internal/standin/control.go
@@ -0,0 +1,183 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+)
+
+// lease is told to nodes; a stand-in control removes no node.
+const lease = 10 * time.Second
+
+// Control is a control without disk and without other members: it gives nodes
+// one customer's configuration, passes their records on and grants claims.
+type Control struct {
+	mu      sync.Mutex
+	version uint64
+	config  *customer.Config
+	records map[string]wire.NodeRecord
+	streams map[drpc.Stream]bool
+	claims  map[string]*claim
+}
+
+// claim is a claimed key. Its outcome is nil until it is recorded.
+type claim struct {
+	id      string
+	digest  string
+	outcome *wire.Outcome
+}
+
+// NewControl returns a Control whose version 1 is c.
+func NewControl(c *customer.Config) *Control {
+	return &Control{
+		version: 1, config: c,
+		records: map[string]wire.NodeRecord{}, streams: map[drpc.Stream]bool{}, claims: map[string]*claim{},
+	}
+}
+
+// Register serves nodes on m.
+func (c *Control) Register(m *wire.Mux) {
+	m.HandleStream(wire.MethodSubscribe, c.subscribe)
+	wire.HandleUnary(m, wire.MethodClaim, c.claim)
+	wire.HandleUnary(m, wire.MethodComplete, c.complete)
+	wire.HandleUnary(m, wire.MethodRelease, c.release)
+}
+
+// Set puts another configuration in force.
+func (c *Control) Set(n *customer.Config) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	c.config = n
+	for s := range c.streams {
+		if err := c.sendConfig(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func send(s drpc.Stream, m *wire.ControlMessage) error { return s.MsgSend(m, wire.Encoding{}) }
+
+func (c *Control) subscribe(s drpc.Stream) error {
+	var q wire.NodeMessage
+	if err := s.MsgRecv(&q, wire.Encoding{}); err != nil {
+		return err
+	}
+	if err := c.welcome(s, q.Hello.Record); err != nil {
+		return err
+	}
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.streams, s)
+	}()
+	for {
+		var q wire.NodeMessage
+		if err := s.MsgRecv(&q, wire.Encoding{}); err != nil {
+			return err
+		}
+		switch {
+		case q.Report != nil:
+			c.report(*q.Report)
+		case q.Ping != nil:
+			if err := send(s, &wire.ControlMessage{Pong: &wire.Pong{Committed: c.current(), Current: true}}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *Control) current() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+func (c *Control) welcome(s drpc.Stream, r wire.NodeRecord) error {
+	if err := send(s, &wire.ControlMessage{Welcome: &wire.Welcome{Lineage: "standin", Control: "standin", Lease: lease}}); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	err := c.sendConfig(s)
+	if err == nil {
+		err = send(s, &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: c.list()}})
+	}
+	c.streams[s] = true
+	c.mu.Unlock()
+	c.report(r)
+	return err
+}
+
+// sendConfig sends the whole configuration. The caller holds the lock.
+func (c *Control) sendConfig(s drpc.Stream) error {
+	t, err := table.New(c.version, map[string]*customer.Config{c.config.Customer(): c.config})
+	if err != nil {
+		return err
+	}
+	b, err := wire.Marshal(&wire.ConfigUpdate{
+		To: c.version, Changes: []customer.Change{customer.Diff(nil, c.config)}, Digest: t.Digest(),
+	})
+	if err != nil {
+		return err
+	}
+	return send(s, &wire.ControlMessage{Config: &wire.ConfigChunk{To: c.version, Data: b, Last: true}})
+}
+
+func (c *Control) list() []wire.NodeRecord {
+	l := make([]wire.NodeRecord, 0, len(c.records))
+	for _, r := range c.records {
+		l = append(l, r)
+	}
+	return l
+}
+
+// report passes a node's record on to all nodes.
+func (c *Control) report(r wire.NodeRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records[r.Node] = r
+	for s := range c.streams {
+		_ = send(s, &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: []wire.NodeRecord{r}}}) // the stream's own goroutine sees the failure
+	}
+}
+
+func (c *Control) claim(_ context.Context, q *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.claims[q.Key]
+	switch {
+	case k == nil || k.id == q.ClaimID:
+		c.claims[q.Key] = &claim{id: q.ClaimID, digest: string(q.Digest)}
+		return &wire.ClaimResponse{State: wire.Granted}, nil
+	case k.digest != string(q.Digest):
+		return &wire.ClaimResponse{State: wire.Mismatch}, nil
+	case k.outcome != nil:
+		return &wire.ClaimResponse{State: wire.Recorded, Outcome: k.outcome}, nil
+	}
+	return &wire.ClaimResponse{State: wire.InProgress}, nil
+}
+
+func (c *Control) complete(_ context.Context, q *wire.CompleteRequest) (*wire.Empty, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.claims[q.Key]; k != nil && k.id == q.ClaimID {
+		k.outcome = &q.Outcome
+	}
+	return &wire.Empty{}, nil
+}
+
+func (c *Control) release(_ context.Context, q *wire.ReleaseRequest) (*wire.Empty, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.claims[q.Key]; k != nil && k.id == q.ClaimID && k.outcome == nil {
+		delete(c.claims, q.Key)
+	}
+	return &wire.Empty{}, nil
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,9 +1,17 @@
-// Package standin is a small upstream for demonstrations and tests: it answers
-// every request with its name and what it received.
+// Package standin holds stand-ins for what surrounds a node, for demonstrations,
+// tests and benchmarks: an upstream that answers every request with its name
+// and what it received, a control without disk, and a network in memory.
 //
 // # Usage
 //
 //	s := &http.Server{Handler: standin.New("level-display-1", 0)}
+//
+//	n := standin.NewNetwork()
+//	m := wire.NewMux()
+//	standin.NewControl(config).Register(m)
+//	l, err := n.Listen("control-1:1")
+//	err = wire.Serve(ctx, l, m, wire.ServeOptions{})
+//	c, err := n.Dial(ctx, "control-1:1")
 package standin
 
 import (
