Let queue and limiter follow a changed configuration

The ranks of a queue and the warm-up of a limiter were fixed at creation. An upstream that announced itself before the node had its first configuration kept a queue without ranks.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -102,6 +102,11 @@
 	l.goal = min(max(l.goal, l.limit), float64(n))
 }
 
+// SetRamp follows a changed configuration or a restart of the upstream.
+func (l *Limiter) SetRamp(coldStart time.Duration, since time.Time) {
+	l.config.ColdStart, l.config.Since = coldStart, since
+}
+
 // Limit returns the number of requests that may be in flight at now.
 func (l *Limiter) Limit(now time.Time) int {
 	l.checkStall(now)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -127,15 +127,14 @@
 		maxWaiting: cmp.Or(c.MaxWaiting, DefaultMaxWaiting),
 	}
 	q.maxPerRank = cmp.Or(c.MaxWaitingPerRank, max(1, q.maxWaiting/2))
-	ranks := c.Ranks
-	if len(ranks) == 0 {
-		ranks = []Rank{{Name: "default", Order: 1}}
-	}
-	q.setRanks(ranks)
+	q.setRanks(c.Ranks)
 	return q
 }
 
 func (q *Queue) setRanks(l []Rank) {
+	if len(l) == 0 {
+		l = []Rank{{Name: "default", Order: 1}}
+	}
 	l = slices.Clone(l)
 	slices.SortStableFunc(l, func(a, b Rank) int {
 		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Name, b.Name))
