Bound the log buffer in bytes and the wait at its end

The buffer held 4096 lines of any length, 256 MB with long paths, and each line cost an allocation and a write call. Close waited without bound for a writer that accepts nothing, so a stuck terminal kept the process from ending. Lines are now collected in 1 MiB and written together; Close waits 1 s; dropped lines are counted for the whole process.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -16,14 +16,25 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// bufferLines bounds the lines that wait to be written.
-const bufferLines = 4096
+const (
+	// bufferBytes bounds the lines that wait to be written. At 2,000 requests/s
+	// with two lines each it covers a pause of about a second.
+	bufferBytes = 1 << 20
+	// closeLimit bounds the writing of the last lines at a stop.
+	closeLimit = time.Second
+)
+
+var dropped atomic.Int64
+
+// Dropped returns the number of lines that this process dropped.
+func Dropped() int64 { return dropped.Load() }
 
 var levels = map[string]slog.Level{
 	"debug": slog.LevelDebug,
@@ -44,54 +55,66 @@
 
 // Writer passes lines to another writer in the background.
 type Writer struct {
-	lines   chan []byte
-	done    chan struct{}
-	closing sync.Once
-	mu      sync.RWMutex
-	closed  bool
-	dropped atomic.Int64
+	wake chan struct{}
+	done chan struct{}
+
+	mu     sync.Mutex
+	buffer []byte
+	closed bool
 }
 
 // NewWriter returns a Writer over w.
 func NewWriter(w io.Writer) *Writer {
-	b := &Writer{lines: make(chan []byte, bufferLines), done: make(chan struct{})}
+	b := &Writer{wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go func() {
 		defer close(b.done)
-		for l := range b.lines {
+		var l []byte
+		for range b.wake {
+			l = b.swap(l)
 			_, _ = w.Write(l) // nowhere is left to report a failing log
 		}
+		_, _ = w.Write(b.swap(nil))
 	}()
 	return b
 }
 
-// Write implements io.Writer. It never blocks.
+// swap returns the buffered lines and goes on with empty as the buffer.
+func (b *Writer) swap(empty []byte) []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.buffer
+	b.buffer = empty[:0]
+	return l
+}
+
+// Write implements io.Writer. It never waits for the other writer.
 func (b *Writer) Write(p []byte) (int, error) {
-	l := make([]byte, len(p))
-	copy(l, p)
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	if b.closed {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed || len(b.buffer)+len(p) > bufferBytes {
+		dropped.Add(1)
 		return len(p), nil
 	}
+	b.buffer = append(b.buffer, p...)
 	select {
-	case b.lines <- l:
+	case b.wake <- struct{}{}:
 	default:
-		b.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
-// Dropped returns the number of lines that did not fit the buffer.
-func (b *Writer) Dropped() int64 { return b.dropped.Load() }
-
-// Close writes what is buffered.
+// Close writes what is buffered, unless the other writer takes too long.
 func (b *Writer) Close() error {
-	b.closing.Do(func() {
-		b.mu.Lock()
+	b.mu.Lock()
+	if !b.closed {
 		b.closed = true
-		b.mu.Unlock()
-		close(b.lines)
-	})
-	<-b.done
-	return nil
+		close(b.wake)
+	}
+	b.mu.Unlock()
+	select {
+	case <-b.done:
+		return nil
+	case <-time.After(closeLimit):
+		return errkind.New(errkind.Internal, "the log was not written to its end within %s", closeLimit)
+	}
 }
