--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -14,8 +14,10 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 // Sizes on the request path.
@@ -31,8 +33,9 @@
 type Request struct {
 	wire.RequestHead
 	// Stream is the body when WholeBody is false. It is read only after the
-	// owner node admitted the request.
-	Stream io.Reader
+	// owner node admitted the request. Close ends a Read that is under way; it
+	// may be called at any time.
+	Stream io.ReadCloser
 	// Admitted, when set, is called once before Stream is read.
 	Admitted func() error
 }
@@ -40,7 +43,8 @@
 // Response is an upstream's answer.
 type Response struct {
 	Head wire.ResponseHead
-	// Body returns io.EOF only when the whole answer arrived.
+	// Body returns io.EOF itself only when the whole answer arrived. Any other
+	// error, even one that wraps io.EOF, means that the answer is a part.
 	Body io.ReadCloser
 	// Trailer and Load are valid after Body returned io.EOF.
 	Trailer func() map[string][]string
@@ -53,10 +57,42 @@
 	Call(ctx context.Context, r *Request) (*Response, error)
 }
 
+// Ended reports whether err is the end of a body. An error that merely wraps
+// io.EOF comes from a connection that broke, so errors.Is must not be used.
+func Ended(err error) bool {
+	return err == io.EOF //nolint:errorlint // see above
+}
+
+// Fill reads until b is full or r ends or fails, and returns r's error as it is.
+// io.ReadFull would make no difference between the end of r and a body that
+// broke off with io.ErrUnexpectedEOF.
+func Fill(r io.Reader, b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		var k int
+		k, err = r.Read(b[n:])
+		n += k
+	}
+	return n, err
+}
+
+// EndKind returns the kind of an error: that of the end of ctx where ctx has
+// ended, since this is then the cause, and k otherwise.
+func EndKind(ctx context.Context, k errkind.Kind) errkind.Kind {
+	switch ctx.Err() {
+	case nil:
+		return k
+	case context.DeadlineExceeded:
+		return errkind.DeadlineExceeded
+	}
+	return errkind.Canceled
+}
+
 // LoadError is an error that came with the owner node's view of its load.
 type LoadError struct {
 	Load *wire.Load
-	Err  error
+	// After is when a slot is likely to be free, or zero.
+	After time.Duration
+	Err   error
 }
 
 // Error implements error.
@@ -64,3 +100,6 @@
 
 // Unwrap returns the error itself.
 func (e *LoadError) Unwrap() error { return e.Err }
+
+// RetryAfter returns After.
+func (e *LoadError) RetryAfter() time.Duration { return e.After }
--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,138 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// buffers holds the copy buffers of answers.
+var buffers = sync.Pool{New: func() any { return new([call.ChunkBytes]byte) }}
+
+// answer passes the upstream's answer on. An answer that breaks off aborts the
+// connection, so that the caller cannot take a part for the whole.
+func (x *exchange) answer(a *call.Response) {
+	b := buffers.Get().(*[call.ChunkBytes]byte)
+	defer buffers.Put(b)
+	n, err := 0, error(nil)
+	if a.Head.ContentLength >= 0 {
+		// A small answer that breaks off can still become a proper error.
+		if n, err = call.Fill(a.Body, b[:]); !whole(err) {
+			x.fail(err)
+			return
+		}
+	}
+	for k, v := range a.Head.Header {
+		x.w.Header()[k] = v
+	}
+	x.w.Header().Set(upstream.HeaderRequestID, x.id)
+	if a.Head.Status == http.StatusNotModified {
+		// It is the length of another answer, and some HTTP/2 clients wait for
+		// as many bytes.
+		x.w.Header().Del("Content-Length")
+	}
+	x.closeUnlessRead()
+	x.w.WriteHeader(a.Head.Status)
+	if err := x.copyBody(a, b[:], n, err); err != nil {
+		x.c.Log.Info("answer aborted", "requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name, "reason", err.Error())
+		x.c.Observe(x.match, a.Head.Status, errkind.Of(err), time.Since(x.start))
+		panic(http.ErrAbortHandler)
+	}
+	for k, v := range a.Trailer() {
+		x.w.Header()[http.TrailerPrefix+k] = v
+	}
+	x.c.Observe(x.match, a.Head.Status, "", time.Since(x.start))
+}
+
+// whole reports whether err is nil or the end of a body.
+func whole(err error) bool { return err == nil || call.Ended(err) }
+
+// copyBody writes the n bytes of b that were read with err, and then the rest
+// of the body. Where the length is not known it flushes each piece, since the
+// answer may be a stream of events.
+func (x *exchange) copyBody(a *call.Response, b []byte, n int, err error) error {
+	f, _ := x.w.(http.Flusher)
+	if a.Head.ContentLength >= 0 {
+		f = nil
+	}
+	if f != nil {
+		f.Flush()
+	}
+	for {
+		if n > 0 {
+			if _, e := x.w.Write(b[:n]); e != nil {
+				return errkind.Wrap(e, errkind.Canceled, "caller went away")
+			}
+		}
+		if call.Ended(err) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if f != nil && n > 0 {
+			f.Flush()
+		}
+		n, err = a.Body.Read(b)
+	}
+}
+
+// closeUnlessRead tells an HTTP/1.1 caller whose body was not read to its end
+// that the connection ends with this answer.
+func (x *exchange) closeUnlessRead() {
+	if u := x.upload; u != nil && !u.ended.Load() && x.r.ProtoMajor == 1 {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
+// fail answers with an error of the system.
+func (x *exchange) fail(err error) {
+	e := errkind.From(err)
+	x.closeUnlessRead()
+	if x.upload == nil && hasBody(x.r) {
+		// net/http reads the rest of the body before it sends the answer.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(discardTime)) // unsupported only by test writers
+	}
+	status := WriteError(x.w, x.id, err)
+	x.c.Log.Info("request refused", "requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name,
+		"kind", e.Kind, "execution", e.Execution, "reason", e.Error())
+	x.c.Observe(x.match, status, e.Kind, time.Since(x.start))
+}
+
+// Problem is the body of an answer that the system makes itself.
+type Problem struct {
+	Kind      errkind.Kind
+	Reason    string
+	RequestId string //nolint:revive // the name is part of the outer contract
+	Execution errkind.Execution
+}
+
+// retryAfterer is an error that knows when waiting helps.
+type retryAfterer interface{ RetryAfter() time.Duration }
+
+// WriteError writes the answer for err and returns its status.
+func WriteError(w http.ResponseWriter, id string, err error) int {
+	e := errkind.From(err)
+	a := e.Kind.Answer()
+	wait := a.RetryAfter
+	var r retryAfterer
+	if errors.As(err, &r) && r.RetryAfter() > 0 {
+		wait = r.RetryAfter()
+	}
+	if wait > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(max(1, (wait+time.Second-1)/time.Second))))
+	}
+	w.Header().Set(HeaderExecution, string(e.Execution))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(a.HTTPStatus)
+	_ = json.NewEncoder(w).Encode(Problem{Kind: e.Kind, Reason: e.Error(), RequestId: id, Execution: e.Execution}) // the caller has gone
+	return a.HTTPStatus
+}
--- /dev/null
+++ b/internal/caller/request.go
@@ -0,0 +1,188 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+const (
+	// AtMostOnceBodyBytes bounds bodies on AtMostOnce routes, which are kept
+	// whole because their digest is part of the claim.
+	AtMostOnceBodyBytes = 1 << 20
+	maxKeyBytes         = 256
+	maxRequestIDBytes   = 128
+)
+
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(upstream.HeaderRequestID); id != "" && len(id) <= maxRequestIDBytes {
+		return id
+	}
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails
+	return hex.EncodeToString(b[:])
+}
+
+// check refuses what can be refused before the body is read, and returns the
+// time that r has.
+func check(r *http.Request, m table.Match) (time.Duration, error) {
+	if !r.ProtoAtLeast(1, 1) {
+		// An HTTP/1.0 caller takes the close of the connection for the end of
+		// the answer, so that a part would look whole.
+		return 0, errkind.New(errkind.BadRequest, "%s; expected HTTP/1.1 or HTTP/2", r.Proto)
+	}
+	if dotSegments(r.URL.Path) {
+		// The upstream may resolve them and run another route's work.
+		return 0, errkind.New(errkind.BadRequest, "path %q has dot segments", r.URL.Path)
+	}
+	if k := r.Header.Get(HeaderIdempotencyKey); m.Route.Execution == customer.AtMostOnce && (k == "" || len(k) > maxKeyBytes) {
+		return 0, errkind.New(errkind.KeyRequired, "route %q runs at most once and needs an %s header of 1 to %d bytes", m.Name, HeaderIdempotencyKey, maxKeyBytes)
+	}
+	return deadline(r, m)
+}
+
+func dotSegments(path string) bool {
+	if !strings.Contains(path, "/.") {
+		return false
+	}
+	for s := range strings.SplitSeq(path, "/") {
+		if s == "." || s == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// deadline returns the time left for r: the shorter of the route's deadline and
+// the caller's header.
+func deadline(r *http.Request, m table.Match) (time.Duration, error) {
+	v := r.Header.Get(upstream.HeaderDeadline)
+	if v == "" {
+		return m.Route.Deadline, nil
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		return 0, errkind.New(errkind.BadRequest, "%s %q; expected a duration such as 750ms", upstream.HeaderDeadline, v)
+	}
+	if d <= 0 {
+		return 0, errkind.New(errkind.DeadlineTooShort, "no time is left: %s is %s", upstream.HeaderDeadline, v)
+	}
+	return min(d, m.Route.Deadline), nil
+}
+
+func newRequest(r *http.Request, m table.Match, id string, version uint64) *call.Request {
+	return &call.Request{RequestHead: wire.RequestHead{
+		RequestID:     id,
+		Customer:      m.Customer,
+		Service:       m.Route.Service,
+		Rank:          m.Rank.Name,
+		Caller:        remoteHost(r),
+		Attempt:       inboundAttempt(r),
+		Version:       version,
+		Execution:     string(m.Route.Execution),
+		Method:        r.Method,
+		Host:          r.Host,
+		Path:          r.URL.RequestURI(),
+		Header:        r.Header,
+		ContentLength: r.ContentLength,
+		Route:         m.Name,
+		WholeBody:     true,
+	}}
+}
+
+func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
+
+// readBody keeps a small body whole, so that it can be sent again, and leaves a
+// larger one in the connection until an owner node admits the request.
+func (x *exchange) readBody(ctx context.Context, q *call.Request) error {
+	u := x.upload
+	if u == nil {
+		return nil
+	}
+	once := x.match.Route.Execution == customer.AtMostOnce
+	limit := int64(call.WholeBodyBytes)
+	if once {
+		limit = AtMostOnceBodyBytes
+	}
+	size := x.r.ContentLength
+	if size <= limit {
+		b, err := x.readWhole(ctx, u, limit)
+		if err != nil {
+			return err
+		}
+		if int64(len(b)) <= limit {
+			q.Body, q.ContentLength = b, int64(len(b))
+			return nil
+		}
+		u.body = io.MultiReader(bytes.NewReader(b), u.body)
+	}
+	if once {
+		return errkind.New(errkind.TooLarge, "the body exceeds %d bytes, the limit on routes that run at most once", AtMostOnceBodyBytes)
+	}
+	// Without this an early answer would make net/http read parts of the body
+	// that belong to the upstream.
+	_ = http.NewResponseController(x.w).EnableFullDuplex() // HTTP/2 always is
+	q.WholeBody, q.Stream, q.ContentLength = false, u, size
+	return nil
+}
+
+// readWhole reads up to limit bytes and one more.
+func (x *exchange) readWhole(ctx context.Context, u *upload, limit int64) ([]byte, error) {
+	size, room := x.r.ContentLength, x.r.ContentLength
+	if size < 0 {
+		size, room = limit, 0
+	}
+	if !x.reserve(size) {
+		return nil, errkind.New(errkind.QueueFull, "the bodies of other requests take up the %d bytes that this node keeps for them", x.c.MaxBodyBytes)
+	}
+	b := bytes.NewBuffer(make([]byte, 0, room+bytes.MinRead))
+	_, err := b.ReadFrom(io.LimitReader(u, limit+1))
+	switch {
+	case err == nil:
+		return b.Bytes(), nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return nil, errkind.New(errkind.DeadlineExceeded, "the deadline passed before the body had arrived").WithExecution(errkind.NotRun)
+	case ctx.Err() != nil:
+		return nil, errkind.Wrap(err, errkind.Canceled, "caller went away").WithExecution(errkind.NotRun)
+	}
+	return nil, errkind.Wrap(err, errkind.BadRequest, "request body broke off")
+}
+
+// reserve takes memory for a body that is kept whole.
+func (x *exchange) reserve(n int64) bool {
+	x.reserved = n
+	return x.bodies.Add(n) <= x.c.MaxBodyBytes
+}
+
+func (x *exchange) release() { x.bodies.Add(-x.reserved) }
+
+func remoteHost(r *http.Request) string {
+	h, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return h
+}
+
+func inboundAttempt(r *http.Request) int {
+	if n, err := strconv.Atoi(r.Header.Get(upstream.HeaderAttempt)); err == nil && n > 1 {
+		return n
+	}
+	return 1
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/logging"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
@@ -16,39 +19,90 @@
 	sampleAlpha = 0.015
 )
 
-// nodeMetrics are the metrics of one node. Times are in microseconds.
-type nodeMetrics struct{ registry metrics.Registry }
+// nodeMetrics are the metrics of one node. Times are in microseconds. Labels
+// come from the configuration and from closed lists, never from callers.
+type nodeMetrics struct {
+	registry metrics.Registry
+	ranks    sync.Map // rankKey to *rankMetrics
+	waits    sync.Map // rankKey to metrics.Histogram
+}
 
-func newMetrics() *nodeMetrics { return &nodeMetrics{registry: metrics.NewRegistry()} }
+// rankKey names a rank of a customer, or of a service.
+type rankKey struct{ owner, rank string }
 
-func (m *nodeMetrics) counter(name string) metrics.Counter {
-	return metrics.GetOrRegisterCounter(name, m.registry)
+// rankMetrics are the metrics of one rank of a customer.
+type rankMetrics struct {
+	registry metrics.Registry
+	labels   string
+	inTarget metrics.Counter
+	took     metrics.Histogram
+	// classes counts answers of upstreams by the first digit of their status.
+	classes [10]metrics.Counter
+	// refusals counts answers of the system itself by kind.
+	refusals sync.Map // errkind.Kind to metrics.Counter
 }
 
-func (m *nodeMetrics) histogram(name string) metrics.Histogram {
-	return m.registry.GetOrRegister(name, func() metrics.Histogram {
+func newMetrics() *nodeMetrics { return &nodeMetrics{registry: metrics.NewRegistry()} }
+
+func newHistogram(r metrics.Registry, name string) metrics.Histogram {
+	return r.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}).(metrics.Histogram)
 }
 
+func newRankMetrics(r metrics.Registry, k rankKey) *rankMetrics {
+	l := fmt.Sprintf("customer=%q,rank=%q", k.owner, k.rank)
+	m := &rankMetrics{
+		registry: r,
+		labels:   l,
+		inTarget: metrics.GetOrRegisterCounter("answers_in_target{"+l+"}", r),
+		took:     newHistogram(r, "answer_micros{"+l+"}"),
+	}
+	for i := range m.classes {
+		if i >= 2 && i <= 5 {
+			m.classes[i] = metrics.GetOrRegisterCounter(fmt.Sprintf("answers{%s,class=\"%dxx\"}", l, i), r)
+		} else {
+			m.classes[i] = metrics.GetOrRegisterCounter("answers{"+l+",class=\"other\"}", r)
+		}
+	}
+	return m
+}
+
+// load returns the value of k in m and makes it where there is none.
+func load[K comparable, V any](m *sync.Map, k K, newValue func() V) V {
+	if v, ok := m.Load(k); ok {
+		return v.(V)
+	}
+	v, _ := m.LoadOrStore(k, newValue())
+	return v.(V)
+}
+
 // answered counts one answer to a caller.
 func (m *nodeMetrics) answered(t table.Match, status int, kind errkind.Kind, took time.Duration) {
-	m.counter(fmt.Sprintf("answers{customer=%q,rank=%q,status=\"%d\",kind=%q}", t.Customer, t.Rank.Name, status, kind)).Inc(1)
-	if t.Customer == "" {
+	k := rankKey{t.Customer, t.Rank.Name}
+	r := load(&m.ranks, k, func() *rankMetrics { return newRankMetrics(m.registry, k) })
+	r.took.Update(took.Microseconds())
+	if kind != "" {
+		load(&r.refusals, kind, func() metrics.Counter {
+			return metrics.GetOrRegisterCounter(fmt.Sprintf("refusals{%s,kind=%q}", r.labels, kind), r.registry)
+		}).Inc(1)
 		return
 	}
-	m.histogram(fmt.Sprintf("answer_micros{customer=%q,rank=%q}", t.Customer, t.Rank.Name)).Update(took.Microseconds())
-	if kind == "" && took <= t.Rank.Target {
-		m.counter(fmt.Sprintf("answers_in_target{customer=%q,rank=%q}", t.Customer, t.Rank.Name)).Inc(1)
+	r.classes[min(status/100, len(r.classes)-1)].Inc(1)
+	if status < http.StatusInternalServerError && took <= t.Rank.Target {
+		r.inTarget.Inc(1)
 	}
 }
 
 func (m *nodeMetrics) queued(service, rank string, wait time.Duration) {
-	m.histogram(fmt.Sprintf("queue_wait_micros{service=%q,rank=%q}", service, rank)).Update(wait.Microseconds())
+	k := rankKey{service, rank}
+	load(&m.waits, k, func() metrics.Histogram {
+		return newHistogram(m.registry, fmt.Sprintf("queue_wait_micros{service=%q,rank=%q}", service, rank))
+	}).Update(wait.Microseconds())
 }
 
 func (m *nodeMetrics) retried(service string) {
-	m.counter(fmt.Sprintf("retries{service=%q}", service)).Inc(1)
+	metrics.GetOrRegisterCounter(fmt.Sprintf("retries{service=%q}", service), m.registry).Inc(1)
 }
 
 func (m *nodeMetrics) applied(t *table.Table) {
@@ -58,6 +112,7 @@
 // sample reads gauges that nothing else updates.
 func (m *nodeMetrics) sample(n *Node) {
 	metrics.GetOrRegisterGauge("nodes", m.registry).Update(int64(n.registry.Len()))
+	metrics.GetOrRegisterGauge("log_lines_dropped", m.registry).Update(logging.Dropped())
 	connected := int64(0)
 	if n.distribution.Control() != "" {
 		connected = 1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,13 +36,22 @@
 	// maxPeerConnections bounds connections from other nodes; each request
 	// under way uses one.
 	maxPeerConnections = 8192
+	// maxLocalConnections bounds connections to the ports that serve the
+	// upstreams beside the node and its operators.
+	maxLocalConnections = 256
+	maxLocalHeaderBytes = 16 << 10
 	// lameDuck is how long a stopping node still takes requests, so that the
 	// rest of the fleet learns of the stop first. It is well below the 3 s
 	// within which no new work may arrive.
 	lameDuck = 500 * time.Millisecond
+	// refuseTime is how long a stopping node then at least answers late
+	// requests of other nodes with a refusal. Once its connections close, an
+	// entry node cannot tell whether such a request ran.
+	refuseTime = 500 * time.Millisecond
 	// expireInterval is how often announcements are checked.
 	expireInterval = 250 * time.Millisecond
 	headerTimeout  = 5 * time.Second
+	idleTimeout    = time.Minute
 	// flushLimit bounds the recording of outcomes at a stop.
 	flushLimit = 2 * time.Second
 )
@@ -51,8 +60,10 @@
 type Config struct {
 	Settings settings.Node
 	Log      logr.Logger
-	// Dial opens inner connections; nil means TCP.
+	// Dial opens connections to nodes, controls and upstreams; nil means TCP.
 	Dial wire.Dialer
+	// Listen opens the node's ports; nil means TCP.
+	Listen func(address string) (net.Listener, error)
 }
 
 // Node is one node process.
@@ -63,9 +74,11 @@
 	local         *upstream.Local
 	announcements *upstream.Announcements
 	peers         *peer.Client
+	peerServer    *peer.Server
 	once          *idempotency.Client
 	controls      *controls
 	metrics       *nodeMetrics
+	handler       *caller.Handler
 	callers       *http.Server
 	upstreams     *http.Server
 	admin         *http.Server
@@ -80,7 +93,10 @@
 	if c.Dial == nil {
 		c.Dial = wire.DialTCP
 	}
-	l, err := listen(c.Settings)
+	if c.Listen == nil {
+		c.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	l, err := listen(c)
 	if err != nil {
 		return nil, err
 	}
@@ -102,9 +118,11 @@
 		Table:   n.distribution.Table,
 		Log:     c.Log.WithName("upstream"),
 		Observe: n.metrics.queued,
+		Dial:    c.Dial,
 	})
-	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n.upstreamsChanged)
+	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n)
 	n.peers = peer.NewClient(c.Dial)
+	n.peerServer = peer.NewServer(n.local)
 	n.controls = &controls{pool: wire.NewPool(c.Dial), addresses: c.Settings.Control, preferred: n.distribution.Control}
 	n.once = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
 	n.serversOf(now)
@@ -124,24 +142,31 @@
 		SeeVersion: n.distribution.SeeVersion,
 		Retried:    n.metrics.retried,
 	})
-	n.callers = caller.NewServer(caller.New(caller.Config{
+	n.handler = caller.New(caller.Config{
 		Table:   n.distribution.Table,
 		Router:  r,
 		Once:    &onceRunner{client: n.once, router: r},
 		Log:     n.c.Log.WithName("caller"),
 		Observe: n.metrics.answered,
-	}))
-	n.upstreams = &http.Server{Handler: n.announcements.Handler(), ReadHeaderTimeout: headerTimeout}
-	n.admin = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: admin.New(admin.Config{
+	})
+	n.callers = caller.NewServer(n.handler)
+	n.upstreams = localServer(n.announcements.Handler())
+	n.upstreams.ReadTimeout = headerTimeout
+	n.admin = localServer(admin.New(admin.Config{
 		Metrics: n.metrics.registry,
 		Ready:   n.ready,
 		Version: func() any { return n.status() },
 		Pprof:   s.Pprof,
-	})}
+	}))
 }
 
-func listen(s settings.Node) (listeners, error) {
+func localServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxLocalHeaderBytes}
+}
+
+func listen(c Config) (listeners, error) {
 	var l listeners
+	s := c.Settings
 	for _, e := range []struct {
 		to      *net.Listener
 		key     string
@@ -152,13 +177,16 @@
 		{&l.peer, "PeerListen", s.PeerListen},
 		{&l.admin, "AdminListen", s.AdminListen},
 	} {
-		k, err := net.Listen("tcp", e.address)
+		k, err := c.Listen(e.address)
 		if err != nil {
 			l.close()
 			return l, errors.Wrapf(err, "%s %s: cannot listen; is another process using the address", e.key, e.address)
 		}
 		*e.to = k
 	}
+	l.caller = caller.Listen(l.caller, caller.MaxConnections)
+	l.upstream = wire.LimitListener(l.upstream, maxLocalConnections)
+	l.admin = wire.LimitListener(l.admin, maxLocalConnections)
 	return l, nil
 }
 
@@ -204,8 +232,9 @@
 	}
 }
 
-// upstreamsChanged passes the announced upstreams to the queue and the fleet.
-func (n *Node) upstreamsChanged(l []upstream.Announced) {
+// Set implements upstream.Target. It passes the announced upstreams to the
+// queue and the fleet.
+func (n *Node) Set(l []upstream.Announced) {
 	n.local.Set(l)
 	u := make([]wire.Upstream, 0, len(l))
 	for _, a := range l {
@@ -217,13 +246,16 @@
 	n.distribution.SetUpstreams(u)
 }
 
+// Settle implements upstream.Target.
+func (n *Node) Settle(ctx context.Context, name string) { n.local.Settle(ctx, name) }
+
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	// The servers live longer than ctx: a graceful stop needs them.
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	m := wire.NewMux()
-	peer.Register(m, n.local)
+	n.peerServer.Register(m)
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return ignoreClosed(n.callers.Serve(n.listeners.caller)) })
 	g.Go(func() error { return ignoreClosed(n.upstreams.Serve(n.listeners.upstream)) })
@@ -252,6 +284,7 @@
 	}
 	n.controls.pool.Close()
 	n.peers.Close()
+	n.local.Close()
 	n.c.Log.Info("node stopped")
 	return err
 }
@@ -274,24 +307,28 @@
 }
 
 // stop announces that the node leaves, waits until the fleet knows, refuses new
-// work and finishes what is in flight.
+// work of other nodes and finishes what is in flight. Callers are served until
+// their connections are closed.
 func (n *Node) stop() error {
 	close(n.stopping)
-	n.c.Log.Info("node stops: announcing, then finishing requests in flight", "limit", n.c.Settings.StopLimit.String())
-	ctx, cancel := context.WithTimeout(context.Background(), n.c.Settings.StopLimit)
+	limit := n.c.Settings.StopLimit
+	n.c.Log.Info("node stops: announcing, then finishing requests in flight", "limit", limit.String())
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	n.handler.Leave()
 	n.distribution.Leave(ctx)
-	time.Sleep(min(lameDuck, n.c.Settings.StopLimit/4))
-	n.local.Refuse()
-	err := n.callers.Shutdown(ctx)
-	if e := n.local.Wait(ctx); err == nil {
-		err = e
-	}
+	time.Sleep(min(lameDuck, limit/4))
+	n.peerServer.Refuse()
+	var g errgroup.Group
+	g.Go(func() error { return n.callers.Shutdown(ctx) })
+	g.Go(func() error { return n.peerServer.Drain(ctx) })
+	g.Go(func() error { time.Sleep(min(refuseTime, limit/4)); return nil })
+	err := g.Wait()
 	n.upstreams.Close()
 	n.admin.Close()
 	if err != nil {
 		n.callers.Close()
-		return errors.Wrapf(err, "graceful stop within %s", n.c.Settings.StopLimit)
+		return errors.Wrapf(err, "graceful stop within %s", limit)
 	}
 	return nil
 }
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -10,12 +10,11 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/idempotency"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
-	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// maxOnceAnswerBytes bounds the answers on AtMostOnce routes, which are held in
-// memory until their outcome is recorded.
-const maxOnceAnswerBytes = 4 << 20
+// onceBodyBytes bounds the part of an answer on an AtMostOnce route that is
+// read before its outcome is recorded. Larger bodies are not recorded.
+const onceBodyBytes = call.WholeBodyBytes
 
 // onceRunner runs requests of AtMostOnce routes under a claim of their key.
 type onceRunner struct {
@@ -30,12 +29,17 @@
 		Key:      key,
 		Digest:   idempotency.Digest(q.Method, q.Host+q.Path, q.Body),
 	}
-	a, err := o.client.Run(ctx, k, func(ctx context.Context) (*idempotency.Response, error) {
-		return o.execute(ctx, m, q)
+	var ran *call.Response
+	a, err := o.client.Run(ctx, k, func(ctx context.Context) (r *idempotency.Response, err error) {
+		ran, r, err = o.execute(ctx, m, q)
+		return r, err
 	})
 	if err != nil {
 		return nil, err
 	}
+	if ran != nil && !a.Replayed {
+		return ran, nil
+	}
 	return &call.Response{
 		Head: wire.ResponseHead{
 			RequestID: q.RequestID, Status: a.Status, Header: a.Header, ContentLength: int64(len(a.Body)),
@@ -46,20 +50,26 @@
 	}, nil
 }
 
-// execute reads the whole answer, since an outcome is recorded only when it is
-// complete.
-func (o *onceRunner) execute(ctx context.Context, m table.Match, q *call.Request) (*idempotency.Response, error) {
+// execute reads a small answer to its end, since its outcome is recorded only
+// when it is complete. A large one goes on to the caller as it arrives.
+func (o *onceRunner) execute(ctx context.Context, m table.Match, q *call.Request) (*call.Response, *idempotency.Response, error) {
 	a, err := o.router.Route(ctx, m, q)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	defer a.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxOnceAnswerBytes+1))
+	b, err := io.ReadAll(io.LimitReader(a.Body, onceBodyBytes+1))
 	if err != nil {
-		return nil, err
+		a.Body.Close()
+		return nil, nil, err
 	}
-	if len(b) > maxOnceAnswerBytes {
-		return nil, errkind.New(errkind.AnswerIncomplete, "the answer exceeds %d bytes, the limit on routes that run at most once", maxOnceAnswerBytes)
-	}
-	return &idempotency.Response{Status: a.Head.Status, Header: a.Head.Header, Body: b}, nil
+	r := &idempotency.Response{Status: a.Head.Status, Header: a.Head.Header, Body: b, More: len(b) > onceBodyBytes}
+	n := *a
+	n.Body = &prefixed{Reader: io.MultiReader(bytes.NewReader(b), a.Body), Closer: a.Body}
+	return &n, r, nil
+}
+
+// prefixed is an answer's body of which a part was read.
+type prefixed struct {
+	io.Reader
+	io.Closer
 }
--- /dev/null
+++ b/internal/peer/chunks.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+var errBodyClosed = errors.New("request body is no longer read")
+
+// chunkReader reads a streamed request body. One goroutine receives, so that
+// Close can end a Read without ending the stream.
+type chunkReader struct {
+	stream drpc.Stream
+	chunks chan chunk
+	closed chan struct{}
+	close  sync.Once
+	next   chunk
+	// ended is set once the whole body was read.
+	ended atomic.Bool
+}
+
+type chunk struct {
+	data []byte
+	err  error
+}
+
+func newChunkReader(s drpc.Stream) *chunkReader {
+	return &chunkReader{stream: s, chunks: make(chan chunk), closed: make(chan struct{})}
+}
+
+// admit allows the entry node to send the body and waits for the first chunk.
+func (c *chunkReader) admit(ctx context.Context) error {
+	if err := send(c.stream, &wire.ForwardResponse{Admitted: true}); err != nil {
+		return err
+	}
+	go func() {
+		for {
+			k := c.receive()
+			select {
+			case c.chunks <- k:
+			case <-c.closed:
+				return
+			}
+			if k.err != nil {
+				return
+			}
+		}
+	}()
+	select {
+	case c.next = <-c.chunks:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if c.next.err != nil && !call.Ended(c.next.err) {
+		return c.next.err
+	}
+	return nil
+}
+
+// receive returns the next chunk, with io.EOF itself as the error of the last.
+func (c *chunkReader) receive() chunk {
+	var q wire.ForwardRequest
+	err := c.stream.MsgRecv(&q, wire.Encoding{})
+	switch {
+	case err != nil:
+		err = errors.Wrap(err, "request body cut off")
+	case q.End:
+		err = io.EOF
+	}
+	return chunk{q.Chunk, err}
+}
+
+// Read implements io.Reader. The end comes with the last bytes, so that ended is
+// set before the upstream can answer.
+func (c *chunkReader) Read(b []byte) (int, error) {
+	for len(c.next.data) == 0 && c.next.err == nil {
+		select {
+		case c.next = <-c.chunks:
+		case <-c.closed:
+			return 0, errBodyClosed
+		}
+	}
+	n := copy(b, c.next.data)
+	c.next.data = c.next.data[n:]
+	if len(c.next.data) > 0 || c.next.err == nil {
+		return n, nil
+	}
+	c.ended.Store(call.Ended(c.next.err))
+	return n, c.next.err
+}
+
+// Close implements io.Closer.
+func (c *chunkReader) Close() error {
+	c.close.Do(func() { close(c.closed) })
+	return nil
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,7 +5,11 @@
 //
 // The owner node registers its transport on the inner server:
 //
-//	peer.Register(mux, local)
+//	p := peer.NewServer(local)
+//	p.Register(mux)
+//	…
+//	p.Refuse()           // at a stop
+//	err := p.Drain(ctx)  // returns once the answers under way are sent
 //
 // The entry node calls other nodes:
 //
@@ -14,12 +18,14 @@
 //
 // A body larger than call.WholeBodyBytes is sent only after the owner node
 // admitted the request, so that refused uploads cost no transfer and can be
-// tried elsewhere.
+// tried elsewhere. The owner node in turn sends nothing to its upstream before
+// the first chunk of such a body arrived: until then the entry node may have
+// given up and said that the request did not run.
 package peer
 
 import (
 	"context"
-	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
@@ -29,39 +35,91 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// Register serves Forward streams on m from t.
-func Register(m *wire.Mux, t call.Transport) {
-	m.HandleStream(wire.MethodForward, func(s drpc.Stream) error { return serve(s, t) })
+// Server answers the requests of other nodes.
+type Server struct {
+	transport call.Transport
+	mu        sync.Mutex // orders enter and Refuse
+	refusing  bool
+	inFlight  sync.WaitGroup
 }
 
-func serve(s drpc.Stream, t call.Transport) error {
+// NewServer returns a Server that passes requests to t.
+func NewServer(t call.Transport) *Server { return &Server{transport: t} }
+
+// Register serves Forward streams on m.
+func (p *Server) Register(m *wire.Mux) { m.HandleStream(wire.MethodForward, p.serve) }
+
+// Refuse refuses new requests from now on.
+func (p *Server) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusing = true
+}
+
+// Drain returns once all answers under way were handed to their connections, or
+// with an error when ctx ends first. Call Refuse before.
+func (p *Server) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		p.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errkind.New(errkind.DeadlineExceeded, "requests of other nodes were still in flight at the stop limit")
+	}
+}
+
+func (p *Server) enter() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refusing {
+		return errkind.New(errkind.Leaving, "this node is stopping")
+	}
+	p.inFlight.Add(1)
+	return nil
+}
+
+func (p *Server) serve(s drpc.Stream) error {
 	var q wire.ForwardRequest
 	if err := s.MsgRecv(&q, wire.Encoding{}); err != nil {
 		return err
 	}
-	if q.Head == nil || q.Head.Remaining <= 0 {
-		return send(s, &wire.ForwardResponse{Refusal: wire.NewFault(errkind.New(errkind.BadRequest, "stream starts without a request"))})
+	if q.Head == nil {
+		return send(s, refusal(errkind.New(errkind.BadRequest, "stream starts without a request")))
+	}
+	if q.Head.Remaining <= 0 {
+		return send(s, refusal(errkind.New(errkind.DeadlineTooShort, "no time is left")))
+	}
+	if err := p.enter(); err != nil {
+		return send(s, refusal(err))
 	}
+	defer p.inFlight.Done()
 	ctx, cancel := context.WithTimeout(s.Context(), q.Head.Remaining)
 	defer cancel()
 	r := &call.Request{RequestHead: *q.Head}
+	var c *chunkReader
 	if !q.Head.WholeBody {
-		r.Stream = &chunkReader{stream: s}
-		r.Admitted = func() error { return send(s, &wire.ForwardResponse{Admitted: true}) }
+		c = newChunkReader(s)
+		defer c.Close()
+		r.Stream = c
+		r.Admitted = func() error { return c.admit(ctx) }
 	}
-	a, err := t.Call(ctx, r)
+	a, err := p.transport.Call(ctx, r)
 	if err != nil {
 		return send(s, refusal(err))
 	}
 	defer a.Body.Close()
-	return sendAnswer(s, a)
+	return sendAnswer(s, a, c)
 }
 
 func refusal(err error) *wire.ForwardResponse {
 	f := &wire.ForwardResponse{Refusal: wire.NewFault(err)}
 	var l *call.LoadError
 	if errors.As(err, &l) {
-		f.Load = l.Load
+		f.Load, f.RetryAfter = l.Load, l.After
 	}
 	return f
 }
@@ -69,8 +127,8 @@
 func send(s drpc.Stream, m *wire.ForwardResponse) error { return s.MsgSend(m, wire.Encoding{}) }
 
 // sendAnswer sends a small answer of known length as one message, which saves
-// two writes, and streams any other.
-func sendAnswer(s drpc.Stream, a *call.Response) error {
+// two writes, and streams any other. c is the request's body, or nil.
+func sendAnswer(s drpc.Stream, a *call.Response, c *chunkReader) error {
 	m := &wire.ForwardResponse{Head: &a.Head}
 	b := make([]byte, bufferSize(a.Head.ContentLength))
 	sent := int64(0)
@@ -80,12 +138,16 @@
 		}
 		m = &wire.ForwardResponse{}
 	}
+	read := a.Body.Read
+	if m.Head != nil {
+		read = func(b []byte) (int, error) { return call.Fill(a.Body, b) }
+	}
 	for {
-		n, err := readSome(a.Body, b, m.Head != nil)
+		n, err := read(b)
 		m.Chunk = b[:n]
 		sent += int64(n)
-		if err == io.EOF { //nolint:errorlint // an answer that broke off may wrap io.EOF
-			m.End = &wire.ResponseEnd{RequestID: a.Head.RequestID, Bytes: sent, Trailer: a.Trailer()}
+		if call.Ended(err) {
+			m.End = &wire.ResponseEnd{RequestID: a.Head.RequestID, Bytes: sent, Trailer: a.Trailer(), BodyLeft: c != nil && !c.ended.Load()}
 			m.Load = a.Load()
 			return send(s, m)
 		}
@@ -108,39 +170,3 @@
 	}
 	return call.ChunkBytes
 }
-
-// readSome reads once, or until the end when whole is set.
-func readSome(r io.Reader, b []byte, whole bool) (int, error) {
-	if !whole {
-		return r.Read(b)
-	}
-	n, err := io.ReadFull(r, b)
-	if err == io.ErrUnexpectedEOF {
-		err = io.EOF
-	}
-	return n, err
-}
-
-// chunkReader reads a streamed request body.
-type chunkReader struct {
-	stream drpc.Stream
-	rest   []byte
-	ended  bool
-}
-
-// Read implements io.Reader.
-func (c *chunkReader) Read(b []byte) (int, error) {
-	for len(c.rest) == 0 {
-		if c.ended {
-			return 0, io.EOF
-		}
-		var q wire.ForwardRequest
-		if err := c.stream.MsgRecv(&q, wire.Encoding{}); err != nil {
-			return 0, errors.Wrap(err, "request body cut off")
-		}
-		c.rest, c.ended = q.Chunk, q.End
-	}
-	n := copy(b, c.rest)
-	c.rest = c.rest[n:]
-	return n, nil
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,11 +82,13 @@
 	if q.Stream != nil {
 		q.Admitted = func() error { admitted = true; return nil }
 	}
-	tried := map[string]bool{}
+	var tried map[string]bool
+	last := error(errkind.New(errkind.NoUpstream, "no upstream of service %q is serving", m.Route.Service))
 	for tries := 1; ; tries++ {
 		t, ok := s.choose(r.c, m, tried)
 		if !ok {
-			return nil, errkind.New(errkind.NoUpstream, "no upstream of service %q is serving", m.Route.Service)
+			r.c.Log.Info("no upstream left", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name, "tries", tries-1)
+			return nil, last
 		}
 		q.Attempt = inbound + tries - 1
 		r.logChoice(m, q, t)
@@ -94,20 +96,30 @@
 		if err == nil {
 			return a, nil
 		}
-		tried[t.name] = true
-		if admitted {
-			return nil, err // the body can be read only once
+		last = afterTry(last, err, tries)
+		if tried == nil {
+			tried = map[string]bool{}
 		}
-		d := s.retry(m, q, err, inbound, tries, remaining(ctx))
+		tried[t.name] = true
+		d := s.retry(m, q, err, inbound, tries, remaining(ctx), admitted)
 		r.c.Log.Info("try failed", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
 			"upstream", t.name, "kind", errkind.Of(err), "retry", d.Retry, "reason", d.Reason, "cause", err.Error())
-		if !d.Retry || ctx.Err() != nil {
-			return nil, err
+		if !d.Retry {
+			return nil, last
 		}
 		r.c.Retried(m.Route.Service)
 	}
 }
 
+// afterTry returns the error of a request whose latest try ended in err. Once a
+// try may have run, so may have the request, whatever became of later tries.
+func afterTry(last, err error, tries int) error {
+	if tries > 1 && errkind.From(last).Execution != errkind.NotRun {
+		return errkind.From(err).WithExecution(errkind.Unknown)
+	}
+	return err
+}
+
 func (r *Router) logChoice(m table.Match, q *call.Request, t try) {
 	r.c.Log.Info("choose upstream", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
 		"upstream", t.name, "availabilityZone", t.candidate.AvailabilityZone, "attempt", q.Attempt, "reason", t.reason)
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -102,8 +102,15 @@
 	return m.Route.Execution == customer.Idempotent && q.WholeBody
 }
 
+// reasonBodySent is the reason of a decision that needs no budget: a streamed
+// body can be read only once.
+const reasonBodySent = "body was sent already"
+
 // retry decides whether a failed try is followed by another one.
-func (s *service) retry(m table.Match, q *call.Request, err error, inbound, tries int, left time.Duration) retry.Decision {
+func (s *service) retry(m table.Match, q *call.Request, err error, inbound, tries int, left time.Duration, admitted bool) retry.Decision {
+	if admitted {
+		return retry.Decision{Reason: reasonBodySent}
+	}
 	e := errkind.From(err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,7 +136,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
-	case err == io.EOF:
+	case call.Ended(err):
 		b.once.Do(func() { b.done(nil) })
 	case err != nil:
 		b.once.Do(func() { b.done(err) })
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -23,6 +24,10 @@
 	maxAnnouncementBytes = 16 << 10
 	// maxUpstreams bounds the upstreams of one node.
 	maxUpstreams = 64
+	// settleTime bounds how long the answer to a Leaving upstream waits for the
+	// requests that were already sent to it. A server that shuts down closes
+	// connections on which it has not read a request yet.
+	settleTime = 250 * time.Millisecond
 )
 
 // Announcement is the body with which an upstream announces itself.
@@ -50,18 +55,25 @@
 
 // Announcements keeps the upstreams that announced themselves to this node.
 type Announcements struct {
-	log     logr.Logger
-	changed func([]Announced)
-	mu      sync.Mutex
-	// notify orders the calls of changed.
+	log    logr.Logger
+	target Target
+	mu     sync.Mutex
+	// notify orders the calls of Set.
 	notify sync.Mutex
 	names  map[string]Announced
 }
 
-// NewAnnouncements returns an empty Announcements that calls changed with all
-// upstreams after each change.
-func NewAnnouncements(l logr.Logger, changed func([]Announced)) *Announcements {
-	return &Announcements{log: l, changed: changed, names: map[string]Announced{}}
+// Target follows the announcements.
+type Target interface {
+	// Set takes all upstreams after each change.
+	Set(l []Announced)
+	// Settle returns once no request is under way at an upstream.
+	Settle(ctx context.Context, name string)
+}
+
+// NewAnnouncements returns an empty Announcements that t follows.
+func NewAnnouncements(l logr.Logger, t Target) *Announcements {
+	return &Announcements{log: l, target: t, names: map[string]Announced{}}
 }
 
 // Handler serves PUT, GET and DELETE of upstreams.
@@ -89,6 +101,11 @@
 		writeError(w, err)
 		return
 	}
+	if n.State == wire.Leaving {
+		ctx, cancel := context.WithTimeout(r.Context(), settleTime)
+		defer cancel()
+		a.target.Settle(ctx, r.PathValue("name"))
+	}
 	writeJSON(w, http.StatusOK, Renewal{RenewWithin: RenewWithin.String()})
 }
 
@@ -127,7 +144,7 @@
 	a.mu.Unlock()
 	if !known || o.Announcement != n {
 		a.log.Info("upstream announced", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address)
-		a.changed(a.List())
+		a.target.Set(a.List())
 	}
 	return nil
 }
@@ -147,7 +164,7 @@
 	a.mu.Unlock()
 	if ok {
 		a.log.Info("upstream removed", "upstream", name, "reason", reason)
-		a.changed(a.List())
+		a.target.Set(a.List())
 	}
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,20 +4,14 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 	"net/url"
 	"strconv"
-	"sync/atomic"
+	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
-	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -26,155 +20,106 @@
 	HeaderDeadline  = "Gooseberrypick-Deadline"
 	HeaderRequestID = "Gooseberrypick-Request-Id"
 	HeaderAttempt   = "Gooseberrypick-Attempt"
-)
 
-const (
-	// idempotencyKey in its canonical and its lower-case spelling. The
-	// transport of net/http repeats a request by itself when it finds the
-	// canonical spelling, which must not happen on routes that run once.
-	idempotencyKey      = "Idempotency-Key"
-	idempotencyKeyLower = "idempotency-key"
-
-	connectTimeout    = 2 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxResponseHeader = 256 << 10
+	// reserved is the prefix of the system's own headers. An upstream that is
+	// itself a caller may pass on an answer with them, whose statements concern
+	// another request.
+	reserved = "Gooseberrypick-"
 )
 
 // Client sends requests to one upstream over HTTP/1.1 and keeps its connections
-// open.
-type Client struct {
-	address   string
-	transport *http.Transport
-}
+// open. The queue bounds the number of requests at the same time.
+type Client struct{ pool connections }
 
-// NewClient returns a Client for an upstream that takes up to connections
-// connections.
-func NewClient(address string, connections int) *Client {
-	d := net.Dialer{Timeout: connectTimeout}
-	return &Client{
-		address: address,
-		transport: &http.Transport{
-			DialContext:            d.DialContext,
-			MaxConnsPerHost:        connections,
-			MaxIdleConns:           connections,
-			MaxIdleConnsPerHost:    connections,
-			IdleConnTimeout:        idleTimeout,
-			MaxResponseHeaderBytes: maxResponseHeader,
-			DisableCompression:     true,
-		},
-	}
+// NewClient returns a Client for the upstream at address that connects with d.
+func NewClient(address string, d wire.Dialer) *Client {
+	return &Client{connections{address: address, dial: d}}
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+// Close closes the idle connections, and each other one after its request.
+func (c *Client) Close() { c.pool.close() }
+
+// CloseIdle closes the idle connections.
+func (c *Client) CloseIdle() { c.pool.expire(time.Time{}, true) }
 
-// Do sends r. An error states not-run only if no connection had been handed to
-// the request, so that no byte of it can have reached the upstream.
+// Expire closes the connections that were idle for long.
+func (c *Client) Expire(now time.Time) { c.pool.expire(now, false) }
+
+// Do sends r, at most once. An error states not-run only if no byte of r was
+// handed to the network.
 func (c *Client) Do(ctx context.Context, r *call.Request) (*call.Response, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	q := c.newRequest(ctx, r)
-	a, err := c.transport.RoundTrip(q)
-	if err != nil {
-		return nil, failure(ctx, err, connected.Load())
+	for {
+		q, err := c.newRequest(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		k, err := c.pool.get(ctx)
+		if err != nil {
+			return nil, errkind.Wrap(err, call.EndKind(ctx, errkind.ConnectFailed), "connect to upstream").WithExecution(errkind.NotRun)
+		}
+		x := &exchange{ctx: ctx, connection: k, pool: &c.pool, stream: r.Stream}
+		err = x.start(q)
+		switch {
+		case err == nil:
+			return x.response(r), nil
+		case k.sent:
+			return nil, errkind.Wrap(err, call.EndKind(ctx, errkind.UpstreamFailed), "request to upstream").WithExecution(errkind.Unknown)
+		case !k.reused || r.Stream != nil || ctx.Err() != nil:
+			return nil, errkind.Wrap(err, call.EndKind(ctx, errkind.ConnectFailed), "request to upstream").WithExecution(errkind.NotRun)
+		}
+		// The upstream closed an idle connection; another one may work.
 	}
+}
+
+func (x *exchange) response(r *call.Request) *call.Response {
 	return &call.Response{
 		Head: wire.ResponseHead{
 			RequestID:     r.RequestID,
-			Status:        a.StatusCode,
-			Header:        endToEnd(a.Header),
-			ContentLength: a.ContentLength,
+			Status:        x.answer.StatusCode,
+			Header:        endToEnd(x.answer.Header, true),
+			ContentLength: x.answer.ContentLength,
 		},
-		Body:    &body{ReadCloser: a.Body},
-		Trailer: func() map[string][]string { return a.Trailer },
+		Body:    x,
+		Trailer: func() map[string][]string { return x.answer.Trailer },
 		Load:    func() *wire.Load { return nil },
-	}, nil
+	}
 }
 
-func (c *Client) newRequest(ctx context.Context, r *call.Request) *http.Request {
+func (c *Client) newRequest(ctx context.Context, r *call.Request) (*http.Request, error) {
 	u, err := url.ParseRequestURI(r.Path)
-	if err != nil {
-		u = &url.URL{Path: r.Path}
+	if err != nil || u.Host != "" {
+		return nil, errkind.New(errkind.BadRequest, "path %q", r.Path)
+	}
+	if strings.ContainsAny(r.Method, " \t\r\n") {
+		return nil, errkind.New(errkind.BadRequest, "method %q", r.Method)
+	}
+	u.Scheme, u.Host = "http", c.pool.address
+	h := endToEnd(r.Header, false)
+	if d, ok := ctx.Deadline(); ok {
+		h[HeaderDeadline] = []string{strconv.FormatInt(max(time.Until(d).Milliseconds(), 1), 10) + "ms"}
+	}
+	h[HeaderRequestID] = []string{r.RequestID}
+	h[HeaderAttempt] = []string{strconv.Itoa(r.Attempt)}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
-	u.Scheme, u.Host = "http", c.address
 	q := &http.Request{
 		Method:        r.Method,
 		URL:           u,
 		Host:          r.Host,
-		Header:        endToEnd(r.Header),
+		Header:        h,
 		ContentLength: r.ContentLength,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
-	switch {
-	case r.Stream != nil:
-		q.Body = io.NopCloser(r.Stream)
-	case len(r.Body) > 0:
-		q.Body = io.NopCloser(bytes.NewReader(r.Body))
+	if r.Stream == nil {
 		q.ContentLength = int64(len(r.Body))
-	}
-	if r.Execution != string(customer.Idempotent) {
-		preventReplay(q)
-	}
-	if d, ok := ctx.Deadline(); ok {
-		q.Header.Set(HeaderDeadline, strconv.FormatInt(max(time.Until(d).Milliseconds(), 1), 10)+"ms")
-	}
-	q.Header.Set(HeaderRequestID, r.RequestID)
-	q.Header.Set(HeaderAttempt, strconv.Itoa(r.Attempt))
-	return q.WithContext(ctx)
-}
-
-// preventReplay keeps the transport from sending q a second time on another
-// connection after the first one broke. The transport repeats requests without
-// a body whose method is safe or which carry an Idempotency-Key header in its
-// canonical spelling; header names have no case on the wire.
-func preventReplay(q *http.Request) {
-	if k, ok := q.Header[idempotencyKey]; ok {
-		delete(q.Header, idempotencyKey)
-		q.Header[idempotencyKeyLower] = k
-	}
-	if k, ok := q.Header["X-Idempotency-Key"]; ok {
-		delete(q.Header, "X-Idempotency-Key")
-		q.Header["x-idempotency-key"] = k
-	}
-	switch q.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		if q.Body == nil {
-			q.Body = io.NopCloser(bytes.NewReader(nil))
+		if len(r.Body) > 0 {
+			q.Body = io.NopCloser(bytes.NewReader(r.Body))
 		}
 	}
-}
-
-func failure(ctx context.Context, err error, connected bool) error {
-	k := errkind.UpstreamFailed
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		k = errkind.DeadlineExceeded
-	case errors.Is(ctx.Err(), context.Canceled):
-		k = errkind.Canceled
-	case !connected:
-		k = errkind.ConnectFailed
-	}
-	e := errkind.Wrap(err, k, "request to upstream")
-	if connected {
-		return e.WithExecution(errkind.Unknown)
-	}
-	return e.WithExecution(errkind.NotRun)
-}
-
-// body turns any early end of an answer into an AnswerIncomplete error.
-type body struct{ io.ReadCloser }
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil && err != io.EOF { //nolint:errorlint // only the bare value is the end
-		err = errkind.Wrap(err, errkind.AnswerIncomplete, "answer of the upstream broke off")
-	}
-	return n, err
+	return q, nil
 }
 
 // hopByHop headers concern one connection only.
@@ -183,29 +128,22 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// endToEnd returns a copy of h without headers that concern one connection.
-func endToEnd(h http.Header) http.Header {
-	n := h.Clone()
-	if n == nil {
-		return http.Header{}
+// endToEnd returns a copy of h without headers that concern one connection, and
+// of an answer without the system's own headers.
+func endToEnd(h http.Header, answer bool) http.Header {
+	n := make(http.Header, len(h)+4)
+	for k, v := range h {
+		if !answer || !strings.HasPrefix(k, reserved) {
+			n[k] = v
+		}
 	}
 	for _, v := range h["Connection"] {
-		for _, f := range splitList(v) {
-			n.Del(f)
+		for f := range strings.SplitSeq(v, ",") {
+			n.Del(strings.TrimSpace(f))
 		}
 	}
 	for _, f := range hopByHop {
-		n.Del(f)
+		delete(n, f)
 	}
 	return n
 }
-
-func splitList(v string) []string {
-	var l []string
-	for _, f := range bytes.Split([]byte(v), []byte(",")) {
-		if s := textproto.TrimString(string(f)); s != "" {
-			l = append(l, s)
-		}
-	}
-	return l
-}
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	local := upstream.NewLocal(upstream.Config{Table: tables.Table, Log: l})
-//	a := upstream.NewAnnouncements(l, local.Set)
+//	a := upstream.NewAnnouncements(l, local)
 //	server := &http.Server{Handler: a.Handler()}
 //	answer, err := local.Call(ctx, request)
 //
--- a/internal/upstream/local.go
+++ b/internal/upstream/local.go
@@ -13,9 +13,13 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// wakeInterval is how often the queues are looked at when nothing else happens,
-// to follow the warm-up ramp and to notice a stalled upstream.
-const wakeInterval = 50 * time.Millisecond
+const (
+	// wakeInterval is how often the queues are looked at when nothing else
+	// happens, to follow the configuration and the warm-up ramp and to notice a
+	// stalled upstream.
+	wakeInterval = 100 * time.Millisecond
+	settlePoll   = 2 * time.Millisecond
+)
 
 // Config holds what a Local needs.
 type Config struct {
@@ -24,15 +28,15 @@
 	// Observe is called with the queue wait of each request that ran; it may
 	// be nil.
 	Observe func(service, rank string, wait time.Duration)
+	// Dial connects to upstreams; nil means TCP.
+	Dial wire.Dialer
 }
 
 // Local serves the upstreams beside this node. It implements call.Transport.
 type Local struct {
-	c        Config
-	mu       sync.RWMutex
-	workers  map[string]*worker
-	stopping bool
-	inFlight sync.WaitGroup
+	c       Config
+	mu      sync.RWMutex
+	workers map[string]*worker
 }
 
 // NewLocal returns a Local without upstreams.
@@ -40,6 +44,9 @@
 	if c.Observe == nil {
 		c.Observe = func(string, string, time.Duration) {}
 	}
+	if c.Dial == nil {
+		c.Dial = wire.DialTCP
+	}
 	return &Local{c: c, workers: map[string]*worker{}}
 }
 
@@ -77,7 +84,7 @@
 	next := map[string]*worker{}
 	for _, n := range a {
 		w := l.workers[n.Name]
-		if w == nil || w.announcement().Address != n.Address || w.announcement().Service != n.Service {
+		if w == nil || w.address != n.Address || w.service != n.Service {
 			w = newWorker(l.c, n)
 		}
 		w.set(time.Now(), n)
@@ -91,57 +98,50 @@
 	l.workers = next
 }
 
+// Close refuses what waits and closes the connections to the upstreams.
+func (l *Local) Close() { l.Set(nil) }
+
+// Settle returns once no request is under way at the named upstream, or when
+// ctx ends.
+func (l *Local) Settle(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		l.mu.RLock()
+		w := l.workers[name]
+		l.mu.RUnlock()
+		if w == nil || w.load(time.Now()).InFlight == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(settlePoll):
+		}
+	}
+}
+
 // Call queues r for the upstream that it names and sends it.
 func (l *Local) Call(ctx context.Context, r *call.Request) (*call.Response, error) {
-	w, err := l.enter(r)
+	w, err := l.worker(r)
 	if err != nil {
 		return nil, err
 	}
-	a, err := w.call(ctx, r, l.inFlight.Done)
+	a, err := w.call(ctx, r)
 	if err != nil {
-		l.inFlight.Done()
-		return nil, &call.LoadError{Load: w.load(time.Now()), Err: err}
+		l, ok := err.(*call.LoadError) //nolint:errorlint // made by the worker itself
+		if !ok {
+			l = &call.LoadError{Err: err}
+		}
+		l.Load = w.load(time.Now())
+		return nil, l
 	}
 	return a, nil
 }
 
-// enter finds the upstream and counts the request as in flight.
-func (l *Local) enter(r *call.Request) (*worker, error) {
+func (l *Local) worker(r *call.Request) (*worker, error) {
 	l.mu.RLock()
-	defer l.mu.RUnlock()
-	if l.stopping {
-		return nil, errkind.New(errkind.Leaving, "this node is stopping")
-	}
 	w := l.workers[r.Upstream]
-	if w == nil || w.announcement().Service != r.Service {
+	l.mu.RUnlock()
+	if w == nil || w.service != r.Service {
 		return nil, errkind.New(errkind.Leaving, "upstream %q of service %q is not beside this node", r.Upstream, r.Service)
 	}
-	if s := w.announcement().State; s != wire.Serving {
-		return nil, errkind.New(errkind.Leaving, "upstream %q is %s", r.Upstream, s)
-	}
-	l.inFlight.Add(1)
 	return w, nil
 }
-
-// Refuse refuses new requests from now on.
-func (l *Local) Refuse() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stopping = true
-}
-
-// Wait returns once the requests in flight have ended, or with an error when
-// ctx ends first. Call Refuse before.
-func (l *Local) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		l.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errkind.New(errkind.DeadlineExceeded, "requests were still in flight at the stop limit")
-	}
-}
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -6,67 +6,89 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/limit"
 	"github.com/gooseberrypick/gooseberrypick/internal/queue"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 // worker is one announced upstream with its queue, limiter and connections.
 type worker struct {
-	c      Config
-	client *Client
+	c       Config
+	client  *Client
+	service string
+	address string
 
 	mu        sync.Mutex // guards everything below
 	announced Announced
+	table     *table.Table // that queue and limiter follow
 	queue     *queue.Queue
 	limiter   *limit.Limiter
-	ranks     []queue.Rank
 	waiting   map[uint64]chan error
 	nextID    uint64
 	closed    bool
+	// timer wakes the queue when a slot that was kept free may be used.
+	timer *time.Timer
 }
 
 func newWorker(c Config, n Announced) *worker {
-	w := &worker{c: c, client: NewClient(n.Address, n.Connections), announced: n, waiting: map[uint64]chan error{}}
-	w.limiter = limit.New(limit.Config{Slots: n.Slots, ColdStart: w.coldStart(), Since: n.Since})
-	w.ranks = w.configuredRanks()
-	w.queue = queue.New(queue.Config{Ranks: w.ranks, Limit: w.limiter.Limit(time.Now())})
-	return w
-}
-
-// coldStart returns the warm-up time that the configuration gives the service.
-func (w *worker) coldStart() time.Duration {
-	s, _ := w.c.Table().Service(w.announced.Service)
-	return s.ColdStart
-}
-
-// configuredRanks returns the ranks of the customer that the service belongs to.
-func (w *worker) configuredRanks() []queue.Rank {
-	var l []queue.Rank
-	for _, r := range w.c.Table().Ranks(w.announced.Service) {
-		l = append(l, queue.Rank{Name: r.Name, Order: r.Order, Target: r.Target, Floor: r.Floor})
+	w := &worker{
+		c: c, client: NewClient(n.Address, c.Dial), service: n.Service, address: n.Address,
+		announced: n, waiting: map[uint64]chan error{},
 	}
-	return l
-}
-
-func (w *worker) announcement() Announced {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.announced
+	w.limiter = limit.New(limit.Config{Slots: n.Slots})
+	w.queue = queue.New(queue.Config{})
+	w.timer = time.AfterFunc(time.Hour, func() { w.wake(time.Now()) })
+	w.timer.Stop()
+	return w
 }
 
+// set follows an announcement. What waits for an upstream that leaves is
+// refused, so that it runs elsewhere.
 func (w *worker) set(now time.Time, n Announced) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.announced = n
+	w.table = nil // configure anew
 	w.limiter.SetSlots(n.Slots)
+	if n.State != wire.Serving {
+		w.refuseWaiting(now)
+		w.client.CloseIdle()
+	}
 	w.dispatch(now)
 }
 
+func (w *worker) refuseWaiting(now time.Time) {
+	for id := range w.waiting {
+		w.queue.Cancel(now, id)
+		w.resolve(id, errkind.New(errkind.Leaving, "upstream %q is %s", w.announced.Name, w.announced.State))
+	}
+}
+
+// follow passes a changed configuration on to queue and limiter. The caller
+// holds the lock.
+func (w *worker) follow(now time.Time) {
+	t := w.c.Table()
+	if t == w.table {
+		return
+	}
+	w.table = t
+	var l []queue.Rank
+	for _, r := range t.Ranks(w.service) {
+		l = append(l, queue.Rank{Name: r.Name, Order: r.Order, Target: r.Target, Floor: r.Floor})
+	}
+	w.queue.SetRanks(now, l)
+	s, _ := t.Service(w.service)
+	w.limiter.SetRamp(s.ColdStart, w.announced.Since)
+}
+
 // wake follows the configuration, the warm-up ramp and stalls.
 func (w *worker) wake(now time.Time) {
+	w.client.Expire(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.dispatch(now)
@@ -74,12 +96,16 @@
 
 // dispatch hands out free slots. The caller holds the lock.
 func (w *worker) dispatch(now time.Time) {
+	w.follow(now)
 	w.queue.SetLimit(now, w.limiter.Limit(now))
 	for r, ok := w.queue.Next(now); ok; r, ok = w.queue.Next(now) {
 		w.resolve(r.ID, nil)
 	}
 	for _, f := range w.queue.Refused() {
-		w.resolve(f.Request.ID, &refusal{err: f.Err, after: f.RetryAfter})
+		w.resolve(f.Request.ID, &call.LoadError{Err: f.Err, After: f.RetryAfter})
+	}
+	if at, ok := w.queue.Wake(now); ok {
+		w.timer.Reset(at.Sub(now))
 	}
 }
 
@@ -90,38 +116,21 @@
 	}
 }
 
-// refusal is an error that knows when the caller should try again.
-type refusal struct {
-	err   *errkind.Error
-	after time.Duration
-}
-
-// Error implements error.
-func (r *refusal) Error() string { return r.err.Error() }
-
-// Unwrap returns the error with its kind.
-func (r *refusal) Unwrap() error { return r.err }
-
-// RetryAfter returns the time after which a slot is likely to be free.
-func (r *refusal) RetryAfter() time.Duration { return r.after }
-
-// close refuses what waits.
+// close refuses what waits. Requests under way go on.
 func (w *worker) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closed = true
-	for id := range w.waiting {
-		w.queue.Cancel(time.Now(), id)
-		w.resolve(id, errkind.New(errkind.Leaving, "upstream %q left while the request waited", w.announced.Name))
-	}
+	w.announced.State = wire.Leaving
+	w.refuseWaiting(time.Now())
+	w.timer.Stop()
 	w.client.Close()
 }
 
-// call waits for a slot and sends r. done is called when the answer has ended,
-// unless call returns an error.
-func (w *worker) call(ctx context.Context, r *call.Request, done func()) (*call.Response, error) {
+// call waits for a slot and sends r.
+func (w *worker) call(ctx context.Context, r *call.Request) (*call.Response, error) {
 	arrived := time.Now()
-	id, err := w.acquire(ctx, r, arrived)
+	id, reason, err := w.acquire(ctx, r, arrived)
 	if err != nil {
 		w.log(r, "refuse request", time.Since(arrived), err.Error())
 		return nil, err
@@ -129,12 +138,12 @@
 	started := time.Now()
 	wait := started.Sub(arrived)
 	w.c.Observe(r.Service, r.Rank, wait)
-	w.log(r, "send request", wait, "slot free")
+	w.log(r, "send request", wait, reason)
 	s := w.started(started)
 	if r.Admitted != nil {
 		if err := r.Admitted(); err != nil {
 			w.release(id, s, r, limit.Canceled)
-			return nil, errkind.Wrap(err, errkind.Canceled, "entry node went away").WithExecution(errkind.NotRun)
+			return nil, errkind.Wrap(err, call.EndKind(ctx, errkind.Canceled), "entry node did not send the body").WithExecution(errkind.NotRun)
 		}
 	}
 	a, err := w.client.Do(ctx, r)
@@ -143,10 +152,7 @@
 		return nil, err
 	}
 	b := &answerBody{ReadCloser: a.Body}
-	b.done = func(err error) {
-		w.release(id, s, r, outcomeOf(a.Head.Status, err))
-		done()
-	}
+	b.done = func(err error) { w.release(id, s, r, outcomeOf(a.Head.Status, err)) }
 	n := *a
 	n.Body = b
 	n.Load = func() *wire.Load { return w.load(time.Now()) }
@@ -158,14 +164,29 @@
 		"waitMicros", wait.Microseconds(), "reason", reason)
 }
 
-// acquire returns once r holds a slot.
-func (w *worker) acquire(ctx context.Context, r *call.Request, now time.Time) (uint64, error) {
+// acquire returns once r holds a slot, with the reason for the log line.
+func (w *worker) acquire(ctx context.Context, r *call.Request, now time.Time) (uint64, string, error) {
+	id, c, err := w.offer(ctx, r, now)
+	if c == nil {
+		return id, "slot free", err
+	}
+	select {
+	case err := <-c:
+		return id, "waited for a slot", err
+	case <-ctx.Done():
+		return id, "", w.abandon(ctx, id, c)
+	}
+}
+
+// offer returns a channel where r has to wait.
+func (w *worker) offer(ctx context.Context, r *call.Request, now time.Time) (uint64, chan error, error) {
 	deadline, _ := ctx.Deadline()
 	w.mu.Lock()
-	if w.closed {
-		w.mu.Unlock()
-		return 0, errkind.New(errkind.Leaving, "upstream %q left", r.Upstream)
+	defer w.mu.Unlock()
+	if s := w.announced.State; s != wire.Serving || w.closed {
+		return 0, nil, errkind.New(errkind.Leaving, "upstream %q is %s", r.Upstream, s)
 	}
+	w.follow(now)
 	w.nextID++
 	id := w.nextID
 	w.queue.SetLimit(now, w.limiter.Limit(now))
@@ -173,23 +194,13 @@
 	var c chan error
 	switch v.Outcome {
 	case queue.Refused:
-		w.mu.Unlock()
-		return 0, &refusal{err: v.Err, after: v.RetryAfter}
+		return 0, nil, &call.LoadError{Err: v.Err, After: v.RetryAfter}
 	case queue.Waiting:
 		c = make(chan error, 1)
 		w.waiting[id] = c
 	}
 	w.dispatch(now) // an arrival may displace another request
-	w.mu.Unlock()
-	if c == nil {
-		return id, nil
-	}
-	select {
-	case err := <-c:
-		return id, err
-	case <-ctx.Done():
-		return id, w.abandon(ctx, id, c)
-	}
+	return id, c, nil
 }
 
 // abandon gives up the place of a request whose caller went away or whose
@@ -205,11 +216,7 @@
 		w.queue.Done(now, id, false) // the slot was granted in the meantime
 	}
 	w.dispatch(now)
-	k := errkind.Canceled
-	if ctx.Err() == context.DeadlineExceeded {
-		k = errkind.DeadlineExceeded
-	}
-	return errkind.New(k, "request ended while it waited for a slot").WithExecution(errkind.NotRun)
+	return errkind.New(call.EndKind(ctx, errkind.Canceled), "request ended while it waited for a slot").WithExecution(errkind.NotRun)
 }
 
 func (w *worker) started(now time.Time) limit.Start {
@@ -253,6 +260,8 @@
 	return limit.OK
 }
 
+var errNotRead = errors.New("answer not read to its end")
+
 // answerBody frees the slot when the answer ends.
 type answerBody struct {
 	io.ReadCloser
@@ -264,7 +273,7 @@
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
-	case err == io.EOF:
+	case call.Ended(err):
 		b.once.Do(func() { b.done(nil) })
 	case err != nil:
 		b.once.Do(func() { b.done(err) })
@@ -275,6 +284,6 @@
 // Close implements io.Closer.
 func (b *answerBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.done(errkind.New(errkind.Canceled, "answer not read to its end")) })
+	b.once.Do(func() { b.done(errkind.Wrap(errNotRead, errkind.Canceled, "caller went away")) })
 	return err
 }
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"errors"
 	"net"
 	"sync"
 )
@@ -42,3 +43,12 @@
 	c.release()
 	return c.Conn.Close()
 }
+
+// CloseWrite closes the sending side, which net/http does before it drains a
+// connection.
+func (c *limitConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// ForwardRequest is what an entry node sends on a Forward stream; exactly one
-// field is set. Head comes first, then Chunk messages unless Head holds the
-// whole body.
+// ForwardRequest is what an entry node sends on a Forward stream. Head comes
+// first. Unless it holds the whole body, Chunk messages follow after Admitted;
+// the last one has End set.
 type ForwardRequest struct {
 	Head  *RequestHead `cbor:"1,keyasint,omitempty"`
 	Chunk []byte       `cbor:"2,keyasint,omitempty"`
@@ -37,7 +37,9 @@
 	Route string `cbor:"18,keyasint,omitempty"`
 }
 
-// ForwardResponse is what the owner node sends back; exactly one field is set.
+// ForwardResponse is what the owner node sends back: Admitted where the body is
+// to follow, then Head, Chunk messages and End. One message may hold a whole
+// answer. A Refusal takes the place of all that is still to come.
 type ForwardResponse struct {
 	// Admitted allows the entry node to send the body.
 	Admitted bool          `cbor:"1,keyasint,omitempty"`
@@ -47,6 +49,8 @@
 	Refusal  *Fault        `cbor:"5,keyasint,omitempty"`
 	// Load comes with End and Refusal.
 	Load *Load `cbor:"6,keyasint,omitempty"`
+	// RetryAfter comes with a Refusal and is when a slot is likely to be free.
+	RetryAfter time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // ResponseHead starts the upstream's answer.
@@ -62,6 +66,9 @@
 	RequestID string              `cbor:"1,keyasint"`
 	Bytes     int64               `cbor:"2,keyasint"`
 	Trailer   map[string][]string `cbor:"3,keyasint,omitempty"`
+	// BodyLeft says that the request's body was not read to its end. The
+	// connection then holds chunks that nobody will read.
+	BodyLeft bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Load is the owner node's view of one upstream.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -67,7 +67,7 @@
 }
 
 func newDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16}.DecMode()
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16}.DecMode()
 	if err != nil {
 		panic(err) // the options above are constant
 	}
