Leave a control that is cut off only for a better one

Cause: a node left a control out of contact with a majority after 15 s whether or not another was better, and so changed back and forth for the length of an outage, while a node that could reach a better one stayed 15 s too long. A control that stopped reading blocked the node's loop for good. Change: while its control is not current, the node asks the others for their state, with a growing pause, and changes to one that is current, of the same lineage and not behind; a timer outside the loop ends a silent session. Result: TestNodeLeavesControl; a row fails without the search, the comparison of lineages, the question for currency, the limit on being behind, the timer on silence, and the limit on connecting.

--- a/internal/control/cutoff_test.go
+++ b/internal/control/cutoff_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -89,3 +91,55 @@
 		})
 	}
 }
+
+// A node that stays with a control which lags, or which cannot be reached any
+// more, misses new versions and the state of upstreams.
+func TestNodeLeavesControl(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(w *world, n *testNode)
+		stays bool
+	}{
+		{"cut off from the other controls", func(w *world, _ *testNode) {
+			w.controls["a"].source.current.Store(false)
+			w.net.cut("a", "b")
+			w.accept(newCustomer("x", 2), "b")
+		}, false},
+		{"silently cut off from all", func(w *world, _ *testNode) {
+			w.cutOff("a")
+			w.accept(newCustomer("x", 2), "b")
+			for i := range 5 { // some of them try a first
+				w.startNode(fmt.Sprint("n", i), "a", "b")
+			}
+		}, false},
+		{"behind a peer", func(w *world, n *testNode) {
+			w.accept(newCustomer("x", 2), "b")
+			n.SeeVersion(2)
+		}, false},
+		{"no other is better", func(w *world, _ *testNode) {
+			w.controls["a"].source.current.Store(false)
+			w.controls["b"].source.current.Store(false)
+		}, true},
+		{"the better one is of another lineage", func(w *world, _ *testNode) {
+			w.controls["a"].source.current.Store(false)
+			w.controls["b"].source.lineage = "M"
+			w.accept(newCustomer("x", 2), "b")
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, []string{"a", "b"}, func(w *world) {
+				w.accept(newCustomer("x", 1))
+				n := w.startAt("ab")
+				c.fault(w, n)
+				if c.stays {
+					w.never(10*time.Minute, "left", func() bool { return n.Control() != "a" })
+					return
+				}
+				w.within(10*time.Second, "at version 2", func() bool {
+					return !slices.ContainsFunc(w.nodes, func(n *testNode) bool { return n.Table().Version() != 2 })
+				})
+				w.never(10*time.Minute, "back or lower", func() bool { return n.Control() != "b" || n.Table().Version() != 2 })
+			})
+		})
+	}
+}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -46,6 +46,11 @@
 func (f *fleet) register(m *wire.Mux) {
 	m.HandleStream(wire.MethodSubscribe, f.streams.Subscribe)
 	wire.HandleUnary(m, wire.MethodRegistrySync, f.exchange.receive)
+	wire.HandleUnary(m, wire.MethodControlState, func(context.Context, *wire.Empty) (*wire.ControlState, error) {
+		return &wire.ControlState{
+			Lineage: f.source.Lineage(), Committed: f.source.Current().Version(), Current: f.source.IsCurrent(),
+		}, nil
+	})
 }
 
 // run spreads endpoint changes to nodes and controls and ends leases until ctx
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -176,6 +176,22 @@
 	return n
 }
 
+// startAt starts a node named after its controls and lets it connect to the
+// first of them.
+func (w *world) startAt(controls string) *testNode {
+	l := strings.Split(controls, "")
+	for _, c := range l[1:] {
+		w.net.cut("n-"+controls, c)
+	}
+	n := w.startNode("n-"+controls, l...)
+	w.within(15*time.Second, "connected to "+l[0], func() bool { return n.Control() == l[0] })
+	n.upstream(wire.Serving)
+	for _, c := range l[1:] {
+		w.net.heal("n-"+controls, c)
+	}
+	return n
+}
+
 // crash ends a node without a goodbye.
 func (w *world) crash(n *testNode) {
 	n.stop()
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -36,14 +36,10 @@
 	// silenceLimit ends a stream on which not even answers to pings arrive.
 	silenceLimit = 4 * time.Second
 	// behindLimit is how long a control may be behind a version seen at a peer.
-	behindLimit = 3 * time.Second
-	// notCurrentLimit is how long a node stays with a control that is out of
-	// contact with a majority. It is long, since such a control still serves
-	// its side of a partition.
-	notCurrentLimit = 15 * time.Second
-	connectTimeout  = 3 * time.Second
-	minBackoff      = 100 * time.Millisecond
-	maxBackoff      = 5 * time.Second
+	behindLimit    = 3 * time.Second
+	connectTimeout = 3 * time.Second
+	minBackoff     = 100 * time.Millisecond
+	maxBackoff     = 5 * time.Second
 )
 
 // Config holds what a Client needs.
@@ -70,6 +66,8 @@
 	synced  atomic.Bool
 	control atomic.Value // string
 	changed chan struct{}
+	// preferred is the control to try next; only Run uses it.
+	preferred string
 
 	mu      sync.Mutex
 	record  wire.NodeRecord
@@ -161,6 +159,9 @@
 			order = n.shuffled()
 		}
 		address := order[i%len(order)]
+		if n.preferred != "" {
+			address, n.preferred = n.preferred, ""
+		}
 		welcomed, err := n.session(ctx, address)
 		n.control.Store("")
 		if ctx.Err() != nil {
@@ -183,12 +184,15 @@
 	return l
 }
 
-// sleep waits between half and one and a half times d.
-func (n *Client) sleep(ctx context.Context, d time.Duration) {
+// jitter returns between half and one and a half times d.
+func (n *Client) jitter(d time.Duration) time.Duration {
 	n.mu.Lock()
-	f := 0.5 + n.random.Float64()
-	n.mu.Unlock()
-	t := time.NewTimer(time.Duration(f * float64(d)))
+	defer n.mu.Unlock()
+	return time.Duration((0.5 + n.random.Float64()) * float64(d))
+}
+
+func (n *Client) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(n.jitter(d))
 	defer t.Stop()
 	select {
 	case <-t.C:
--- /dev/null
+++ b/internal/distribution/probe.go
@@ -0,0 +1,75 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+// Times of the search for another control.
+const (
+	probeTimeout  = 2 * time.Second
+	minProbePause = time.Second
+	// maxProbePause bounds the load of 37,000 nodes that all search while no
+	// control has a majority: 725 nodes for each control make 73 calls/s.
+	maxProbePause = 10 * time.Second
+)
+
+// probe is the search for a control in contact with a majority. A control that
+// is cut off still serves its side of a partition, so the node stays with it
+// until it has found a better one.
+type probe struct {
+	others []string
+	pause  time.Duration
+	next   time.Time
+}
+
+// probeOthers asks the next control when it is time to.
+func (s *session) probeOthers(ctx context.Context, now time.Time) {
+	n := s.client
+	if s.probe == nil {
+		s.probe = &probe{pause: minProbePause, next: now}
+	}
+	p := s.probe
+	if now.Before(p.next) {
+		return
+	}
+	if len(p.others) == 0 {
+		p.others = n.shuffled()
+	}
+	a := p.others[0]
+	p.others = p.others[1:]
+	p.next = now.Add(n.jitter(p.pause))
+	p.pause = min(2*p.pause, maxProbePause)
+	if a == s.address {
+		return
+	}
+	go func() {
+		if !n.isBetter(ctx, a) {
+			return
+		}
+		select {
+		case s.found <- a:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// isBetter reports whether the control at address is in contact with a majority
+// and not behind this node. It also notes the control's version.
+func (n *Client) isBetter(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := wire.Dial(ctx, n.c.Dial, address)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	a, err := wire.Call[wire.Empty, wire.ControlState](ctx, c, wire.MethodControlState, &wire.Empty{})
+	if err != nil || a.Lineage != n.lineageInForce() {
+		return false
+	}
+	n.SeeVersion(a.Committed)
+	return a.Current && a.Committed >= n.Table().Version()
+}
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -16,31 +16,31 @@
 	client   *Client
 	address  string
 	stream   drpc.Stream
+	cancel   context.CancelCauseFunc
 	received chan *wire.ControlMessage
 	failed   chan error
+	found    chan string
 	assembly assembly
 	current  bool
-	// since is when the control stopped being current, or was first seen to be
-	// behind.
-	notCurrentSince time.Time
-	behindSince     time.Time
-	heard           time.Time
+	probe    *probe
+	// behindSince is when the control was first seen to be behind.
+	behindSince time.Time
 }
 
 // session runs one stream until it fails. It reports whether the control
 // accepted the node.
 func (n *Client) session(ctx context.Context, address string) (bool, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s := &session{client: n, address: address, received: make(chan *wire.ControlMessage), failed: make(chan error, 1)}
-	if err := s.open(ctx); err != nil {
-		return false, err
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s := &session{
+		client: n, address: address, cancel: cancel, current: true,
+		received: make(chan *wire.ControlMessage), failed: make(chan error, 1), found: make(chan string),
 	}
-	defer s.stream.Close()
-	w, err := s.welcome()
+	w, err := s.open(ctx)
 	if err != nil {
-		return false, err
+		return false, cause(ctx, err)
 	}
+	defer s.stream.Close()
 	if err := n.acceptLineage(w.Lineage); err != nil {
 		return false, err
 	}
@@ -60,34 +60,47 @@
 			}
 		}
 	}()
-	return true, s.loop(ctx)
+	return true, cause(ctx, s.loop(ctx))
+}
+
+// cause returns why ctx was canceled, or err.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); c != nil {
+		return c
+	}
+	return err
+}
+
+// watch ends the session unless stopped within d. Without it, a call into the
+// stream of a control that vanished would block.
+func (s *session) watch(d time.Duration) *time.Timer {
+	return time.AfterFunc(d, func() {
+		s.cancel(errkind.New(errkind.Unreachable, "control was silent for %s", d))
+	})
 }
 
-func (s *session) open(ctx context.Context) error {
+// open connects and exchanges the first messages.
+func (s *session) open(ctx context.Context) (*wire.Welcome, error) {
+	defer s.watch(connectTimeout).Stop()
 	n := s.client
-	dial, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	c, err := wire.Dial(dial, n.c.Dial, s.address)
+	c, err := wire.Dial(ctx, n.c.Dial, s.address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	context.AfterFunc(ctx, func() { c.Close() })
 	s.stream, err = c.NewStream(ctx, wire.MethodSubscribe, wire.Encoding{})
 	if err != nil {
-		return errors.Wrap(err, "open stream")
+		return nil, errors.Wrap(err, "open stream")
 	}
-	return s.send(&wire.NodeMessage{Hello: &wire.Hello{
+	err = s.send(&wire.NodeMessage{Hello: &wire.Hello{
 		Record:  n.nextRecord(),
 		Lineage: n.lineageInForce(),
 		Version: n.Table().Version(),
 		Buckets: n.c.Registry.Buckets(),
 	}})
-}
-
-// welcome waits for the control's first message within connectTimeout.
-func (s *session) welcome() (*wire.Welcome, error) {
-	t := time.AfterFunc(connectTimeout, func() { s.stream.Close() })
-	defer t.Stop()
+	if err != nil {
+		return nil, err
+	}
 	var m wire.ControlMessage
 	if err := s.stream.MsgRecv(&m, wire.Encoding{}); err != nil {
 		return nil, errors.Wrap(err, "await welcome")
@@ -122,12 +135,16 @@
 	return n.lineage
 }
 
-func (s *session) send(m *wire.NodeMessage) error { return s.stream.MsgSend(m, wire.Encoding{}) }
+func (s *session) send(m *wire.NodeMessage) error {
+	defer s.watch(silenceLimit).Stop()
+	return s.stream.MsgSend(m, wire.Encoding{})
+}
 
 func (s *session) loop(ctx context.Context) error {
 	ping := time.NewTicker(PingInterval)
 	defer ping.Stop()
-	s.heard, s.current = time.Now(), true
+	silence := s.watch(silenceLimit)
+	defer silence.Stop()
 	for {
 		var err error
 		select {
@@ -135,13 +152,17 @@
 			return ctx.Err()
 		case err = <-s.failed:
 		case m := <-s.received:
-			s.heard = time.Now()
+			silence.Stop() // applying a large update is no silence
 			err = s.handle(m)
+			silence.Reset(silenceLimit)
 		case <-s.client.changed:
 			r := s.client.currentRecord()
 			err = s.send(&wire.NodeMessage{Report: &r})
+		case a := <-s.found:
+			s.client.preferred = a
+			err = errkind.New(errkind.NotCurrent, "control is out of contact with a majority, %s is not", a)
 		case now := <-ping.C:
-			err = s.tick(now)
+			err = s.tick(ctx, now)
 		}
 		if err != nil {
 			return err
@@ -166,13 +187,8 @@
 
 func (s *session) pong(p *wire.Pong) {
 	n := s.client
-	if p.Committed > n.seen.Load() {
-		n.SeeVersion(p.Committed)
-	}
+	n.SeeVersion(p.Committed)
 	s.current = p.Current
-	if p.Current {
-		s.notCurrentSince = time.Time{}
-	}
 	if p.Committed >= max(n.seen.Load(), n.Table().Version()) {
 		s.behindSince = time.Time{}
 		return
@@ -183,21 +199,17 @@
 }
 
 // tick pings the control and decides whether to leave it.
-func (s *session) tick(now time.Time) error {
+func (s *session) tick(ctx context.Context, now time.Time) error {
 	n := s.client
-	if now.Sub(s.heard) > silenceLimit {
-		return errkind.New(errkind.Unreachable, "control was silent for %s", now.Sub(s.heard).Round(time.Millisecond))
-	}
 	if !s.behindSince.IsZero() && now.Sub(s.behindSince) > behindLimit {
 		return errkind.New(errkind.NotCurrent, "control is behind version %d, which a peer has in force", n.seen.Load())
 	}
-	if !s.current && s.notCurrentSince.IsZero() {
-		s.notCurrentSince = now
-	}
-	if !s.current && now.Sub(s.notCurrentSince) > notCurrentLimit {
-		return errkind.New(errkind.NotCurrent, "control is out of contact with a majority")
+	if s.current {
+		s.probe = nil
+	} else {
+		s.probeOthers(ctx, now)
 	}
-	return s.send(&wire.NodeMessage{Ping: &wire.Ping{Version: n.Table().Version(), PeerVersion: n.seen.Load()}})
+	return s.send(&wire.NodeMessage{Ping: &wire.Ping{Version: n.Table().Version()}})
 }
 
 // applyEndpoints stores changed records. Nothing removes this node's own
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -92,10 +92,15 @@
 // Ping renews the node's lease.
 type Ping struct {
 	Version uint64 `cbor:"1,keyasint"`
-	// Leaving is set on the last message of a planned stop.
-	Leaving bool `cbor:"2,keyasint,omitempty"`
-	// PeerVersion is the highest version the node saw at any peer.
-	PeerVersion uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// ControlState tells a node whether it should change to this control.
+type ControlState struct {
+	Lineage string `cbor:"1,keyasint"`
+	// Committed is the newest version that the control knows to be committed.
+	Committed uint64 `cbor:"2,keyasint"`
+	// Current is set while the control is in contact with a majority.
+	Current bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ControlMessage is what a control sends on a node's stream; exactly one field
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,6 +33,7 @@
 // Method names.
 const (
 	MethodSubscribe    = "/node/Subscribe"
+	MethodControlState = "/node/ControlState"
 	MethodClaim        = "/node/Claim"
 	MethodComplete     = "/node/Complete"
 	MethodRelease      = "/node/Release"
