balance: one success ends a suspicion

Cause: after many failures one successful probe lowered the failure share only by a fifth, so an upstream that was well again needed several probes up to 30 s apart. Found by the new test of suspects. Change: a success ends the suspicion; if it is renewed within 30 s, the probe interval goes on growing. Tests of states, zones, load by rank, own in-flight count, suspects, shedding, warm-up and choice among thousands.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,255 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/balance"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+// candidates returns n serving upstreams in turn in zones a, b and c.
+func candidates(n int) (l []balance.Candidate) {
+	for i := range n {
+		l = append(l, balance.Candidate{Name: fmt.Sprint("u", i), Zone: string("abc"[i%3]), Slots: 10, State: wire.Serving})
+	}
+	return l
+}
+
+// run makes one choice every 10 ms and finishes each after d; outcome decides
+// per upstream.
+type run struct {
+	t      *testing.T
+	b      *balance.Balancer
+	now    time.Duration
+	chosen map[string]int
+	zones  map[string]int
+}
+
+func newRun(t *testing.T) *run {
+	return &run{t: t, b: balance.New(balance.Config{Seed: 1}), chosen: map[string]int{}, zones: map[string]int{}}
+}
+
+func (r *run) times(n int, s *balance.Set, q balance.Query, outcome func(name string) (balance.Outcome, bool)) {
+	r.t.Helper()
+	for range n {
+		r.now += 10 * time.Millisecond
+		c, ok := r.b.Choose(at(r.now), s, q)
+		if !ok {
+			r.t.Fatal("no choice")
+		}
+		r.chosen[c.Candidate.Name]++
+		r.zones[c.Candidate.Zone]++
+		r.b.Started(at(r.now), c.Candidate.Name, q.Rank)
+		if o, ok := outcome(c.Candidate.Name); ok {
+			r.b.Finished(at(r.now), c.Candidate.Name, o)
+		}
+	}
+}
+
+func good(string) (balance.Outcome, bool) {
+	return balance.Outcome{Result: balance.OK, Latency: 10 * time.Millisecond}, true
+}
+
+func atMost(t *testing.T, what string, got, want int) {
+	t.Helper()
+	if got > want {
+		t.Errorf("%s: got %d, want at most %d", what, got, want)
+	}
+}
+
+func atLeast(t *testing.T, what string, got, want int) {
+	t.Helper()
+	if got < want {
+		t.Errorf("%s: got %d, want at least %d", what, got, want)
+	}
+}
+
+// Guards that upstreams that start or leave get no work, even as the only ones.
+func TestOnlyServing(t *testing.T) {
+	l := candidates(4)
+	l[0].State, l[1].State = wire.Starting, wire.Leaving
+	r := newRun(t)
+	r.times(200, balance.NewSet(l), balance.Query{Zone: "a"}, good)
+	atMost(t, "starting and leaving", r.chosen["u0"]+r.chosen["u1"], 0)
+	if _, ok := r.b.Choose(at(0), balance.NewSet(l[:2]), balance.Query{Zone: "a"}); ok {
+		t.Error("chose an upstream that does not serve")
+	}
+	if _, ok := r.b.Choose(at(0), balance.NewSet(l[2:3]), balance.Query{Exclude: map[string]bool{"u2": true}}); ok {
+		t.Error("chose an excluded upstream")
+	}
+}
+
+// Guards zone preference: own zone while it has room, others when it reports
+// load, and back again when the reports are old.
+func TestOwnZoneUntilLoaded(t *testing.T) {
+	s, r := balance.NewSet(candidates(9)), newRun(t)
+	r.times(300, s, balance.Query{Zone: "a"}, good)
+	atLeast(t, "own zone while idle", r.zones["a"], 300)
+	clear(r.zones)
+	r.times(300, s, balance.Query{Zone: "a"}, func(n string) (balance.Outcome, bool) {
+		o, _ := good(n)
+		if n == "u0" || n == "u3" || n == "u6" {
+			o.Load = &balance.Load{InFlight: 10, Waiting: 20, Limit: 10}
+		}
+		return o, true
+	})
+	atMost(t, "own zone while loaded", r.zones["a"], 30)
+	clear(r.zones)
+	r.now += 5 * time.Second
+	r.times(300, s, balance.Query{Zone: "a"}, good)
+	atLeast(t, "own zone after the load", r.zones["a"], 290)
+}
+
+// Guards that work of a less urgent rank that waits does not keep a more urgent
+// rank away.
+func TestLoadIsSeenByRank(t *testing.T) {
+	s, r := balance.NewSet(candidates(2)), newRun(t)
+	for range 100 {
+		r.times(1, s, balance.Query{Zone: "a", Rank: "page"}, func(string) (balance.Outcome, bool) {
+			return balance.Outcome{Result: balance.OK, Rank: "page", Load: &balance.Load{InFlight: 4, Limit: 10}}, true
+		})
+		r.b.Started(at(r.now), "u0", "scan")
+		r.b.Finished(at(r.now), "u0", balance.Outcome{Result: balance.OK, Rank: "scan", Load: &balance.Load{InFlight: 4, Waiting: 300, Limit: 10}})
+	}
+	atLeast(t, "pages in own zone", r.zones["a"], 95)
+}
+
+// Guards against misleading load: an upstream that reports itself idle but
+// holds this node's requests must not get more of them.
+func TestOwnInFlightCountsOverReports(t *testing.T) {
+	s, r := balance.NewSet(candidates(2)), newRun(t)
+	open := map[string]int{}
+	r.times(40, s, balance.Query{}, func(n string) (balance.Outcome, bool) {
+		if n == "u0" {
+			if open[n]++; open[n]%4 > 0 {
+				return balance.Outcome{}, false
+			}
+			return balance.Outcome{Result: balance.OK, Load: &balance.Load{Limit: 10}}, true
+		}
+		return good(n)
+	})
+	atMost(t, "requests at the upstream that holds them", r.chosen["u0"], 10)
+}
+
+// Guards against upstreams that stall, fail fast or shed: each gets little
+// work, and is used again once it is well.
+func TestSuspects(t *testing.T) {
+	bad := map[string]func() (balance.Outcome, bool){
+		"stalled": func() (balance.Outcome, bool) { return balance.Outcome{}, false },
+		"failing": func() (balance.Outcome, bool) { return balance.Outcome{Result: balance.Failed}, true },
+		"timeout": func() (balance.Outcome, bool) { return balance.Outcome{Result: balance.TimedOut}, true },
+	}
+	for name, o := range bad {
+		t.Run(name, func(t *testing.T) {
+			s, r := balance.NewSet(candidates(3)), newRun(t)
+			r.times(100, s, balance.Query{Zone: "a"}, good)
+			clear(r.chosen)
+			r.times(100, s, balance.Query{Zone: "a"}, func(n string) (balance.Outcome, bool) {
+				if n == "u0" {
+					return o()
+				}
+				return good(n)
+			})
+			stalled := r.chosen["u0"]
+			clear(r.chosen) // a stall takes half a second to be seen
+			r.times(900, s, balance.Query{Zone: "a"}, func(n string) (balance.Outcome, bool) {
+				if n == "u0" {
+					return o()
+				}
+				return good(n)
+			})
+			atMost(t, "requests in 9 s", r.chosen["u0"], 6)
+			atLeast(t, "probes in 9 s", r.chosen["u0"], 2)
+			atMost(t, "probes with work that must not run twice", noProbes(r, s), 0)
+			r.now += time.Minute
+			for range r.chosen["u0"] + stalled { // the open ones end at their deadline
+				r.b.Finished(at(r.now), "u0", balance.Outcome{Result: balance.TimedOut})
+			}
+			r.now += 31 * time.Second // the longest interval
+			clear(r.chosen)
+			r.times(100, s, balance.Query{Zone: "a"}, good)
+			atLeast(t, "requests when well", r.chosen["u0"], 80)
+		})
+	}
+}
+
+func noProbes(r *run, s *balance.Set) int {
+	n := 0
+	r.now += 31 * time.Second // a probe is due
+	for range 100 {
+		if c, _ := r.b.Choose(at(r.now), s, balance.Query{Zone: "a", NoProbe: true}); c.Candidate.Name == "u0" {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards that an upstream that sheds gets less work than its share.
+func TestShedding(t *testing.T) {
+	s, r := balance.NewSet(candidates(9)), newRun(t)
+	r.times(600, s, balance.Query{Zone: "a"}, func(n string) (balance.Outcome, bool) {
+		if n == "u0" {
+			return balance.Outcome{Result: balance.Shed}, true
+		}
+		return good(n)
+	})
+	atMost(t, "requests to the one that sheds", r.chosen["u0"], 60)
+}
+
+// Guards that a wrong suspicion of all upstreams does not refuse work.
+func TestAllSuspectAreTried(t *testing.T) {
+	s, r := balance.NewSet(candidates(3)), newRun(t)
+	r.times(300, s, balance.Query{Zone: "a", NoProbe: true}, func(string) (balance.Outcome, bool) {
+		return balance.Outcome{Result: balance.Failed}, true
+	})
+	for i := range 3 {
+		atLeast(t, "tries of each", r.chosen[fmt.Sprint("u", i)], 30)
+	}
+}
+
+// Guards the warm-up: a fresh upstream must not get its full share at once.
+func TestFreshUpstreamRamp(t *testing.T) {
+	l := candidates(2)
+	l[0].Zone, l[1].Zone = "a", "a"
+	l[0].Since, l[0].ColdStart = at(0), 10*time.Second
+	s, r := balance.NewSet(l), newRun(t)
+	hold := func(string) (balance.Outcome, bool) { return balance.Outcome{}, false }
+	r.times(20, s, balance.Query{Zone: "a"}, hold)
+	atMost(t, "of 20 while cold", r.chosen["u0"], 5)
+	r.now = 20 * time.Second
+	r.b = balance.New(balance.Config{Seed: 1})
+	clear(r.chosen)
+	r.times(20, s, balance.Query{Zone: "a"}, hold)
+	atLeast(t, "of 20 when warm", r.chosen["u0"], 9)
+}
+
+// Guards that a choice among thousands looks at few of them: no allocation and
+// the same draws as among a hundred.
+func TestChoiceAmongThousands(t *testing.T) {
+	s, r := balance.NewSet(candidates(6000)), newRun(t)
+	r.times(3000, s, balance.Query{Zone: "a"}, good)
+	q := balance.Query{Zone: "a"}
+	if got := testing.AllocsPerRun(100, func() { r.b.Choose(at(r.now), s, q) }); got > 0 {
+		t.Errorf("allocations: got %v, want 0", got)
+	}
+	atLeast(t, "different upstreams", len(r.chosen), 900)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 6000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, l := balance.NewSet(candidates(n)), balance.New(balance.Config{Seed: 1})
+			for i := range b.N {
+				c, _ := l.Choose(at(time.Duration(i)*time.Microsecond), s, balance.Query{Zone: "a"})
+				l.Started(at(0), c.Candidate.Name, "")
+				l.Finished(at(0), c.Candidate.Name, balance.Outcome{Result: balance.OK})
+			}
+		})
+	}
+}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -63,6 +63,7 @@
 	interval time.Duration
 	probeAt  time.Time
 	probing  bool
+	cleared  time.Time
 }
 
 func decay(v float64, age, half time.Duration) float64 {
@@ -128,7 +129,12 @@
 		e.probeFailed(now)
 		return
 	}
-	e.suspect, e.probing, e.interval = true, false, firstProbe
+	e.suspect, e.probing = true, false
+	if e.interval == 0 || now.Sub(e.cleared) > maxProbe {
+		e.interval = firstProbe
+	} else {
+		e.interval = min(2*e.interval, maxProbe)
+	}
 	e.probeAt = now.Add(e.interval)
 }
 
@@ -157,7 +163,11 @@
 func (e *estimate) succeed(now time.Time) {
 	e.failures = decay(e.failures, now.Sub(e.failuresAt), failHalfLife) * (1 - failWeight)
 	e.failuresAt = now
-	if e.suspect && e.failures < failShare {
-		e.suspect, e.probing, e.interval = false, false, 0
+	if e.suspect {
+		// One success ends the suspicion; the next failures renew it, and then
+		// the interval goes on growing.
+		e.suspect, e.probing = false, false
+		e.failures = min(e.failures, failShare/2)
+		e.cleared = now
 	}
 }
