balance: see a stall by rank

Cause: a stall showed only after eight times the longest usual latency, 6 s beside surveys, although short requests at the same upstream had been silent for a hundred times their usual latency. Change: silence is judged per rank, from 250 ms on. TestSuspects still fails with the stall check off.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -106,26 +106,46 @@
 	config Config
 	random *rand.Rand
 	known  map[string]*estimate
-	usual  map[string]*usual
+	routes map[string]*usual
+	ranks  map[string]*usual
 	sweep  int
 	drawn  [maxDraws]int
-
-	longestUsual time.Duration
-	longestAt    time.Time
 }
 
-// usual is the mean latency of a route over all upstreams.
+// usual is the mean latency of a route or rank over all upstreams.
 type usual struct {
 	seconds float64
 	n       int
 }
 
+func (u *usual) add(seconds float64) {
+	u.n++
+	u.seconds += (seconds - u.seconds) * max(0.01, 1/float64(u.n))
+}
+
+func (u *usual) latency() time.Duration { return time.Duration(u.seconds * float64(time.Second)) }
+
+// maxUsual bounds the remembered routes and ranks.
+const maxUsual = 1024
+
+func usualOf(m map[string]*usual, name string) *usual {
+	u := m[name]
+	if u == nil {
+		if len(m) >= maxUsual {
+			clear(m)
+		}
+		u = &usual{}
+		m[name] = u
+	}
+	return u
+}
+
 // New returns a Balancer without estimates.
 func New(c Config) *Balancer {
 	c.Draws = min(cmp.Or(c.Draws, DefaultDraws), maxDraws)
 	return &Balancer{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)),
-		known: map[string]*estimate{}, usual: map[string]*usual{}, sweep: sweepSize,
+		known: map[string]*estimate{}, routes: map[string]*usual{}, ranks: map[string]*usual{}, sweep: sweepSize,
 	}
 }
 
@@ -137,11 +157,11 @@
 		e = &estimate{slow: 1}
 		b.known[name] = e
 	}
-	if e.inFlight == 0 {
-		e.progress = now
+	v := e.view(rank)
+	if v.inFlight == 0 {
+		v.progress = now
 	}
-	e.inFlight++
-	e.view(rank).inFlight++
+	v.inFlight++
 	e.used = now
 	if e.suspect {
 		e.probe(now)
@@ -154,7 +174,6 @@
 	if e == nil {
 		return
 	}
-	e.inFlight = max(0, e.inFlight-1)
 	e.used = now
 	v := e.view(o.Rank)
 	v.inFlight = max(0, v.inFlight-1)
@@ -164,7 +183,7 @@
 	}
 	switch o.Result {
 	case OK:
-		e.progress = now
+		v.progress = now
 		e.shed = decay(e.shed, now.Sub(e.shedAt), failHalfLife) * (1 - failWeight)
 		e.shedAt = now
 		e.succeed(now)
@@ -176,7 +195,7 @@
 		e.shed += (1 - e.shed) * failWeight
 		e.shedAt = now
 	case Failed:
-		e.progress = now
+		v.progress = now
 		e.fail(now)
 	case TimedOut:
 		e.fail(now)
@@ -186,17 +205,10 @@
 
 // observe compares the latency with the route's mean over all upstreams.
 func (b *Balancer) observe(now time.Time, e *estimate, o Outcome) {
-	u := b.usual[o.Route]
-	if u == nil {
-		if len(b.usual) >= 1024 {
-			clear(b.usual)
-		}
-		u = &usual{}
-		b.usual[o.Route] = u
-	}
 	s := o.Latency.Seconds()
-	u.n++
-	u.seconds += (s - u.seconds) * max(0.01, 1/float64(u.n))
+	usualOf(b.ranks, o.Rank).add(s)
+	u := usualOf(b.routes, o.Route)
+	u.add(s)
 	if u.seconds <= 0 {
 		return
 	}
@@ -212,7 +224,7 @@
 		return
 	}
 	for n, e := range b.known {
-		if e.inFlight == 0 && now.Sub(e.used) > idleTime {
+		if e.idle() && now.Sub(e.used) > idleTime {
 			delete(b.known, n)
 		}
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -100,29 +100,12 @@
 	if e == nil {
 		return false
 	}
-	if !e.suspect && e.stalled(now, b.longest(now)) {
+	if !e.suspect && e.stalled(now, b.ranks) {
 		e.suspectNow(now)
 	}
 	return e.suspect
 }
 
-// longestEvery is how often the largest usual latency is looked up; it changes
-// slowly and there may be many routes.
-const longestEvery = 100 * time.Millisecond
-
-// longest is the largest usual latency among the routes.
-func (b *Balancer) longest(now time.Time) time.Duration {
-	if now.Sub(b.longestAt) < longestEvery {
-		return b.longestUsual
-	}
-	s := 0.0
-	for _, u := range b.usual {
-		s = max(s, u.seconds)
-	}
-	b.longestAt, b.longestUsual = now, time.Duration(s*float64(time.Second))
-	return b.longestUsual
-}
-
 func (b *Balancer) judge(now time.Time, e *estimate, c *Candidate, rank string) (score, load float64) {
 	if e == nil {
 		e = &estimate{slow: 1}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -24,7 +24,8 @@
 	maxProbe   = 30 * time.Second
 	// stallMin and stallFactor: without any completion for this long, and for
 	// this many usual latencies, an upstream with requests in flight stalls.
-	stallMin    = 500 * time.Millisecond
+	// Shorter pauses are common, such as garbage collection.
+	stallMin    = 250 * time.Millisecond
 	stallFactor = 8
 	// slowWeight is the weight of one latency in the slowness.
 	slowWeight = 0.1
@@ -37,16 +38,15 @@
 	inFlight  int
 	waiting   int
 	waitingAt time.Time
+	// progress is the last completion, or the start of the first request after
+	// an idle time.
+	progress time.Time
 }
 
 // estimate is what this node knows about one upstream.
 type estimate struct {
-	inFlight int
-	views    []view // few; one per rank
-	// progress is the last completion, or the start of the first request after
-	// an idle time.
-	progress time.Time
-	used     time.Time
+	views []view // few; one per rank
+	used  time.Time
 
 	slow   float64 // latency in comparison with the service, 1 is usual
 	slowAt time.Time
@@ -108,10 +108,27 @@
 	return n
 }
 
-// stalled reports whether the upstream has completed nothing for long although
-// it has work of this node.
-func (e *estimate) stalled(now time.Time, usual time.Duration) bool {
-	return e.inFlight > 0 && now.Sub(e.progress) > max(stallMin, stallFactor*usual)
+// stalled reports whether the upstream has completed nothing of a rank for long
+// although it has such work of this node. Ranks are judged apart: a stall must
+// show in short requests at once, however long others usually take.
+func (e *estimate) stalled(now time.Time, usual map[string]*usual) bool {
+	for _, v := range e.views {
+		u := usual[v.rank]
+		if v.inFlight > 0 && u != nil && now.Sub(v.progress) > max(stallMin, stallFactor*u.latency()) {
+			return true
+		}
+	}
+	return false
+}
+
+// idle reports whether nothing of this node is in flight.
+func (e *estimate) idle() bool {
+	for _, v := range e.views {
+		if v.inFlight > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (e *estimate) fail(now time.Time) {
