--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -8,7 +8,8 @@
 //     among few: the upstream has fewer slots than it announced,
 //   - the upstream sheds load,
 //   - most requests fail or time out,
-//   - nothing completes for several usual service times: the upstream stalls.
+//   - nothing of a route completes for several of its usual service times: the
+//     upstream stalls.
 //
 // It recovers by probing: after a stall or failures it doubles with each good
 // window up to the previous level, and above that it grows by one slot at
@@ -24,9 +25,9 @@
 //
 //	l := limit.New(limit.Config{Slots: 20, ColdStart: 10 * time.Second, Since: since})
 //	q.SetLimit(now, l.Limit(now))
-//	s := l.Started(now)
+//	s := l.Started(now, route)
 //	…
-//	l.Finished(now, s, "GET /levels", limit.OK)
+//	l.Finished(now, s, limit.OK)
 //	q.SetLimit(now, l.Limit(now))
 //
 // Limit must also be read from time to time, for example once per 100 ms while
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -37,16 +37,21 @@
 	// coldShare is the part of the slots that a fresh upstream gets at once.
 	coldShare = 0.2
 	// windowMin and windowSamples bound a window: shorter ones judge by noise.
+	// After windowMax, or one service time if that is longer, fewer samples do.
 	windowMin     = 100 * time.Millisecond
+	windowMax     = time.Second
 	windowSamples = 10
 	// saturation is the ratio of slot times at high and low occupancy above
 	// which the upstream queues inside. At 1.3 the limit settles at most about
 	// a third above the real slots.
 	saturation = 1.3
-	// stallFactor is how many usual service times without any completion count
-	// as a stall; stallMin guards upstreams whose requests take microseconds.
-	stallFactor = 4
-	stallMin    = time.Second
+	// stallFactor is how many usual service times of a route without any
+	// completion of it count as a stall. Pauses shorter than stallMin are common,
+	// such as garbage collection; stallUnknown holds for routes without samples.
+	stallFactor  = 8
+	stallMin     = 250 * time.Millisecond
+	stallUnknown = 5 * time.Second
+	stallEvery   = 50 * time.Millisecond
 	// firstHold and maxHold bound the interval between probes for more slots.
 	firstHold = time.Second
 	maxHold   = 30 * time.Second
@@ -58,6 +63,7 @@
 type Start struct {
 	at       time.Time
 	inFlight int
+	route    *route
 }
 
 // Limiter adapts the limit of one upstream.
@@ -66,10 +72,12 @@
 	limit    float64
 	goal     float64 // level before a stall or failures, regained by doubling
 	inFlight int
-	peak     int // highest number in flight during the window
-	progress time.Time
+	peak     int           // highest number in flight during the window
 	hold     time.Duration // interval between probes for more slots
 	grown    time.Time
+	halved   time.Time // by a stall
+	checked  time.Time // for a stall
+	compared time.Time // start of the comparison that confirms a saturation
 	routes   map[string]*route
 	window   window
 	probe    probe
@@ -119,22 +127,30 @@
 		return l.config.Slots
 	}
 	share := coldShare + (1-coldShare)*max(0, age.Seconds()/l.config.ColdStart.Seconds())
-	return max(1, int(math.Ceil(share*float64(l.config.Slots))))
+	return max(1, int(math.Round(share*float64(l.config.Slots))))
 }
 
-// Started notes that a request was sent to the upstream.
-func (l *Limiter) Started(now time.Time) Start {
-	if l.inFlight == 0 {
-		l.progress = now
+// Started notes that a request of the named route was sent to the upstream.
+func (l *Limiter) Started(now time.Time, name string) Start {
+	r := l.routes[name]
+	if r == nil {
+		l.forgetIdleRoutes()
+		r = &route{}
+		l.routes[name] = r
 	}
+	if r.inFlight == 0 {
+		r.progress = now
+	}
+	r.inFlight++
 	l.inFlight++
 	l.peak = max(l.peak, l.inFlight)
-	return Start{at: now, inFlight: l.inFlight}
+	return Start{at: now, inFlight: l.inFlight, route: r}
 }
 
 // Finished notes the end of a request.
-func (l *Limiter) Finished(now time.Time, s Start, name string, o Outcome) {
+func (l *Limiter) Finished(now time.Time, s Start, o Outcome) {
 	l.inFlight = max(0, l.inFlight-1)
+	s.route.inFlight--
 	w := &l.window
 	if w.start.IsZero() {
 		w.start = now
@@ -142,22 +158,23 @@
 	switch o {
 	case OK:
 		w.ok++
-		l.progress = now
-		l.observe(now, name, s, now.Sub(s.at).Seconds())
+		l.observe(now, s, now.Sub(s.at).Seconds())
 	case Failed:
 		w.failed++
-		l.progress = now
 	case Shed:
 		w.shed++
-		l.progress = now
 		w.shedAt = max(w.shedAt, s.inFlight)
 	case TimedOut:
 		w.timeouts++
 	case Canceled:
 		return
 	}
+	if o != TimedOut {
+		s.route.progress = now
+	}
 	n := w.ok + w.failed + w.shed + w.timeouts
-	if n >= windowSamples && now.Sub(w.start) >= windowMin || n > 0 && now.Sub(w.start) >= l.longest(time.Second) {
+	age := now.Sub(w.start)
+	if n >= windowSamples && age >= windowMin || n > 0 && age >= windowMax && age >= l.longest(windowMax) {
 		l.closeWindow(now)
 	}
 }
@@ -173,20 +190,33 @@
 		// The upstream says that it cannot take as many as were in flight.
 		l.goal = max(1, min(l.limit, float64(w.shedAt))*0.9)
 		l.shrink(now, l.goal)
-	case l.limit > 1 && l.ratio() > saturation:
-		l.goal = l.limit * max(0.7, 1/l.ratio())
-		l.shrink(now, l.goal)
-		l.forgetRoutes()
+	case l.limit > 1 && l.ratio(now) > saturation:
+		l.saturated(now)
 	default:
 		l.grow(now, peak)
 	}
 }
 
+// saturated lowers the limit when a comparison of fresh samples confirms the
+// saturation. The first comparison may hold samples from before the upstream
+// became slower for every request.
+func (l *Limiter) saturated(now time.Time) {
+	ratio := l.ratio(now)
+	l.forgetRoutes()
+	if now.Sub(l.compared) > probeEvery {
+		l.compared = now
+		l.probe = probe{last: now, until: now.Add(probeFor)}
+		return
+	}
+	l.compared = time.Time{}
+	l.goal = l.limit * max(0.5, 1/ratio)
+	l.shrink(now, l.goal)
+	l.probe.last = time.Time{} // compare again at the new level
+}
+
 // shrink lowers the limit and defers the next probe for more.
 func (l *Limiter) shrink(now time.Time, to float64) {
-	if now.Sub(l.grown) < 2*l.hold {
-		l.hold = min(2*l.hold, maxHold) // the last growth was wrong
-	}
+	l.hold = min(2*l.hold, maxHold)
 	l.limit = max(1, to)
 	l.grown = now
 }
@@ -197,26 +227,45 @@
 		l.limit = min(2*l.limit, l.goal, slots)
 		return
 	}
-	if l.limit >= slots || peak < int(l.limit) || now.Sub(l.grown) < l.hold {
-		l.maybeProbe(now, peak)
+	if l.maybeProbe(now, peak) || now.Sub(l.grown) < l.hold {
+		return
+	}
+	if l.limit >= slots {
+		l.hold = firstHold // all slots have held for as long as the last probe waited
+		return
+	}
+	if peak < int(l.limit) {
 		return
 	}
 	l.limit = min(math.Floor(l.limit)+1, slots)
 	l.goal = l.limit
 	l.grown = now
-	if l.limit >= slots {
-		l.hold = firstHold
-	}
 }
 
 // checkStall halves the limit for each stall interval without a completion.
 func (l *Limiter) checkStall(now time.Time) {
-	if l.inFlight == 0 || l.progress.IsZero() {
+	if now.Sub(l.checked) < stallEvery {
 		return
 	}
-	d := l.longest(stallMin/stallFactor) * stallFactor
-	for now.Sub(l.progress) >= d && l.limit > 1 {
-		l.limit = max(1, l.limit/2)
-		l.progress = l.progress.Add(d)
+	l.checked = now
+	for _, r := range l.routes {
+		if r.inFlight == 0 {
+			continue
+		}
+		d := stallUnknown
+		if r.n > 0 {
+			d = max(stallMin, time.Duration(stallFactor*r.usual*float64(time.Second)))
+		}
+		if since := maxTime(r.progress, l.halved); now.Sub(since) >= d && l.limit > 1 {
+			l.limit = max(1, l.limit/2)
+			l.halved = now
+		}
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
--- a/internal/limit/route.go
+++ b/internal/limit/route.go
@@ -12,6 +12,8 @@
 	low, high moments
 	usual     float64 // moving mean in seconds
 	n         int
+	inFlight  int
+	progress  time.Time // last completion or first start after an idle time
 }
 
 // moments are the mean and variance of a sample.
@@ -51,10 +53,16 @@
 // errorSquared is the squared standard error of the mean.
 func (m moments) errorSquared() float64 { return m.m2 / max(1, m.n-1) / m.n }
 
+// known reports whether the slot time at low occupancy is known at now. The
+// route may have become slower for other reasons since the last sample.
+func (r *route) known(now time.Time) bool {
+	return r.low.n >= enough && now.Sub(r.low.at) < probeEvery
+}
+
 // ratio returns how many times longer requests take at high occupancy, or 1
 // when that is not certain.
-func (r *route) ratio() float64 {
-	if r.low.n < enough || r.high.n < enough || r.low.mean <= 0 {
+func (r *route) ratio(now time.Time) float64 {
+	if !r.known(now) || r.high.n < enough || r.low.mean <= 0 {
 		return 1
 	}
 	if r.high.mean-r.low.mean < certainty*math.Sqrt(r.low.errorSquared()+r.high.errorSquared()) {
@@ -69,15 +77,8 @@
 
 func (p probe) active(now time.Time) bool { return now.Before(p.until) }
 
-func (l *Limiter) observe(now time.Time, name string, s Start, seconds float64) {
-	r := l.routes[name]
-	if r == nil {
-		if len(l.routes) >= maxRoutes {
-			clear(l.routes)
-		}
-		r = &route{}
-		l.routes[name] = r
-	}
+func (l *Limiter) observe(now time.Time, s Start, seconds float64) {
+	r := s.route
 	r.n++
 	r.usual += (seconds - r.usual) * max(0.05, 1/float64(r.n))
 	switch n := float64(s.inFlight); {
@@ -92,14 +93,26 @@
 }
 
 // ratio is the largest certain ratio of slot times at high and low occupancy.
-func (l *Limiter) ratio() float64 {
+func (l *Limiter) ratio(now time.Time) float64 {
 	v := 1.0
 	for _, r := range l.routes {
-		v = max(v, r.ratio())
+		v = max(v, r.ratio(now))
 	}
 	return v
 }
 
+// forgetIdleRoutes bounds the number of remembered routes.
+func (l *Limiter) forgetIdleRoutes() {
+	if len(l.routes) < maxRoutes {
+		return
+	}
+	for n, r := range l.routes {
+		if r.inFlight == 0 {
+			delete(l.routes, n)
+		}
+	}
+}
+
 // forgetRoutes starts the comparison anew after the limit changed.
 func (l *Limiter) forgetRoutes() {
 	for _, r := range l.routes {
@@ -108,19 +121,21 @@
 }
 
 // maybeProbe halves the limit for a short time when the slot time at low
-// occupancy is unknown.
-func (l *Limiter) maybeProbe(now time.Time, peak int) {
-	if float64(peak) < l.limit || l.limit < 2 || now.Sub(l.probe.last) < probeEvery {
-		return
+// occupancy is unknown, and reports whether it does.
+func (l *Limiter) maybeProbe(now time.Time, peak int) bool {
+	if peak < int(l.limit) || l.limit < 2 || now.Sub(l.probe.last) < probeEvery {
+		return l.probe.active(now)
 	}
 	known, busy := false, false
 	for _, r := range l.routes {
-		known = known || r.low.n >= enough && now.Sub(r.low.at) < probeEvery
+		known = known || r.known(now)
 		busy = busy || r.high.n >= enough
 	}
-	if busy && !known {
-		l.probe = probe{last: now, until: now.Add(probeFor)}
+	if known || !busy {
+		return false
 	}
+	l.probe = probe{last: now, until: now.Add(probeFor)}
+	return true
 }
 
 // longest is the largest usual service time among the routes, at least least.
--- a/internal/policybench/owner.go
+++ b/internal/policybench/owner.go
@@ -102,7 +102,7 @@
 
 func (o *owner) run(t *try) {
 	t.started = o.sim.loop.now
-	t.start = o.limiter.Started(t.started)
+	t.start = o.limiter.Started(t.started, t.call.work.Name)
 	t.job = &job{left: t.call.service, done: func(ok bool) { o.complete(t, ok) }}
 	t.call.ran = true
 	o.upstream.run(t.job)
@@ -127,7 +127,7 @@
 	delete(o.tries, t.id)
 	t.over = true
 	o.sim.occupied(t.call, t.started, now)
-	o.limiter.Finished(now, t.start, t.call.work.Name, l)
+	o.limiter.Finished(now, t.start, l)
 	o.line.Done(now, t.id, complete)
 	if o.sim.policy.adaptive {
 		o.line.SetLimit(now, o.limiter.Limit(now))
