--- a/internal/policybench/sim.go
+++ b/internal/policybench/sim.go
@@ -145,7 +145,7 @@
 		if c.measured = !c.arrived.Before(m.from); c.measured {
 			c.tally.Calls++
 		}
-		c.entry.budget.Call(m.loop.now, w.Name)
+		c.entry.budget.Call(m.loop.now, w.Name, 1)
 		m.send(c)
 		plan()
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -15,9 +15,9 @@
 // Budget per service:
 //
 //	b := retry.New(retry.Config{})
-//	b.Call(now, rank) // once per request from a caller, not per try
+//	b.Call(now, rank, inbound) // once per request from a caller, not per try
 //	d := b.Decide(now, retry.Try{Kind: kind, Execution: execution, Idempotent: true,
-//		Inbound: 1, Tries: 1, Remaining: left, Usual: usual, Rank: rank})
+//		Inbound: inbound, Tries: 1, Remaining: left, Usual: usual, Rank: rank})
 //	if d.Retry { … } // d.Reason is for the log line
 package retry
 
@@ -66,8 +66,13 @@
 	return &Budget{config: c, tokens: map[string]float64{}}
 }
 
-// Call notes a request of a caller, which earns its share of a retry.
-func (b *Budget) Call(_ time.Time, rank string) {
+// Call notes a request of a caller, which earns its share of a retry. Inbound is
+// its attempt number. A request that is itself a retry earns nothing: otherwise
+// the retries of each place of a chain would pay for more of them at the next.
+func (b *Budget) Call(_ time.Time, rank string, inbound int) {
+	if inbound > 1 {
+		return
+	}
 	b.tokens[rank] = min(b.tokens[rank]+b.config.Share, b.config.Burst)
 }
 
