--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -24,7 +24,8 @@
 	maxProbe   = 30 * time.Second
 	// stallMin and stallFactor: without any completion for this long, and for
 	// this many usual latencies, an upstream with requests in flight stalls.
-	stallMin    = 500 * time.Millisecond
+	// Shorter pauses are common, such as garbage collection.
+	stallMin    = 250 * time.Millisecond
 	stallFactor = 8
 	// slowWeight is the weight of one latency in the slowness.
 	slowWeight = 0.1
@@ -37,16 +38,15 @@
 	inFlight  int
 	waiting   int
 	waitingAt time.Time
+	// progress is the last completion, or the start of the first request after
+	// an idle time.
+	progress time.Time
 }
 
 // estimate is what this node knows about one upstream.
 type estimate struct {
-	inFlight int
-	views    []view // few; one per rank
-	// progress is the last completion, or the start of the first request after
-	// an idle time.
-	progress time.Time
-	used     time.Time
+	views []view // few; one per rank
+	used  time.Time
 
 	slow   float64 // latency in comparison with the service, 1 is usual
 	slowAt time.Time
@@ -63,6 +63,7 @@
 	interval time.Duration
 	probeAt  time.Time
 	probing  bool
+	cleared  time.Time
 }
 
 func decay(v float64, age, half time.Duration) float64 {
@@ -107,10 +108,27 @@
 	return n
 }
 
-// stalled reports whether the upstream has completed nothing for long although
-// it has work of this node.
-func (e *estimate) stalled(now time.Time, usual time.Duration) bool {
-	return e.inFlight > 0 && now.Sub(e.progress) > max(stallMin, stallFactor*usual)
+// stalled reports whether the upstream has completed nothing of a rank for long
+// although it has such work of this node. Ranks are judged apart: a stall must
+// show in short requests at once, however long others usually take.
+func (e *estimate) stalled(now time.Time, usual map[string]*usual) bool {
+	for _, v := range e.views {
+		u := usual[v.rank]
+		if v.inFlight > 0 && u != nil && now.Sub(v.progress) > max(stallMin, stallFactor*u.latency()) {
+			return true
+		}
+	}
+	return false
+}
+
+// idle reports whether nothing of this node is in flight.
+func (e *estimate) idle() bool {
+	for _, v := range e.views {
+		if v.inFlight > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (e *estimate) fail(now time.Time) {
@@ -128,7 +146,12 @@
 		e.probeFailed(now)
 		return
 	}
-	e.suspect, e.probing, e.interval = true, false, firstProbe
+	e.suspect, e.probing = true, false
+	if e.interval == 0 || now.Sub(e.cleared) > maxProbe {
+		e.interval = firstProbe
+	} else {
+		e.interval = min(2*e.interval, maxProbe)
+	}
 	e.probeAt = now.Add(e.interval)
 }
 
@@ -157,7 +180,11 @@
 func (e *estimate) succeed(now time.Time) {
 	e.failures = decay(e.failures, now.Sub(e.failuresAt), failHalfLife) * (1 - failWeight)
 	e.failuresAt = now
-	if e.suspect && e.failures < failShare {
-		e.suspect, e.probing, e.interval = false, false, 0
+	if e.suspect {
+		// One success ends the suspicion; the next failures renew it, and then
+		// the interval goes on growing.
+		e.suspect, e.probing = false, false
+		e.failures = min(e.failures, failShare/2)
+		e.cleared = now
 	}
 }
