Follow the new signatures of limiter and retry budget

Cause: stalls are judged by route, and requests that are retries earn no retry budget; both need one more argument. Change: owner node and router pass route and inbound attempt.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,7 +76,7 @@
 // Route sends q to an upstream of the matched service.
 func (r *Router) Route(ctx context.Context, m table.Match, q *call.Request) (*call.Response, error) {
 	s := r.service(m.Route.Service)
-	s.called(time.Now(), m.Rank.Name)
+	s.called(time.Now(), m.Rank.Name, q.Attempt)
 	inbound := q.Attempt
 	admitted := false
 	if q.Stream != nil {
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -36,10 +36,10 @@
 	}
 }
 
-func (s *service) called(now time.Time, rank string) {
+func (s *service) called(now time.Time, rank string, inbound int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.Call(now, rank)
+	s.budget.Call(now, rank, inbound)
 }
 
 // choose picks an upstream and counts it as started.
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -139,7 +139,7 @@
 	wait := started.Sub(arrived)
 	w.c.Observe(r.Service, r.Rank, wait)
 	w.log(r, "send request", wait, reason)
-	s := w.started(started)
+	s := w.started(started, r.Route)
 	if r.Admitted != nil {
 		if err := r.Admitted(); err != nil {
 			w.release(id, s, r, limit.Canceled)
@@ -219,17 +219,17 @@
 	return errkind.New(call.EndKind(ctx, errkind.Canceled), "request ended while it waited for a slot").WithExecution(errkind.NotRun)
 }
 
-func (w *worker) started(now time.Time) limit.Start {
+func (w *worker) started(now time.Time, route string) limit.Start {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.limiter.Started(now)
+	return w.limiter.Started(now, route)
 }
 
 func (w *worker) release(id uint64, s limit.Start, r *call.Request, o limit.Outcome) {
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limiter.Finished(now, s, r.Route, o)
+	w.limiter.Finished(now, s, o)
 	w.queue.Done(now, id, o == limit.OK)
 	w.dispatch(now)
 }
