--- a/internal/commands/process.go
+++ b/internal/commands/process.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
@@ -17,22 +14,19 @@
 	Run(ctx context.Context) error
 }
 
-// runProcess makes the logger, starts the process and runs it until SIGTERM or
-// SIGINT. A second signal ends the program at once.
+// runProcess makes the logger, starts the process and runs it until the context
+// of the command ends.
 func runProcess(c *cobra.Command, level string, start func(l logr.Logger) (runner, error)) error {
 	l, w, err := logging.New(c.ErrOrStderr(), level)
 	if err != nil {
 		return err
 	}
 	defer w.Close()
-	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	p, err := start(l)
 	if err != nil {
 		return err
 	}
-	context.AfterFunc(ctx, stop)
-	return p.Run(ctx)
+	return p.Run(c.Context())
 }
 
 // settingsFlag adds the required flag --settings.
--- a/internal/commands/root.go
+++ b/internal/commands/root.go
@@ -83,7 +83,7 @@
 		SilenceErrors: true,
 	}
 	c.AddCommand(
-		newControl(), newNode(),
+		newControl(), newNode(), newDev(),
 		newValidate(), newPlan(d), newAccept(d), newStatus(d), newHistory(d), newShow(d),
 	)
 	return c
