Fix lint findings in dev and the owner node

Cause: the linter found an unchecked result, a hidden error and an unused parameter. Change: the poll of dev is a function of its own; release lost a parameter.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -177,8 +177,8 @@
 
 // ignoreStop returns nil for an error that a stop caused.
 func ignoreStop(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
+	if errors.Is(ctx.Err(), context.Canceled) {
+		err = nil
 	}
 	return err
 }
@@ -211,23 +211,23 @@
 
 func (s *System) await(ctx context.Context, c *operator.Client) error {
 	for sleep(ctx) {
-		a, err := c.Status(ctx)
-		if err != nil || len(a.Nodes) < len(s.nodes) {
-			continue
-		}
-		behind := 0
-		for _, n := range a.Nodes {
-			if !n.Heard || n.BehindBy > 0 {
-				behind++
-			}
-		}
-		if behind == 0 {
+		if a, err := c.Status(ctx); err == nil && s.caughtUp(a) {
 			return nil
 		}
 	}
 	return errors.Errorf("the nodes did not catch up within %s", startLimit)
 }
 
+// caughtUp reports whether every node has the newest version in force.
+func (s *System) caughtUp(a operator.Status) bool {
+	for _, n := range a.Nodes {
+		if !n.Heard || n.BehindBy > 0 {
+			return false
+		}
+	}
+	return len(a.Nodes) == len(s.nodes)
+}
+
 func (s *System) print() {
 	node, k := s.c.address(3, 1), s.c.address(0, 1)
 	fmt.Fprintf(s.c.Out, `
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -142,17 +142,17 @@
 	s := w.started(started, r.Route)
 	if r.Admitted != nil {
 		if err := r.Admitted(); err != nil {
-			w.release(id, s, r, limit.Canceled)
+			w.release(id, s, limit.Canceled)
 			return nil, errkind.Wrap(err, call.EndKind(ctx, errkind.Canceled), "entry node did not send the body").WithExecution(errkind.NotRun)
 		}
 	}
 	a, err := w.client.Do(ctx, r)
 	if err != nil {
-		w.release(id, s, r, outcomeOf(0, err))
+		w.release(id, s, outcomeOf(0, err))
 		return nil, err
 	}
 	b := &answerBody{ReadCloser: a.Body}
-	b.done = func(err error) { w.release(id, s, r, outcomeOf(a.Head.Status, err)) }
+	b.done = func(err error) { w.release(id, s, outcomeOf(a.Head.Status, err)) }
 	n := *a
 	n.Body = b
 	n.Load = func() *wire.Load { return w.load(time.Now(), r.Rank) }
@@ -225,7 +225,7 @@
 	return w.limiter.Started(now, route)
 }
 
-func (w *worker) release(id uint64, s limit.Start, r *call.Request, o limit.Outcome) {
+func (w *worker) release(id uint64, s limit.Start, o limit.Outcome) {
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
