--- a/internal/contract/process_test.go
+++ b/internal/contract/process_test.go
@@ -67,21 +67,25 @@
 type process struct {
 	name string
 	cmd  *exec.Cmd
-	log  bytes.Buffer
-	done chan error
+	log  bytes.Buffer // written by the program until done is closed
+	done chan struct{}
+	err  error // valid once done is closed
 }
 
 func start(t *testing.T, folder, name, binary string, args ...string) *process {
 	t.Helper()
-	p := &process{name: name, cmd: exec.Command(binary, args...), done: make(chan error, 1)}
+	p := &process{name: name, cmd: exec.Command(binary, args...), done: make(chan struct{})}
 	p.cmd.Dir = folder
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { p.done <- p.cmd.Wait() }()
+	go func() {
+		defer close(p.done)
+		p.err = p.cmd.Wait()
+	}()
 	t.Cleanup(func() {
-		p.cmd.Process.Kill()
+		p.kill()
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", p.name, tail(p.log.String()))
 		}
@@ -102,9 +106,9 @@
 		t.Errorf("%s: %v", p.name, err)
 	}
 	select {
-	case err := <-p.done:
-		if err != nil {
-			t.Errorf("%s: got %v, want exit code 0", p.name, err)
+	case <-p.done:
+		if p.err != nil {
+			t.Errorf("%s: got %v, want exit code 0", p.name, p.err)
 		}
 	case <-time.After(startLimit):
 		t.Errorf("%s did not end", p.name)
