Wait for the next leader when the last one cannot be reached

Cause: a forwarded command whose leader had just vanished was refused with ConnectFailed, although nothing was sent and the next leader takes it about a second later; connecting to a leader behind a silent partition took the whole time of the proposal. Change: propose treats ConnectFailed with execution not-run as NotLeader, and connecting to the leader is bounded to 1 s. Result: TestProposeWaitsForNextLeader passes 30 times with -race; without ConnectFailed in awaitsLeader both cases fail, without the bound the cut-off case fails.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -16,6 +16,10 @@
 	proposeLimit = 5 * time.Second
 	// leaderPause spaces the tries while no leader is known.
 	leaderPause = 50 * time.Millisecond
+	// leaderConnectLimit bounds connecting to the leader. Connecting to one that
+	// a silent partition cuts off would otherwise outlast the election of the
+	// next.
+	leaderConnectLimit = time.Second
 )
 
 // config is the config group as the rest of the control sees it. It implements
@@ -36,13 +40,14 @@
 func (c *config) ReadBarrier(ctx context.Context) error { return c.group.ReadBarrier(ctx) }
 
 // propose runs a command on the leader, here or at another member. Commands
-// carry IDs, so a command that reaches the log twice has one effect.
+// carry IDs, so a command that reaches the log twice has one effect. It waits
+// for the next leader while it knows that the command was sent to nobody.
 func (c *config) propose(ctx context.Context, command []byte) (versions.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
 	defer cancel()
 	for {
 		r, err := c.proposeOnce(ctx, command)
-		if k := errkind.Of(err); k != errkind.NotLeader && k != errkind.NotReady {
+		if !awaitsLeader(err) {
 			return r, err
 		}
 		t := time.NewTimer(leaderPause)
@@ -55,6 +60,16 @@
 	}
 }
 
+// awaitsLeader reports whether err proves that no leader got the command and
+// that another try can reach one.
+func awaitsLeader(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.NotLeader, errkind.NotReady, errkind.ConnectFailed:
+		return errkind.From(err).Execution == errkind.NotRun
+	}
+	return false
+}
+
 func (c *config) proposeOnce(ctx context.Context, command []byte) (versions.Result, error) {
 	v, err := c.group.Propose(ctx, command)
 	if err == nil {
@@ -64,8 +79,7 @@
 	if errkind.Of(err) != errkind.NotLeader || s.Leader.Name == "" {
 		return versions.Result{}, err
 	}
-	a, err := peerCall[wire.ProposeRequest, wire.ProposeResponse](ctx, c.peers, s.Leader.Name, wire.MethodPropose,
-		&wire.ProposeRequest{Group: configGroup, Command: command})
+	a, err := c.forward(ctx, s.Leader.Name, &wire.ProposeRequest{Group: configGroup, Command: command})
 	if err != nil {
 		return versions.Result{}, unknownUnlessNotRun(err)
 	}
@@ -73,6 +87,23 @@
 	return r, wire.Unmarshal(a.Result, &r)
 }
 
+// forward sends a command to the named member.
+func (c *config) forward(ctx context.Context, leader string, q *wire.ProposeRequest) (*wire.ProposeResponse, error) {
+	a, ok := c.peers.addresses[leader]
+	if !ok {
+		return nil, errkind.New(errkind.NotLeader, "member %q is not in the settings", leader)
+	}
+	connecting, cancel := context.WithTimeout(ctx, leaderConnectLimit)
+	defer cancel()
+	k, err := c.peers.pool.Get(connecting, a)
+	if err != nil {
+		return nil, err
+	}
+	r, err := wire.Call[wire.ProposeRequest, wire.ProposeResponse](ctx, k, wire.MethodPropose, q)
+	c.peers.pool.Put(a, k, errkind.Of(err) != errkind.Unreachable && ctx.Err() == nil)
+	return r, err
+}
+
 // unknownUnlessNotRun turns a transport error into OutcomeUnknown, since the
 // leader may have appended the command.
 func unknownUnlessNotRun(err error) error {
--- /dev/null
+++ b/internal/control/propose_test.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/replica"
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+// group is a config group of three members with disks in temporary folders.
+type group struct {
+	t       *testing.T
+	net     *network
+	members []settings.Member
+	configs map[string]*config
+	stops   map[string]func()
+}
+
+func newGroup(t *testing.T) *group {
+	g := &group{t: t, net: newNetwork(time.Millisecond), configs: map[string]*config{}, stops: map[string]func(){}}
+	for _, n := range three {
+		g.members = append(g.members, settings.Member{Name: n, Address: n})
+	}
+	for _, n := range three {
+		g.start(n)
+	}
+	return g
+}
+
+func (g *group) start(name string) {
+	ctx, cancel := context.WithCancel(g.t.Context())
+	s := settings.Control{Name: name, Members: g.members, DataFolder: g.t.TempDir()}
+	x := newTransport(ctx, name, g.members, g.net.dialer(name), logr.Discard())
+	p := newPeers(wire.NewPool(g.net.dialer(name)), g.members)
+	m := versions.New()
+	r, err := openGroup(configGroup, s, m, x, p, logr.Discard())
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	c := &config{Machine: m, group: r, peers: p}
+	mux := wire.NewMux()
+	groups{configGroup: r}.register(mux)
+	wire.HandleUnary(mux, wire.MethodPropose, c.serve)
+	l := g.net.listen(name)
+	done := make(chan error, 1)
+	go func() { done <- wire.Serve(ctx, l, mux, wire.ServeOptions{}) }()
+	g.configs[name] = c
+	g.stops[name] = sync.OnceFunc(func() {
+		cancel()
+		l.Close()
+		r.Close()
+		g.net.crash(name)
+		<-done
+		x.running.Wait()
+		p.pool.Close()
+	})
+}
+
+func (g *group) close() {
+	g.net.close()
+	for _, f := range g.stops {
+		f()
+	}
+	g.net.pumps.Wait()
+}
+
+// leader waits until all members know the same leader.
+func (g *group) leader() string {
+	g.t.Helper()
+	for range 1000 {
+		l := g.configs["a"].group.Status().Leader.Name
+		if l != "" && g.configs["b"].group.Status().Leader.Name == l && g.configs["c"].group.Status().Leader.Name == l &&
+			g.configs[l].group.Status().Role == replica.LeaderRole {
+			return l
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.t.Fatal("no leader within 10 s")
+	return ""
+}
+
+// An accept at a control whose leader has just vanished was sent to nobody. To
+// give up then would refuse what the next leader takes a moment later.
+func TestProposeWaitsForNextLeader(t *testing.T) {
+	for name, fault := range map[string]func(g *group, leader string){
+		"crashed": func(g *group, leader string) { g.stops[leader]() },
+		// Without connections from before, on which the command would be sent.
+		"cut off": func(g *group, leader string) { g.net.cut(leader, anyone); g.net.crash(leader) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t)
+				defer g.close()
+				l := g.leader()
+				fault(g, l)
+				synctest.Wait() // the members see that their connections ended
+				for n, c := range g.configs {
+					if n == l {
+						continue
+					}
+					b, err := versions.RememberNodes{Nodes: []versions.Node{{Name: "n-" + n}}}.Encode()
+					if err != nil {
+						t.Fatal(err)
+					}
+					if _, err := c.propose(t.Context(), b); err != nil {
+						t.Errorf("at %s: got %v, want the command applied by the next leader", n, err)
+					}
+				}
+			})
+		})
+	}
+}
