Keep fractions of a second in inner messages

Cause: the default time mode of the CBOR encoder drops them, so Upstream.Since started a warm-up ramp up to a second early. Change: times travel as seconds in a float64, 9 bytes instead of 5; decoders of either encoding read the other. Result: TestTimeKeepsFraction passes; with the default mode it fails with 987 ms lost.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -60,7 +60,9 @@
 )
 
 func newEncoder() cbor.EncMode {
-	m, err := cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+	// The default encoding of times drops the fraction of a second. As seconds in
+	// a float64 a time takes 9 bytes and keeps microseconds; as text, 32 bytes.
+	m, err := cbor.EncOptions{Sort: cbor.SortNone, Time: cbor.TimeUnixMicro}.EncMode()
 	if err != nil {
 		panic(err) // the options above are constant
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -52,6 +53,24 @@
 	}
 }
 
+// A time without its fraction starts the warm-up ramp of an upstream up to a
+// second early, which is all of a short ramp. The zero time means no ramp.
+func TestTimeKeepsFraction(t *testing.T) {
+	for _, want := range []time.Time{{}, time.Unix(1772366400, 0), time.Unix(1772366400, 987654321), time.Unix(4102444799, 999999000)} {
+		b, err := wire.Marshal(&wire.Upstream{Since: want})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var u wire.Upstream
+		if err := wire.Unmarshal(b, &u); err != nil {
+			t.Fatal(err)
+		}
+		if got := u.Since; got.Sub(want).Abs() > time.Microsecond || got.IsZero() != want.IsZero() {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
+
 // FuzzUnmarshal guards against messages of a broken or hostile peer that crash
 // the process.
 func FuzzUnmarshal(f *testing.F) {
