Let operators forget nodes that no longer exist

Change: POST /v1/forget and forget NODE..., refused as a whole for a node heard from within its lease; status names the command when nodes were not heard from. A control stores the names of its connected nodes again every 10 s if they are missing, which also covers names beyond the batch of 1000. Result: TestForget, TestForgottenNodeIsStoredAgain and two rows of TestRequestChecks pass. Each failed without its guard: connected nodes removed, unknown nodes reported as removed, a lost answer without the hint to repeat, status without the command, no check of the request, recall without effect or without comparison.

--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -48,6 +48,15 @@
 	return operator.Accepted{Version: v, Customer: c.Customer, Base: r.Base, RequestID: r.RequestID, Repeated: x.Repeated}, err
 }
 
+func (b *backend) Forget(_ context.Context, r operator.ForgetRequest) (operator.Forgotten, error) {
+	f, err := operator.NewForgotten(r, b.Nodes(), b.nodes, []operator.Member{{Name: "control-2", Role: operator.Unreachable}}, time.Now().Add(-time.Minute))
+	if err == nil {
+		c, _ := versions.ForgetNodes{Names: f.Removed}.Encode()
+		b.Apply(1, c)
+	}
+	return f, err
+}
+
 func (b *backend) Status(context.Context) (operator.Status, error) {
 	v := b.Current().Version()
 	for i := range b.nodes {
@@ -246,6 +255,46 @@
 	})
 }
 
+// An operator who forgets a node that runs would lose sight of it, and one whose
+// first answer was lost must be able to repeat the command.
+func TestForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		b, _ := versions.RememberNodes{Nodes: []versions.Node{{Name: "live"}, {Name: "old"}, {Name: "gone 1"}, {Name: "gone-2"}}}.Encode()
+		f.backend.Apply(1, b)
+		f.backend.nodes = []operator.Node{
+			{Name: "live", Control: "control-1", LastHeard: time.Now()},
+			{Name: "old", Control: "control-1", LastHeard: time.Now().Add(-time.Hour)},
+		}
+		const silent = "No answer from control-2"
+		for _, step := range []struct {
+			args   []string
+			lose   bool
+			code   int
+			output string
+		}{
+			{args: []string{"status"}, output: "Nodes not heard from: 2. Remove those that no longer exist from this list:\n  gooseberrypick forget 'gone 1' gone-2 --control 10.0.0.1:1\n"},
+			{args: []string{"forget", "gone-2", "live"}, code: 1, output: "heard from just now: live (by control-1)"},
+			{args: []string{"status"}, output: "Nodes not heard from: 2"},
+			{args: []string{"forget", "gone-2"}, lose: true, code: 3, output: "run the same command again"},
+			{args: []string{"forget", "gone-2", "gone 1", "old"}, output: "Removed: gone 1, old\nNot on the list: gone-2\n" + silent},
+			{args: []string{"forget", "gone-2", "gone 1"}, output: "Not on the list: gone 1, gone-2\n" + silent},
+			{args: []string{"status"}, output: "Nodes: 2 known"},
+			{args: []string{"forget"}, code: 2, output: "requires at least 1 arg"},
+			{args: []string{"forget", ""}, code: 2, output: "has 0 bytes"},
+		} {
+			f.loseAnswers = step.lose
+			code, o, e := f.run(t, append(step.args, toControl)...)
+			if code != step.code || !strings.Contains(o+e, step.output) {
+				t.Errorf("%q: got %d %q, want %d %q", step.args, code, o+e, step.code, step.output)
+			}
+		}
+		if l := f.backend.Nodes(); len(l) != 1 || l[0].Name != "live" {
+			t.Errorf("got nodes %v, want live alone", l)
+		}
+	})
+}
+
 // A wait that ends well while a node lags, or while newer versions may exist,
 // tells the operator that the fleet has caught up when it has not.
 func TestStatusWait(t *testing.T) {
--- a/internal/commands/dev.go
+++ b/internal/commands/dev.go
@@ -25,7 +25,7 @@
 			if err != nil {
 				return errors.Wrap(err, "make the data folder")
 			}
-			defer os.RemoveAll(d)
+			defer func() { _ = os.RemoveAll(d) }() // a leftover in the temporary folder does no harm
 			return runProcess(c, level, func(l logr.Logger) (runner, error) {
 				return dev.New(dev.Config{BasePort: port, Folder: d, Out: c.OutOrStdout(), Log: l})
 			})
--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -116,7 +116,7 @@
 func lag(n operator.Node) string {
 	switch {
 	case !n.Heard:
-		return "not heard from; check that its process runs and reaches a control"
+		return "not heard from; check that its process runs and reaches a control, or run forget if it no longer exists"
 	case n.Refused > n.Version:
 		return fmt.Sprintf("refused version %d: %s", n.Refused, printable(n.Reason))
 	}
@@ -151,7 +151,34 @@
 	for _, n := range listed {
 		rows = append(rows, nodeRow(n))
 	}
-	return table(w, []string{"NODE", "ZONE", "HEARD", "VERSION", "BEHIND", "LAST HEARD", "CONTROL", "LAST REFUSAL"}, rows)
+	if err := table(w, []string{"NODE", "ZONE", "HEARD", "VERSION", "BEHIND", "LAST HEARD", "CONTROL", "LAST REFUSAL"}, rows); err != nil {
+		return err
+	}
+	writeSilent(w, o, s.Nodes)
+	return nil
+}
+
+// writeSilent says how to remove nodes that no control has heard from.
+func writeSilent(w io.Writer, o *operation, nodes []operator.Node) {
+	words := []string{"forget"}
+	silent := 0
+	for _, n := range nodes {
+		if n.Heard {
+			continue
+		}
+		if silent++; silent <= namedLaggards {
+			words = append(words, printable(n.Name))
+		}
+	}
+	if silent == 0 {
+		return
+	}
+	named := ""
+	if silent > namedLaggards {
+		named = fmt.Sprintf(" (the first %d are named)", namedLaggards)
+	}
+	fmt.Fprintf(w, "\nNodes not heard from: %d. Remove those that no longer exist from this list%s:\n  %s\n",
+		silent, named, commandLine(append(words, o.arguments()...)...))
 }
 
 func nodeRow(n operator.Node) []string {
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -165,6 +165,29 @@
 	return operator.Accepted{Version: v, Customer: c.Customer, Base: r.Base, RequestID: r.RequestID, Repeated: x.Repeated}, nil
 }
 
+// Forget implements operator.Backend. A node that connects meanwhile is stored
+// again by its control.
+func (b *backend) Forget(ctx context.Context, r operator.ForgetRequest) (operator.Forgotten, error) {
+	if err := b.barrier(ctx); err != nil {
+		return operator.Forgotten{}, err
+	}
+	n, m := b.reports(ctx)
+	f, err := operator.NewForgotten(r, b.config.Nodes(), n, m, b.clock().Add(-NodeLease))
+	if err != nil || len(f.Removed) == 0 {
+		return f, err
+	}
+	c, err := versions.ForgetNodes{Names: f.Removed}.Encode()
+	if err != nil {
+		return operator.Forgotten{}, err
+	}
+	x, err := b.config.propose(ctx, c)
+	if err != nil {
+		return operator.Forgotten{}, err
+	}
+	_, err = x.Outcome()
+	return f, err
+}
+
 // Status implements operator.Backend. It answers even without a majority, and
 // then says that it is not current.
 func (b *backend) Status(ctx context.Context) (operator.Status, error) {
--- a/internal/control/propose_test.go
+++ b/internal/control/propose_test.go
@@ -118,3 +118,32 @@
 		})
 	}
 }
+
+// A node that is forgotten while it connects would be missing from the status
+// once all controls restarted.
+func TestForgottenNodeIsStoredAgain(t *testing.T) {
+	run(t, []string{"a"}, func(w *world) {
+		w.startNode("n", "a")
+		a := w.controls["a"]
+		w.within(5*time.Second, "connected", func() bool { return a.streams.Len() == 1 })
+		k := &Control{config: &config{Machine: a.source.Machine}, fleet: a.fleet, names: &remembrance{pending: map[string]string{}}}
+		for _, c := range []struct {
+			name    string
+			command interface{ Encode() ([]byte, error) }
+			want    int
+		}{
+			{"stored", versions.RememberNodes{Nodes: []versions.Node{{Name: "n", AvailabilityZone: "z"}}}, 0},
+			{"forgotten", versions.ForgetNodes{Names: []string{"n"}}, 1},
+		} {
+			b, err := c.command.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.source.Apply(1, b)
+			k.recall()
+			if got := k.names.take(); len(got) != c.want {
+				t.Errorf("%s: got names to store %v, want %d", c.name, got, c.want)
+			}
+		}
+	})
+}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -18,6 +18,10 @@
 	rememberInterval = 500 * time.Millisecond
 	// rememberBatch bounds the names in one entry of the log.
 	rememberBatch = 1000
+	// recallInterval is how often the connected nodes are compared with the
+	// stored names. A node that was forgotten while it connected, or that came
+	// with more than rememberBatch others, is stored then.
+	recallInterval = 10 * time.Second
 )
 
 // report answers another control.
@@ -53,7 +57,7 @@
 	for i, m := range c.c.Settings.Members {
 		a := all[i]
 		if a == nil {
-			members = append(members, operator.Member{Name: m.Name, Role: "Unreachable"})
+			members = append(members, operator.Member{Name: m.Name, Role: operator.Unreachable})
 			continue
 		}
 		members = append(members, operator.Member{
@@ -118,11 +122,16 @@
 func (c *Control) remember(ctx context.Context) {
 	t := time.NewTicker(rememberInterval)
 	defer t.Stop()
+	recalled := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
+			if now.Sub(recalled) >= recallInterval {
+				recalled = now
+				c.recall()
+			}
 			q := versions.RememberNodes{Time: now}
 			for n, z := range c.names.take() {
 				if !c.config.Knows(n, z) {
@@ -136,6 +145,15 @@
 	}
 }
 
+// recall adds the connected nodes whose names are not stored.
+func (c *Control) recall() {
+	for n, z := range c.fleet.streams.connected() {
+		if !c.config.Knows(n, z) {
+			c.names.add(n, z)
+		}
+	}
+}
+
 func (c *Control) proposeNodes(ctx context.Context, q versions.RememberNodes) {
 	b, err := q.Encode()
 	if err == nil {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -18,6 +18,7 @@
 // nodeStream is the stream of one node.
 type nodeStream struct {
 	name   string
+	zone   string
 	stream drpc.Stream
 	batch  chan wire.Raw
 	// ack holds the newest acknowledgement that serve has not seen.
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -105,6 +105,7 @@
 	}
 	n := &nodeStream{
 		name:   h.Record.Node,
+		zone:   h.Record.AvailabilityZone,
 		stream: d,
 		batch:  make(chan wire.Raw, streamBuffer),
 		ack:    make(chan wire.Ack, 1),
@@ -246,6 +247,17 @@
 	return len(s.nodes)
 }
 
+// connected returns the zones of the connected nodes by name.
+func (s *Streams) connected() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := make(map[string]string, len(s.nodes))
+	for k, n := range s.nodes {
+		m[k] = n.zone
+	}
+	return m
+}
+
 // Reports returns what this control knows of its nodes: connected ones, those
 // that were lost recently and those that it turned away.
 func (s *Streams) Reports(now time.Time) []wire.NodeReport {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -86,7 +86,13 @@
 // makes one version at most. An error with execution unknown means that the
 // version may exist or may yet be made.
 func (c *Client) Accept(ctx context.Context, r AcceptRequest) (Accepted, error) {
-	return request(ctx, c, query[Accepted]{path: PathAccept, body: r, changes: true})
+	return request(ctx, c, query[Accepted]{path: PathAccept, body: r, changes: true, decided: decided})
+}
+
+// Forget removes nodes that no longer exist from the status list. It may be
+// repeated; an error with execution unknown means that they may be removed.
+func (c *Client) Forget(ctx context.Context, r ForgetRequest) (Forgotten, error) {
+	return request(ctx, c, query[Forgotten]{path: PathForget, body: r, changes: true})
 }
 
 // Status returns the status of the first control that is current, or of the
@@ -123,6 +129,8 @@
 	body any
 	// changes is set when a request without an answer may have had an effect.
 	changes bool
+	// decided are the refusals that hold for all attempts at this request.
+	decided []errkind.Kind
 	// prefer, if set, tells whether an answer makes further controls needless.
 	prefer func(T) bool
 }
@@ -135,7 +143,7 @@
 	errkind.ConnectFailed, // the control could not reach the leader
 }
 
-// decided are the refusals that the state machine gives. They hold for every
+// decided are the refusals of an accept that the state machine gives. They hold for every
 // attempt with the same request ID, also for one that is still under way.
 var decided = []errkind.Kind{errkind.Conflict, errkind.KeyReused}
 
@@ -162,7 +170,7 @@
 			continue
 		}
 		final := err.Execution == errkind.NotRun && !slices.Contains(passedOver, err.Kind)
-		if final && (!faults.maybe || !q.changes || slices.Contains(decided, err.Kind)) {
+		if final && (!faults.maybe || !q.changes || slices.Contains(q.decided, err.Kind)) {
 			return zero, err
 		}
 		faults.add(a, err)
--- a/internal/operator/convert.go
+++ b/internal/operator/convert.go
@@ -130,6 +130,43 @@
 	}
 }
 
+// NewForgotten returns what forgetting the nodes of r removes from the known
+// nodes. It refuses nodes that a report shows to have been heard from since the
+// given time.
+func NewForgotten(r ForgetRequest, known []versions.Node, reports []Node, members []Member, since time.Time) (Forgotten, error) {
+	connected := map[string]string{}
+	for _, n := range reports {
+		if !n.LastHeard.Before(since) {
+			connected[n.Name] = n.Control
+		}
+	}
+	stored := map[string]bool{}
+	for _, n := range known {
+		stored[n.Name] = true
+	}
+	f := Forgotten{Removed: []string{}}
+	var refused []string
+	for _, n := range slices.Compact(slices.Sorted(slices.Values(r.Nodes))) {
+		switch c, ok := connected[n]; {
+		case ok:
+			refused = append(refused, fmt.Sprintf("%s (by %s)", n, c))
+		case stored[n]:
+			f.Removed = append(f.Removed, n)
+		default:
+			f.Unknown = append(f.Unknown, n)
+		}
+	}
+	if len(refused) > 0 {
+		return Forgotten{}, errkind.New(errkind.Conflict, "heard from just now: %s; only nodes that no longer exist can be forgotten, so stop them first and try again 10s later", strings.Join(refused, ", "))
+	}
+	for _, m := range members {
+		if m.Role == Unreachable {
+			f.Silent = append(f.Silent, m.Name)
+		}
+	}
+	return f, nil
+}
+
 // NewNodes lists the known nodes and those that reports name. Of several
 // reports of one node the one last heard counts. A node without a report is
 // listed as not heard. BehindBy is set from latest.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -119,6 +119,8 @@
 		return h.plan(c)
 	case path == PathAccept:
 		return h.accept(c)
+	case path == PathForget:
+		return h.forget(c)
 	case path == PathStatus:
 		if err := c.get(); err != nil {
 			return nil, err
@@ -165,6 +167,36 @@
 	return a, nil
 }
 
+func (h *handler) forget(c *call) (any, error) {
+	var r ForgetRequest
+	if err := c.post(&r); err != nil {
+		return nil, err
+	}
+	if err := CheckForget(r); err != nil {
+		return nil, err
+	}
+	f, err := h.backend.Forget(c.Context(), r)
+	if err != nil {
+		h.log.Info("forget failed", "requestId", c.id, "author", c.author, "nodes", r.Nodes, "reason", err.Error())
+		return nil, err
+	}
+	h.log.Info("nodes forgotten", "requestId", c.id, "author", c.author, "removed", f.Removed, "unknown", f.Unknown)
+	return f, nil
+}
+
+// CheckForget reports why r is not a request that a control takes.
+func CheckForget(r ForgetRequest) error {
+	if len(r.Nodes) == 0 || len(r.Nodes) > MaxForget {
+		return errkind.New(errkind.BadRequest, "%d nodes are named, expected 1 to %d", len(r.Nodes), MaxForget)
+	}
+	for _, n := range r.Nodes {
+		if n == "" || len(n) > versions.MaxNameBytes {
+			return errkind.New(errkind.BadRequest, "node name %q has %d bytes, expected 1 to %d", n[:min(len(n), 20)], len(n), versions.MaxNameBytes)
+		}
+	}
+	return nil
+}
+
 func (h *handler) history(c *call) (any, error) {
 	if err := c.get("Customer", "Limit"); err != nil {
 		return nil, err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -31,10 +31,14 @@
 // MaxHistory is the highest number of versions that one answer lists.
 const MaxHistory = 1000
 
+// MaxForget is the highest number of nodes that one request forgets.
+const MaxForget = 1000
+
 // Paths of the API.
 const (
 	PathPlan     = "/v1/plan"
 	PathAccept   = "/v1/accept"
+	PathForget   = "/v1/forget"
 	PathStatus   = "/v1/status"
 	PathHistory  = "/v1/history"
 	PathVersions = "/v1/versions/"
@@ -57,6 +61,9 @@
 	// request ID that does not come from applying the proposal, because only
 	// the state machine knows a resent request ID.
 	Accept(ctx context.Context, author string, r AcceptRequest) (Accepted, error)
+	// Forget removes nodes that no longer exist from the status list. It refuses
+	// as a whole if one of them is connected.
+	Forget(ctx context.Context, r ForgetRequest) (Forgotten, error)
 	// Status returns what the controls know of members and nodes.
 	Status(ctx context.Context) (Status, error)
 	// History lists versions, newest first.
@@ -111,6 +118,23 @@
 	Repeated bool `json:",omitempty"`
 }
 
+// ForgetRequest names nodes that no longer exist.
+type ForgetRequest struct {
+	Nodes []string
+}
+
+// Forgotten answers a forget.
+type Forgotten struct {
+	// Removed lists the nodes that were on the status list.
+	Removed []string
+	// Unknown lists those that were not, such as the ones that an earlier
+	// attempt removed.
+	Unknown []string `json:",omitempty"`
+	// Silent lists the controls that did not say which nodes they hear. A node
+	// that is connected to one of them returns to the list.
+	Silent []string `json:",omitempty"`
+}
+
 // HistoryRequest selects versions.
 type HistoryRequest struct {
 	// Customer is empty for all customers.
@@ -168,6 +192,9 @@
 	Nodes   []Node
 }
 
+// Unreachable is the role of a member that did not answer.
+const Unreachable = "Unreachable"
+
 // Member is one control that votes.
 type Member struct {
 	Name             string
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -128,6 +128,8 @@
 		"not UTF-8":          {"POST", "/v1/accept", strings.Replace(valid, "{}", "\xff", 1), nil, errkind.BadRequest},
 		"no request ID":      {"POST", "/v1/accept", `{"Base":1,"File":"{}"}`, nil, errkind.BadRequest},
 		"no file":            {"POST", "/v1/plan", `{"FileName":"f"}`, nil, errkind.BadRequest},
+		"no node to forget":  {"POST", "/v1/forget", `{}`, nil, errkind.BadRequest},
+		"many to forget":     {"POST", "/v1/forget", `{"Nodes":["n"` + strings.Repeat(`,"n"`, operator.MaxForget) + `]}`, nil, errkind.BadRequest},
 		"negative base":      {"POST", "/v1/accept", strings.Replace(valid, "1", "-1", 1), nil, errkind.BadRequest},
 		"version zero":       {"GET", "/v1/versions/0", "", nil, errkind.BadRequest},
 		"history limit":      {"GET", "/v1/history?Limit=1001", "", nil, errkind.BadRequest},
