--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -113,6 +113,11 @@
 func (m *nodeMetrics) sample(n *Node) {
 	metrics.GetOrRegisterGauge("nodes", m.registry).Update(int64(n.registry.Len()))
 	metrics.GetOrRegisterGauge("log_lines_dropped", m.registry).Update(logging.Dropped())
+	for name, l := range n.local.Loads(time.Now()) {
+		metrics.GetOrRegisterGauge(fmt.Sprintf("upstream_in_flight{upstream=%q}", name), m.registry).Update(int64(l.InFlight))
+		metrics.GetOrRegisterGauge(fmt.Sprintf("upstream_waiting{upstream=%q}", name), m.registry).Update(int64(l.Waiting))
+		metrics.GetOrRegisterGauge(fmt.Sprintf("upstream_limit{upstream=%q}", name), m.registry).Update(int64(l.Limit))
+	}
 	connected := int64(0)
 	if n.distribution.Control() != "" {
 		connected = 1
--- a/internal/upstream/local.go
+++ b/internal/upstream/local.go
@@ -101,6 +101,17 @@
 // Close refuses what waits and closes the connections to the upstreams.
 func (l *Local) Close() { l.Set(nil) }
 
+// Loads returns the load of each upstream by name.
+func (l *Local) Loads(now time.Time) map[string]*wire.Load {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	m := make(map[string]*wire.Load, len(l.workers))
+	for n, w := range l.workers {
+		m[n] = w.load(now)
+	}
+	return m
+}
+
 // Settle returns once no request is under way at the named upstream, or when
 // ctx ends.
 func (l *Local) Settle(ctx context.Context, name string) {
