Take test ports from below the ephemeral range

Cause: two of seven runs of the contract tests failed because an outgoing connection had taken a port between its choice and the start of the process (bind: address already in use). Change: each site takes a block of ports below 32000 and holds its first port.

--- a/internal/contract/process_test.go
+++ b/internal/contract/process_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -127,6 +128,7 @@
 	binary   string
 	settings []string
 	ports    map[string]string
+	nextPort int
 }
 
 var examplePort = regexp.MustCompile(`127\.0\.0\.1:(2[12]\d{3})`)
@@ -135,7 +137,7 @@
 // so that several runs can share a machine. Nothing else is changed.
 func newSite(t *testing.T, example string) *site {
 	t.Helper()
-	s := &site{folder: t.TempDir(), binary: build(t, "."), ports: map[string]string{}}
+	s := &site{folder: t.TempDir(), binary: build(t, "."), ports: map[string]string{}, nextPort: reservePorts(t)}
 	files, err := filepath.Glob(filepath.Join(moduleFolder, "examples", example, "vms", "*.jsonc"))
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no settings in examples/%s/vms: %v", example, err)
@@ -155,18 +157,37 @@
 	return s
 }
 
+const (
+	// Ports below the usual range of ephemeral ports: one of that range can be
+	// taken by an outgoing connection before the process listens on it.
+	firstPort, lastPort = 10000, 32000
+	// portBlock is the number of ports that one site takes.
+	portBlock = 64
+)
+
+// reservePorts takes a block of ports. It holds the first one, so that other
+// sites, also those of other test processes, take other blocks.
+func reservePorts(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		b := firstPort + rand.IntN((lastPort-firstPort)/portBlock)*portBlock
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", b))
+		if err == nil {
+			t.Cleanup(func() { l.Close() })
+			return b + 1
+		}
+	}
+	t.Fatal("no free block of ports")
+	return 0
+}
+
 // address returns the free address that stands for one of the example.
 func (s *site) address(t *testing.T, example string) string {
 	t.Helper()
-	if a, ok := s.ports[example]; ok {
-		return a
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	if s.ports[example] == "" {
+		s.ports[example] = fmt.Sprintf("127.0.0.1:%d", s.nextPort)
+		s.nextPort++
 	}
-	defer l.Close()
-	s.ports[example] = l.Addr().String()
 	return s.ports[example]
 }
 
