queue: report load as a predicted wait

Cause: the waiting requests of one flooding caller, or of a more urgent rank beside the floor of the own one, made an upstream look busy to requests that go before them; entry nodes then sent these to worse places. Change: Load reports the predicted wait of a new caller's request, as a number of requests. The deviation of a first sample is a guess instead of its size. TestLoadByRank fails with the total, without the caller's part and without the floor in the prediction.

--- a/internal/queue/estimate.go
+++ b/internal/queue/estimate.go
@@ -23,7 +23,11 @@
 func (e *estimate) add(now, seconds float64) {
 	e.n++
 	w := max(minWeight, 1/float64(e.n))
-	e.dev += (math.Abs(seconds-e.mean) - e.dev) * w
+	if e.n == 1 {
+		e.dev = seconds / 4 // a guess until there are samples to compare
+	} else {
+		e.dev += (math.Abs(seconds-e.mean) - e.dev) * w
+	}
 	e.mean += (seconds - e.mean) * w
 	e.updated = now
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -89,7 +89,8 @@
 // Load describes the queue to entry nodes as one rank sees it.
 type Load struct {
 	InFlight int
-	// Waiting counts the requests that go before a new one of the rank.
+	// Waiting is the predicted wait of a new caller's request of the rank, as a
+	// number of requests ahead of it.
 	Waiting int
 	Limit   int
 	// QueueWait is the recent mean wait of the rank's requests that got a slot.
@@ -175,13 +176,16 @@
 }
 
 // Load returns the load as requests of the named rank see it. A flood of a less
-// urgent rank must not make the upstream look busy to the others.
+// urgent rank, or of one caller, must not make the upstream look busy to the
+// others, and a rank that is served by its floor does not wait for all the work
+// above it.
 func (q *Queue) Load(now time.Time, rank string) Load {
 	n := q.advance(now)
 	r := q.rankOf(rank)
 	l := Load{InFlight: q.running, Limit: q.limit, QueueWait: seconds(r.waited.at(n))}
-	for _, u := range q.ranks[:r.index+1] {
-		l.Waiting += u.onTime.waiting
+	if cost := r.service.at(n); cost > 0 {
+		ahead := q.predict(n, r, "", cost) / cost * float64(q.limit)
+		l.Waiting = int(min(ahead, float64(q.waiting)))
 	}
 	return l
 }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -87,3 +87,38 @@
 		t.Errorf("turns of the caller with long requests: got %d of 100, want about 20", got)
 	}
 }
+
+// Guards load reports against floods that do not delay the rank: of a less
+// urgent rank, of one caller, and of a more urgent rank beside the own floor.
+func TestLoadByRank(t *testing.T) {
+	q := queue.New(queue.Config{Ranks: ranks(), Limit: 5})
+	id, now := uint64(0), time.Duration(0)
+	offer := func(rank, caller string, n int) {
+		for range n {
+			id++
+			q.Offer(at(now), queue.Request{ID: id, Rank: rank, Caller: caller})
+		}
+	}
+	for _, r := range ranks() { // one slot time of each rank becomes known
+		offer(r.Name, "", 1)
+		now += 20 * time.Millisecond
+		q.Done(at(now), id, true)
+	}
+	offer("bulk", "flood", 100)
+	if got := q.Load(at(now), "urgent").Waiting; got > 2 {
+		t.Errorf("urgent behind a flood of bulk: got %d waiting, want at most 2", got)
+	}
+	offer("urgent", "flood", 100)
+	if got := q.Load(at(now), "urgent").Waiting; got > 3 {
+		t.Errorf("urgent behind a flood of one caller: got %d waiting, want at most 3", got)
+	}
+	if got := q.Load(at(now), "usual").Waiting; got > 3 {
+		t.Errorf("usual with a floor: got %d waiting, want at most 3", got)
+	}
+	for i := range 50 {
+		offer("usual", fmt.Sprint(i), 1)
+	}
+	if got := q.Load(at(now), "usual").Waiting; got < 50 {
+		t.Errorf("usual behind 50 callers: got %d waiting, want at least 50", got)
+	}
+}
