Report the service by rank of the whole fleet

Cause: the users weigh service by rank most, and could read it only from the metrics of each node. Change: nodes count requests by customer and rank and send the counts every 10 s with a ping. A control sums the newest samples of its nodes when it is asked, because 725 samples would exceed an inner message; a node that moved is left out where the registry says that another control has it. GET /v1/report and the command report join the sums with the ranks of the configuration. The caller's Observe also gets the execution, since the kind alone does not tell a refusal from an unknown outcome.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -43,13 +43,13 @@
 	x.w.WriteHeader(a.Head.Status)
 	if err := x.copyBody(a, b[:], n, err); err != nil {
 		x.c.Log.Info("answer aborted", "requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name, "reason", err.Error())
-		x.c.Observe(x.match, a.Head.Status, errkind.Of(err), time.Since(x.start))
+		x.c.Observe(x.match, a.Head.Status, errkind.Of(err), errkind.Unknown, time.Since(x.start))
 		panic(http.ErrAbortHandler)
 	}
 	for k, v := range a.Trailer() {
 		x.w.Header()[http.TrailerPrefix+k] = v
 	}
-	x.c.Observe(x.match, a.Head.Status, "", time.Since(x.start))
+	x.c.Observe(x.match, a.Head.Status, "", "", time.Since(x.start))
 }
 
 // whole reports whether err is nil or the end of a body.
@@ -104,7 +104,7 @@
 	status := WriteError(x.w, x.id, err)
 	x.c.Log.Info("request refused", "requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name,
 		"kind", e.Kind, "execution", e.Execution, "reason", e.Error())
-	x.c.Observe(x.match, status, e.Kind, time.Since(x.start))
+	x.c.Observe(x.match, status, e.Kind, e.Execution, time.Since(x.start))
 }
 
 // Problem is the body of an answer that the system makes itself.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -64,7 +64,7 @@
 	Once   OnceRunner
 	Log    logr.Logger
 	// Observe is called after each request.
-	Observe func(m table.Match, status int, kind errkind.Kind, took time.Duration)
+	Observe func(m table.Match, status int, kind errkind.Kind, x errkind.Execution, took time.Duration)
 	// MaxRequests and MaxBodyBytes replace the constants where they are above
 	// zero.
 	MaxRequests  int64
@@ -82,7 +82,7 @@
 // New returns a Handler.
 func New(c Config) *Handler {
 	if c.Observe == nil {
-		c.Observe = func(table.Match, int, errkind.Kind, time.Duration) {}
+		c.Observe = func(table.Match, int, errkind.Kind, errkind.Execution, time.Duration) {}
 	}
 	if c.MaxRequests <= 0 {
 		c.MaxRequests = MaxRequests
--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -71,6 +72,17 @@
 	}, nil
 }
 
+func (b *backend) Report(_ context.Context, r operator.ReportRequest) (operator.Report, error) {
+	counts := wire.RankCounts{Answers: 30_000, InTarget: 29_999, Overload: 2, Caller: 7, Unknown: 1, Worth: 299_990}
+	a, err := operator.NewReport(r, b.Current(), &wire.RankTotals{Nodes: 2, Ranks: []wire.RankTotal{
+		{RankStats: wire.RankStats{RankCounts: wire.RankCounts{Caller: 3}}},
+		{RankStats: wire.RankStats{Customer: "pichler", Rank: "before", RankCounts: wire.RankCounts{Unavailable: 1}}},
+		{RankStats: wire.RankStats{Customer: "pichler", Rank: "operation", RankCounts: counts}, PerSecond: wire.RankRates{Requests: 8, InTarget: 4, Worth: 40}},
+	}})
+	a.Control, a.Known, a.Silent, a.Current = "control-1", 3, []string{"control-2"}, !b.notCurrent
+	return a, err
+}
+
 func (b *backend) History(_ context.Context, r operator.HistoryRequest) (operator.History, error) {
 	return operator.NewHistory(b.Current(), r), nil
 }
@@ -190,20 +202,30 @@
   - level-reading
 Routes: 0 added, 0 changed, 4 removed
   - GET levels`, `^$`},
-		"plan invalid":           {[]string{"plan", invalid, toControl}, 1, `^$`, `(?s)run validate:\n.*:1:19: Bad`},
-		"accept":                 {[]string{"accept", pichler, toControl, "--base=1"}, 0, `(?s)Version 2 of customer pichler was accepted \(base 1, request ID \w{26}\).*status --wait 10s --control 10.0.0.1:1`, `^Request ID: \w{26}\n$`},
-		"accept resent":          {[]string{"accept", pichler, toControl, "--base=0", "--request-id=first"}, 0, `Version 1 .* by an earlier request`, `^$`},
-		"accept JSON":            {[]string{"accept", pichler, toControl, "--base=1", "--output=json"}, 0, `"Version": 2,(?s).*"RequestId": "\w{26}"`, `^$`},
-		"accept conflict":        {[]string{"accept", pichler, toControl, "--base=0"}, 1, `^$`, `version 1 was accepted by loopback at .*; run plan again`},
-		"accept conflict JSON":   {[]string{"accept", pichler, toControl, "--base=0", "--output=json", "--request-id=x"}, 1, `^$`, `^\{\n  "Kind": "Conflict",(?s).*"RequestId": "x",\n  "Execution": "not-run"\n\}\n$`},
-		"accept without base":    {[]string{"accept", pichler, toControl}, 2, `^$`, `"base" not set; run with --help`},
-		"accept reused ID":       {[]string{"accept", pichler, toControl, "--base=1", "--request-id=first"}, 1, `^$`, `use a new request ID`},
-		"history":                {[]string{"history", toControl}, 0, `VERSION  TIME .*REQUEST ID\n1 .* loopback  pichler   0     3 .*  first\n`, `^$`},
-		"history of another":     {[]string{"history", toControl, "--customer=p"}, 0, `Customer p has no version`, `^$`},
-		"show":                   {[]string{"show", toControl}, 0, `^// Pichler`, `VERSION +1\n`},
-		"show customer JSON":     {[]string{"show", toControl, "--customer=pichler", "--output=json"}, 0, `"FileKept": true`, `^$`},
-		"show missing":           {[]string{"show", toControl, "--version=9"}, 1, `^$`, `version 9 does not exist; the latest is 1`},
-		"status":                 {[]string{"status", toControl}, 0, `(?s)Latest version: 1, confirmed.*Nodes: 0 known.*control-1  a     Leader  yes`, `^$`},
+		"plan invalid":         {[]string{"plan", invalid, toControl}, 1, `^$`, `(?s)run validate:\n.*:1:19: Bad`},
+		"accept":               {[]string{"accept", pichler, toControl, "--base=1"}, 0, `(?s)Version 2 of customer pichler was accepted \(base 1, request ID \w{26}\).*status --wait 10s --control 10.0.0.1:1`, `^Request ID: \w{26}\n$`},
+		"accept resent":        {[]string{"accept", pichler, toControl, "--base=0", "--request-id=first"}, 0, `Version 1 .* by an earlier request`, `^$`},
+		"accept JSON":          {[]string{"accept", pichler, toControl, "--base=1", "--output=json"}, 0, `"Version": 2,(?s).*"RequestId": "\w{26}"`, `^$`},
+		"accept conflict":      {[]string{"accept", pichler, toControl, "--base=0"}, 1, `^$`, `version 1 was accepted by loopback at .*; run plan again`},
+		"accept conflict JSON": {[]string{"accept", pichler, toControl, "--base=0", "--output=json", "--request-id=x"}, 1, `^$`, `^\{\n  "Kind": "Conflict",(?s).*"RequestId": "x",\n  "Execution": "not-run"\n\}\n$`},
+		"accept without base":  {[]string{"accept", pichler, toControl}, 2, `^$`, `"base" not set; run with --help`},
+		"accept reused ID":     {[]string{"accept", pichler, toControl, "--base=1", "--request-id=first"}, 1, `^$`, `use a new request ID`},
+		"history":              {[]string{"history", toControl}, 0, `VERSION  TIME .*REQUEST ID\n1 .* loopback  pichler   0     3 .*  first\n`, `^$`},
+		"history of another":   {[]string{"history", toControl, "--customer=p"}, 0, `Customer p has no version`, `^$`},
+		"show":                 {[]string{"show", toControl}, 0, `^// Pichler`, `VERSION +1\n`},
+		"show customer JSON":   {[]string{"show", toControl, "--customer=pichler", "--output=json"}, 0, `"FileKept": true`, `^$`},
+		"show missing":         {[]string{"show", toControl, "--version=9"}, 1, `^$`, `version 9 does not exist; the latest is 1`},
+		"status":               {[]string{"status", toControl}, 0, `(?s)Latest version: 1, confirmed.*Nodes: 0 known.*control-1  a     Leader  yes`, `^$`},
+		"report": {[]string{"report", toControl}, 0, `(?s)2 of 3 known nodes counted.*No answer from control-2;.*
+CUSTOMER +ORDER +RANK +TARGET +REQUESTS +IN TARGET +SHARE +WORTH EARNED +UNKNOWN +REFUSED +NOW +REQUESTS/S +SHARE +WORTH/S
+pichler +1 +level-reading +100ms +0 +0 +- +0.0 +0 +0 +0.0 +- +0.0
+pichler +2 +operation +250ms +30003 +29999 +99.98% +299990.0 +1 +9 \(overload 2, caller 7\) +8.0 +50.00% +40.0
+pichler +3 +archive .*
+pichler +- +before +- +1 +0 +0.00% +0.0 +0 +1 \(unavailable 1\) +0.0 +- +0.0
+- +- +- +- +0 +0 +- +0.0 +0 +3 \(caller 3\) +0.0 +- +0.0
+$`, `^$`},
+		"report JSON":            {[]string{"report", toControl, "--customer=pichler", "--output=json"}, 0, `(?s)"Requests": 30003,.*"ShareInTarget": 0.99986.*"Overload": 2,`, `^$`},
+		"report of another":      {[]string{"report", toControl, "--customer=p"}, 1, `^$`, `customer "p" has no version and no requests`},
 		"no control":             {[]string{"status"}, 2, `^$`, `pass --control HOST:PORT`},
 		"control as URL":         {[]string{"status", "--control=http://h:1"}, 2, `^$`, `is not HOST:PORT`},
 		"unknown flag":           {[]string{"status", "--no"}, 2, `^$`, `unknown flag: --no`},
--- a/internal/commands/root.go
+++ b/internal/commands/root.go
@@ -84,7 +84,7 @@
 	}
 	c.AddCommand(
 		newControl(), newNode(), newDev(),
-		newValidate(), newPlan(d), newAccept(d), newForget(d), newStatus(d), newHistory(d), newShow(d),
+		newValidate(), newPlan(d), newAccept(d), newForget(d), newStatus(d), newReport(d), newHistory(d), newShow(d),
 	)
 	return c
 }
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -132,8 +132,10 @@
 	config *config
 	// reports collects the nodes and members of all controls.
 	reports func(ctx context.Context) ([]operator.Node, []operator.Member)
-	name    string
-	clock   func() time.Time
+	// ranks sums the counts by rank and names the controls that gave none.
+	ranks func(ctx context.Context) (*wire.RankTotals, []string)
+	name  string
+	clock func() time.Time
 }
 
 // Plan implements operator.Backend.
@@ -203,6 +205,16 @@
 	}, nil
 }
 
+// Report implements operator.Backend. It answers even without a majority, and
+// then says that it is not current.
+func (b *backend) Report(ctx context.Context, r operator.ReportRequest) (operator.Report, error) {
+	current := b.barrier(ctx) == nil
+	t, silent := b.ranks(ctx)
+	a, err := operator.NewReport(r, b.config.Current(), t)
+	a.Control, a.Current, a.Silent, a.Known = b.name, current, silent, len(b.config.Nodes())
+	return a, err
+}
+
 // History implements operator.Backend.
 func (b *backend) History(ctx context.Context, r operator.HistoryRequest) (operator.History, error) {
 	if err := b.barrier(ctx); err != nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,7 +138,7 @@
 
 func (k *Control) openServers() error {
 	s := k.c.Settings
-	b := &backend{config: k.config, reports: k.collect, name: s.Name, clock: time.Now}
+	b := &backend{config: k.config, reports: k.collect, ranks: k.collectRanks, name: s.Name, clock: time.Now}
 	o := make([]operator.Operator, 0, len(s.Operators))
 	for _, e := range s.Operators {
 		o = append(o, operator.Operator{Name: e.Name, TokenHash: e.TokenHash})
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -48,8 +48,10 @@
 	members  []settings.Member
 	controls map[string]*testControl
 	nodes    []*testNode
-	mu       sync.Mutex
-	lines    []string
+	// ranks are the counts by rank of each node that is started; may be nil.
+	ranks func() []wire.RankStats
+	mu    sync.Mutex
+	lines []string
 }
 
 type testControl struct {
@@ -164,7 +166,7 @@
 	n := &testNode{name: name, registry: r, done: make(chan struct{})}
 	n.Client = distribution.New(distribution.Config{
 		Node: name, AvailabilityZone: "z", PeerAddress: name, Incarnation: uint64(time.Now().UnixNano()),
-		Controls: controls, Dial: w.net.dialer(name), Registry: r, Log: w.log(), Seed: uint64(len(w.nodes)),
+		Controls: controls, Dial: w.net.dialer(name), Registry: r, Log: w.log(), Seed: uint64(len(w.nodes)), Ranks: w.ranks,
 	})
 	ctx, cancel := context.WithCancel(w.Context())
 	n.stop = cancel
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
+	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
@@ -25,7 +26,10 @@
 )
 
 // report answers another control.
-func (c *Control) report(_ context.Context, _ *wire.Empty) (*wire.NodeReports, error) {
+func (c *Control) report(_ context.Context, q *wire.NodeReportsRequest) (*wire.NodeReports, error) {
+	if q.Ranks {
+		return &wire.NodeReports{Ranks: c.fleet.streams.Ranks(), Member: c.memberReport()}, nil
+	}
 	return &wire.NodeReports{Reports: c.fleet.streams.Reports(time.Now()), Member: c.memberReport()}, nil
 }
 
@@ -40,17 +44,39 @@
 	}
 }
 
-// collect asks all controls for their nodes. A control that does not answer is
-// listed without role.
-func (c *Control) collect(ctx context.Context) ([]operator.Node, []operator.Member) {
+// askAll asks all controls, in the order of the settings. The answer of one that
+// gave none is nil.
+func (c *Control) askAll(ctx context.Context, q *wire.NodeReportsRequest) []*wire.NodeReports {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	all := make([]*wire.NodeReports, len(c.c.Settings.Members))
 	var g sync.WaitGroup
 	for i, m := range c.c.Settings.Members {
-		g.Go(func() { all[i] = c.ask(ctx, m) })
+		g.Go(func() { all[i] = c.ask(ctx, m, q) })
 	}
 	g.Wait()
+	return all
+}
+
+// collectRanks sums the counts by rank of all controls. It also names the
+// controls that gave none.
+func (c *Control) collectRanks(ctx context.Context) (*wire.RankTotals, []string) {
+	t := rankstats.NewSum()
+	var silent []string
+	for i, a := range c.askAll(ctx, &wire.NodeReportsRequest{Ranks: true}) {
+		if a == nil || a.Ranks == nil {
+			silent = append(silent, c.c.Settings.Members[i].Name)
+			continue
+		}
+		t.AddTotals(a.Ranks)
+	}
+	return t.Totals(), silent
+}
+
+// collect asks all controls for their nodes. A control that does not answer is
+// listed as unreachable.
+func (c *Control) collect(ctx context.Context) ([]operator.Node, []operator.Member) {
+	all := c.askAll(ctx, &wire.NodeReportsRequest{})
 	var nodes []operator.Node
 	var members []operator.Member
 	now := time.Now()
@@ -70,12 +96,12 @@
 	return nodes, members
 }
 
-func (c *Control) ask(ctx context.Context, m settings.Member) *wire.NodeReports {
+func (c *Control) ask(ctx context.Context, m settings.Member, q *wire.NodeReportsRequest) *wire.NodeReports {
 	if m.Name == c.c.Settings.Name {
-		a, _ := c.report(ctx, nil)
+		a, _ := c.report(ctx, q) // never fails
 		return a
 	}
-	a, err := wire.PoolCall[wire.Empty, wire.NodeReports](ctx, c.pool, m.Address, wire.MethodNodeReports, &wire.Empty{})
+	a, err := wire.PoolCall[wire.NodeReportsRequest, wire.NodeReports](ctx, c.pool, m.Address, wire.MethodNodeReports, q)
 	if err != nil {
 		c.log.Info("control gave no report", "control", m.Name, "cause", err.Error())
 		return nil
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
@@ -28,6 +29,14 @@
 	mu     sync.Mutex
 	report wire.NodeReport
 	heard  time.Time
+	// ranks are the newest counts by rank and those before.
+	ranks, rankedBefore rankSample
+}
+
+// rankSample is what a node sent of its counts. It is empty without at.
+type rankSample struct {
+	at    time.Time
+	ranks []wire.RankStats
 }
 
 // cursor decides what configuration a node gets next. Updates are sent without
@@ -113,6 +122,9 @@
 	defer n.mu.Unlock()
 	n.heard = time.Now()
 	n.report.Version = max(n.report.Version, p.Version)
+	if p.Ranks != nil {
+		n.rankedBefore, n.ranks = n.ranks, rankSample{at: n.heard, ranks: rankstats.Bounded(p.Ranks.Ranks)}
+	}
 }
 
 func (s *Streams) acknowledge(n *nodeStream, a *wire.Ack) {
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"storj.io/drpc"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -280,6 +283,30 @@
 	return l
 }
 
+// Ranks returns the sum of the counts by rank of the nodes that are connected
+// here alone. The registry knows first when a node has moved to another control,
+// which then counts it.
+func (s *Streams) Ranks() *wire.RankTotals {
+	s.mu.Lock()
+	l := slices.Collect(maps.Values(s.nodes))
+	s.mu.Unlock()
+	t := rankstats.NewSum()
+	for _, n := range l {
+		n.mu.Lock()
+		newest, before := n.ranks, n.rankedBefore
+		n.mu.Unlock()
+		if r, ok := s.registry.Record(n.name); newest.at.IsZero() || ok && r.Home != s.control {
+			continue
+		}
+		var elapsed time.Duration
+		if !before.at.IsZero() {
+			elapsed = newest.at.Sub(before.at)
+		}
+		t.AddNode(newest.ranks, before.ranks, elapsed)
+	}
+	return t.Totals()
+}
+
 // Close ends all streams.
 func (s *Streams) Close() {
 	s.mu.Lock()
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -33,6 +33,8 @@
 // Times of the node's stream.
 const (
 	PingInterval = time.Second
+	// RankInterval is how often a ping carries the counts by rank.
+	RankInterval = 10 * time.Second
 	// silenceLimit ends a stream on which not even answers to pings arrive.
 	silenceLimit = 4 * time.Second
 	// behindLimit is how long a control may be behind a version seen at a peer.
@@ -56,6 +58,8 @@
 	Seed        uint64
 	// Applied is called after a new table is in force; it may be nil.
 	Applied func(*table.Table)
+	// Ranks returns the counts by rank; it may be nil.
+	Ranks func() []wire.RankStats
 }
 
 // Client is the node's side of the stream.
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -25,6 +25,8 @@
 	probe    *probe
 	// behindSince is when the control was first seen to be behind.
 	behindSince time.Time
+	// rankedAt is when the last counts by rank were sent.
+	rankedAt time.Time
 }
 
 // session runs one stream until it fails. It reports whether the control
@@ -209,7 +211,18 @@
 	} else {
 		s.probeOthers(ctx, now)
 	}
-	return s.send(&wire.NodeMessage{Ping: &wire.Ping{Version: n.Table().Version()}})
+	return s.send(&wire.NodeMessage{Ping: s.ping(now)})
+}
+
+func (s *session) ping(now time.Time) *wire.Ping {
+	n := s.client
+	p := &wire.Ping{Version: n.Table().Version()}
+	// Half an interval of pings, because a tick may come a little early.
+	if n.c.Ranks != nil && now.Sub(s.rankedAt) >= RankInterval-PingInterval/2 {
+		s.rankedAt = now
+		p.Ranks = &wire.RankSample{Ranks: n.c.Ranks()}
+	}
+	return p
 }
 
 // applyEndpoints stores changed records. Nothing removes this node's own
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,10 +25,13 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/distribution"
 	"github.com/gooseberrypick/gooseberrypick/internal/idempotency"
 	"github.com/gooseberrypick/gooseberrypick/internal/peer"
+	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/router"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
@@ -78,6 +81,7 @@
 	once          *idempotency.Client
 	controls      *controls
 	metrics       *nodeMetrics
+	ranks         *rankstats.Counters
 	handler       *caller.Handler
 	callers       *http.Server
 	upstreams     *http.Server
@@ -101,7 +105,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	n := &Node{c: c, registry: registry.New(), listeners: l, metrics: newMetrics(), stopping: make(chan struct{})}
+	n := &Node{c: c, registry: registry.New(), listeners: l, metrics: newMetrics(), ranks: rankstats.NewCounters(), stopping: make(chan struct{})}
 	n.distribution = distribution.New(distribution.Config{
 		Node:             c.Settings.Name,
 		AvailabilityZone: c.Settings.AvailabilityZone,
@@ -113,6 +117,7 @@
 		Log:              c.Log.WithName("distribution"),
 		Seed:             uint64(now.UnixNano()),
 		Applied:          n.metrics.applied,
+		Ranks:            n.ranks.Sample,
 	})
 	n.local = upstream.NewLocal(upstream.Config{
 		Table:   n.distribution.Table,
@@ -147,7 +152,7 @@
 		Router:  r,
 		Once:    &onceRunner{client: n.once, router: r},
 		Log:     n.c.Log.WithName("caller"),
-		Observe: n.metrics.answered,
+		Observe: n.answered,
 	})
 	n.callers = caller.NewServer(n.handler)
 	n.upstreams = localServer(n.announcements.Handler())
@@ -160,6 +165,12 @@
 	}))
 }
 
+// answered counts one answer to a caller.
+func (n *Node) answered(t table.Match, status int, kind errkind.Kind, x errkind.Execution, took time.Duration) {
+	n.metrics.answered(t, status, kind, took)
+	n.ranks.Observe(t, status, kind, x, took)
+}
+
 func localServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxLocalHeaderBytes}
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -101,6 +101,16 @@
 	return request(ctx, c, query[Status]{path: PathStatus, prefer: func(s Status) bool { return s.Current }})
 }
 
+// Report returns the report of the first control that is current, or of the
+// first that answers if none is.
+func (c *Client) Report(ctx context.Context, r ReportRequest) (Report, error) {
+	path := PathReport
+	if r.Customer != "" {
+		path += "?" + url.Values{"Customer": {r.Customer}}.Encode()
+	}
+	return request(ctx, c, query[Report]{path: path, prefer: func(r Report) bool { return r.Current }})
+}
+
 // History lists versions, newest first.
 func (c *Client) History(ctx context.Context, r HistoryRequest) (History, error) {
 	q := url.Values{"Limit": {strconv.Itoa(r.Limit)}}
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -126,6 +126,11 @@
 			return nil, err
 		}
 		return h.backend.Status(c.Context())
+	case path == PathReport:
+		if err := c.get("Customer"); err != nil {
+			return nil, err
+		}
+		return h.backend.Report(c.Context(), ReportRequest{Customer: c.URL.Query().Get("Customer")})
 	case path == PathHistory:
 		return h.history(c)
 	case strings.HasPrefix(path, PathVersions):
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -40,6 +40,7 @@
 	PathAccept   = "/v1/accept"
 	PathForget   = "/v1/forget"
 	PathStatus   = "/v1/status"
+	PathReport   = "/v1/report"
 	PathHistory  = "/v1/history"
 	PathVersions = "/v1/versions/"
 	// Latest stands for the newest version at the end of PathVersions.
@@ -66,6 +67,8 @@
 	Forget(ctx context.Context, r ForgetRequest) (Forgotten, error)
 	// Status returns what the controls know of members and nodes.
 	Status(ctx context.Context) (Status, error)
+	// Report sums the service by rank of the whole fleet.
+	Report(ctx context.Context, r ReportRequest) (Report, error)
 	// History lists versions, newest first.
 	History(ctx context.Context, r HistoryRequest) (History, error)
 	// Version returns one version.
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -28,10 +28,17 @@
 	SinceHeard       time.Duration `cbor:"7,keyasint"`
 }
 
+// NodeReportsRequest asks a control for its nodes.
+type NodeReportsRequest struct {
+	// Ranks asks for RankTotals instead of the reports.
+	Ranks bool `cbor:"1,keyasint,omitempty"`
+}
+
 // NodeReports answers MethodNodeReports.
 type NodeReports struct {
 	Reports []NodeReport `cbor:"1,keyasint"`
 	Member  MemberReport `cbor:"2,keyasint"`
+	Ranks   *RankTotals  `cbor:"3,keyasint,omitempty"`
 }
 
 // MemberReport is a control's view of itself.
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -92,6 +92,8 @@
 // Ping renews the node's lease.
 type Ping struct {
 	Version uint64 `cbor:"1,keyasint"`
+	// Ranks is set in some pings only.
+	Ranks *RankSample `cbor:"2,keyasint,omitempty"`
 }
 
 // ControlState tells a node whether it should change to this control.
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -76,6 +76,26 @@
 	ExitUnknown = 3
 )
 
+// Group is the coarse cause of a kind, for counters of which few are kept.
+type Group string
+
+// Groups of kinds.
+const (
+	// GroupOverload lacks capacity or time.
+	GroupOverload Group = "Overload"
+	// GroupCaller is a fault of the request itself, or the caller gave up.
+	GroupCaller Group = "Caller"
+	// GroupUnavailable is everything else: a part of the system does not work.
+	GroupUnavailable Group = "Unavailable"
+)
+
+var groups = map[Kind]Group{
+	QueueFull: GroupOverload, DeadlineTooShort: GroupOverload, DeadlineExceeded: GroupOverload,
+	BadRequest: GroupCaller, Unauthorized: GroupCaller, NotFound: GroupCaller, TooLarge: GroupCaller,
+	NoRoute: GroupCaller, KeyRequired: GroupCaller, KeyReused: GroupCaller, InProgress: GroupCaller,
+	Canceled: GroupCaller, Conflict: GroupCaller, InvalidFile: GroupCaller, Usage: GroupCaller,
+}
+
 // Answer is what the edge of the process makes of a kind.
 type Answer struct {
 	HTTPStatus int
@@ -132,6 +152,14 @@
 	return answers[Internal]
 }
 
+// Group returns the group of k.
+func (k Kind) Group() Group {
+	if g, ok := groups[k]; ok {
+		return g
+	}
+	return GroupUnavailable
+}
+
 // Error is an error with a kind and a statement about execution.
 type Error struct {
 	Kind      Kind
