Keep header values of any bytes and bound empty headers in the inner protocol

Cause: HTTP header values can hold Latin-1. The CBOR decoder refused such messages, which would lose the outcome of a request that ran and break the connection. Many empty header values passed the bound of an outcome. Change: the decoder takes text that is not UTF-8; Outcome.Bounded counts an overhead for each header name and value. TestHeaderKeepsAnyBytes failed with 'invalid UTF-8 string' before the change; the case 'too many headers' in the claims tests fails with the overhead switched off.

--- a/internal/wire/claim.go
+++ b/internal/wire/claim.go
@@ -6,6 +6,9 @@
 const (
 	MaxOutcomeBody   = 16 << 10
 	MaxOutcomeHeader = 8 << 10
+	// headerOverhead stands for the encoding of one header value, so that many
+	// empty ones are bounded too.
+	headerOverhead = 8
 )
 
 // ClaimRequest asks for the right to run one request once.
@@ -66,8 +69,9 @@
 	}
 	n := 0
 	for name, values := range o.Header {
+		n += len(name) + headerOverhead
 		for _, v := range values {
-			n += len(name) + len(v)
+			n += len(v) + headerOverhead
 		}
 	}
 	if n > MaxOutcomeHeader {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -63,7 +63,11 @@
 }
 
 func newDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
+		// Header values of HTTP can hold any bytes.
+		UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err) // the options above are constant
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// A header in Latin-1 that cannot be decoded would lose the recorded outcome of
+// a request that ran, and break the connection that carries it.
+func TestHeaderKeepsAnyBytes(t *testing.T) {
+	want := "filename=\xe4.pdf"
+	b, err := wire.Marshal(&wire.Outcome{Header: map[string][]string{"Content-Disposition": {want}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got wire.Outcome
+	if err := wire.Unmarshal(b, &got); err != nil || got.Header["Content-Disposition"][0] != want {
+		t.Errorf("got %q and %v, want %q", got.Header, err, want)
+	}
+}
+
 // FuzzUnmarshal guards against messages of a broken or hostile peer that crash
 // the process.
 func FuzzUnmarshal(f *testing.F) {
