--- a/internal/claims/batcher.go
+++ b/internal/claims/batcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +15,10 @@
 	// inner message.
 	maxBatch      = 1024
 	maxBatchBytes = 1 << 20
-	// maxWaiting bounds the commands of a group that wait for a proposal.
-	maxWaiting = 16 * maxBatch
+	// maxWaiting and maxWaitingBytes bound the commands of a group that wait
+	// for a proposal.
+	maxWaiting      = 16 * maxBatch
+	maxWaitingBytes = 16 * maxBatchBytes
 )
 
 // batcher collects the commands of one group while a proposal is outstanding
@@ -33,6 +34,7 @@
 
 	mu      sync.Mutex
 	waiting []*item
+	bytes   int // of the waiting commands
 	closed  bool
 }
 
@@ -40,8 +42,18 @@
 type item struct {
 	command []byte
 	done    chan answer // holds one answer, so that the sender never waits
+	state   itemState   // guarded by the batcher
 }
 
+// itemState is the place of an item on its way.
+type itemState int
+
+const (
+	waiting itemState = iota
+	proposed
+	withdrawn
+)
+
 type answer struct {
 	result Result
 	err    error
@@ -75,10 +87,11 @@
 	if b.closed {
 		return errkind.New(errkind.Leaving, "control is stopping")
 	}
-	if len(b.waiting) >= maxWaiting {
+	if len(b.waiting) >= maxWaiting || b.bytes >= maxWaitingBytes {
 		return errkind.New(errkind.QueueFull, "%d commands wait for the claim group", len(b.waiting))
 	}
 	b.waiting = append(b.waiting, it)
+	b.bytes += len(it.command)
 	select {
 	case b.wake <- struct{}{}:
 	default:
@@ -86,15 +99,14 @@
 	return nil
 }
 
-// withdraw removes it and reports whether it had not been proposed.
+// withdraw keeps it from being proposed and reports whether it was in time.
 func (b *batcher) withdraw(it *item) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	i := slices.Index(b.waiting, it)
-	if i < 0 {
+	if it.state == proposed {
 		return false
 	}
-	b.waiting = slices.Delete(b.waiting, i, i+1)
+	it.state = withdrawn
 	return true
 }
 
@@ -102,13 +114,22 @@
 func (b *batcher) take() []*item {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n, size := 0, 0
-	for n < min(len(b.waiting), maxBatch) && (n == 0 || size+len(b.waiting[n].command) <= maxBatchBytes) {
-		size += len(b.waiting[n].command)
-		n++
+	var batch []*item
+	size := 0
+	for len(b.waiting) > 0 && len(batch) < maxBatch {
+		it := b.waiting[0]
+		if size > 0 && size+len(it.command) > maxBatchBytes {
+			break
+		}
+		b.waiting[0], b.waiting = nil, b.waiting[1:]
+		b.bytes -= len(it.command)
+		if it.state == withdrawn {
+			continue
+		}
+		it.state = proposed
+		batch = append(batch, it)
+		size += len(it.command)
 	}
-	batch := slices.Clone(b.waiting[:n])
-	b.waiting = slices.Delete(b.waiting, 0, n)
 	return batch
 }
 
