--- a/internal/idempotency/background.go
+++ b/internal/idempotency/background.go
@@ -9,13 +9,14 @@
 
 const (
 	// maxBackground bounds the releases and outcomes that wait for a control;
-	// with outcomes of 16 KiB they take at most 8 MiB of a node's 64 MB.
-	maxBackground     = 512
+	// with outcomes of 24 KiB they take at most 6 MiB of a node's 64 MB.
+	maxBackground     = 256
 	backgroundWorkers = 4
 	// backgroundLimit exceeds the time in which a lost control is replaced by
 	// an election or a restart.
 	backgroundLimit = 5 * time.Minute
 	roundLimit      = time.Second
+	backgroundPause = time.Second
 	closePoll       = 10 * time.Millisecond
 )
 
@@ -69,7 +70,7 @@
 		c.pending.Add(-1)
 	case done && errkind.Of(err) != errkind.QueueFull, !time.Now().Before(t.until):
 		c.drop(t, err)
-	case sleep(ctx, maxPause):
+	case sleep(ctx, c.config.Jitter(backgroundPause)):
 		c.queue(t)
 	}
 }
--- a/internal/idempotency/client.go
+++ b/internal/idempotency/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,10 +22,10 @@
 	minTry = 20 * time.Millisecond
 	// tryShare is the part of the remaining time that one try may use.
 	tryShare = 3
-	// firstPause and maxPause space the rounds over all controls, for example
-	// while they elect a leader.
-	firstPause = 5 * time.Millisecond
-	maxPause   = 200 * time.Millisecond
+	// firstPause and maxPause space the rounds over all controls. A request of
+	// 2 s makes at most ten rounds while the controls elect a leader.
+	firstPause = 10 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
 	// settleLimit bounds how long an answer waits for its outcome to be
 	// recorded, or a refusal for its claim to be released.
 	settleLimit = time.Second
@@ -45,6 +46,10 @@
 	// Controls returns the controls to try, the preferred one first.
 	Controls func() []Control
 	Log      logr.Logger
+	// Jitter returns the pause to make instead of d. The default is a random
+	// time between half and one and a half of d, so that nodes do not return
+	// to a control all at once.
+	Jitter func(d time.Duration) time.Duration
 }
 
 // Client claims keys at controls. It is safe for concurrent use.
@@ -58,6 +63,9 @@
 
 // New starts a Client. Close stops it.
 func New(c Config) *Client {
+	if c.Jitter == nil {
+		c.Jitter = func(d time.Duration) time.Duration { return d/2 + mathrand.N(d) }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Client{config: c, background: make(chan task, maxBackground), stop: cancel}
 	for range backgroundWorkers {
@@ -127,7 +135,7 @@
 		if err != nil {
 			last = err
 		}
-		if !sleep(ctx, pause) {
+		if !sleep(ctx, c.config.Jitter(pause)) {
 			return last
 		}
 	}
--- a/internal/idempotency/run.go
+++ b/internal/idempotency/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"time"
-	"unicode/utf8"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -53,8 +52,8 @@
 	switch {
 	case q.Key == "":
 		return errkind.New(errkind.KeyRequired, "the route needs an Idempotency-Key header")
-	case len(q.Key) > maxKeyBytes || !utf8.ValidString(q.Key):
-		return errkind.New(errkind.BadRequest, "Idempotency-Key must be UTF-8 of at most %d bytes", maxKeyBytes)
+	case len(q.Key) > maxKeyBytes:
+		return errkind.New(errkind.BadRequest, "Idempotency-Key has %d bytes; at most %d are taken", len(q.Key), maxKeyBytes)
 	}
 	return nil
 }
