Secure inner connections and the operator API with TLS

Cause: everybody on the network could read configuration and requests, vote as a member, or take a token on its way to a control. Change: the optional setting TLS names certificate, key and authority. Without the setting nothing changes.

--- a/internal/commands/operation.go
+++ b/internal/commands/operation.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
@@ -30,6 +31,7 @@
 	control   []string
 	settings  string
 	tokenFile string
+	authority string
 	output    string
 	// requestID is that of accept, for errors in JSON.
 	requestID string
@@ -43,8 +45,9 @@
 // flags adds the flags of commands that call a control.
 func (o *operation) flags(c *cobra.Command) {
 	c.Flags().StringSliceVar(&o.control, "control", nil, "Listen addresses of controls, tried in this order")
-	c.Flags().StringVar(&o.settings, "settings", "", "settings file (JSON with comments) with Control and TokenFile")
+	c.Flags().StringVar(&o.settings, "settings", "", "settings file (JSON with comments) with Control, TokenFile and Authority")
 	c.Flags().StringVar(&o.tokenFile, "token-file", "", "file with the bearer token of an operator")
+	c.Flags().StringVar(&o.authority, "authority", "", "file with the certificate of the controls' authority, for controls with TLS")
 	o.outputFlag(c)
 }
 
@@ -84,7 +87,7 @@
 }
 
 func (o *operation) client() (*operator.Client, error) {
-	control, tokenFile := o.control, o.tokenFile
+	control, tokenFile, authority := o.control, o.tokenFile, o.authority
 	if o.settings != "" {
 		s, err := settings.ReadClient(o.settings)
 		if err != nil {
@@ -96,12 +99,21 @@
 		if tokenFile == "" {
 			tokenFile = s.TokenFile
 		}
+		if authority == "" {
+			authority = s.Authority
+		}
 	}
 	token, err := readToken(tokenFile)
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewClient(operator.ClientConfig{Control: control, Token: token, Dial: o.dial})
+	config := operator.ClientConfig{Control: control, Token: token, Dial: o.dial}
+	if authority != "" {
+		if config.Authority, err = mtls.ReadAuthority(authority); err != nil {
+			return nil, err
+		}
+	}
+	return operator.NewClient(config)
 }
 
 func readToken(file string) (string, error) {
@@ -177,7 +189,7 @@
 func (o *operation) arguments() []string {
 	var l []string
 	for _, f := range []struct{ name, value string }{
-		{"--control", strings.Join(o.control, ",")}, {"--settings", o.settings}, {"--token-file", o.tokenFile},
+		{"--control", strings.Join(o.control, ",")}, {"--settings", o.settings}, {"--token-file", o.tokenFile}, {"--authority", o.authority},
 	} {
 		if f.value != "" {
 			l = append(l, f.name, f.value)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -24,6 +24,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
 	"github.com/gooseberrypick/gooseberrypick/internal/claims"
+	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -72,7 +73,7 @@
 	if c.Dial == nil {
 		c.Dial = wire.DialTCP
 	}
-	l, err := listen(c.Settings)
+	l, err := open(&c)
 	if err != nil {
 		return nil, err
 	}
@@ -157,6 +158,26 @@
 	return nil
 }
 
+// open opens the listeners. With TLS in the settings it secures them and the
+// Dialer of c.
+func open(c *Config) (listeners, error) {
+	s := c.Settings
+	if !s.TLS.Enabled() {
+		return listen(s)
+	}
+	i, err := mtls.New(mtls.Config{Files: s.TLS, Addresses: []string{s.PeerListen, s.Listen}, Log: c.Log.WithName("tls")})
+	if err != nil {
+		return listeners{}, err
+	}
+	l, err := listen(s)
+	if err != nil {
+		return l, err
+	}
+	c.Dial = i.Dialer(c.Dial)
+	l.peer, l.operator = i.Listener(l.peer), i.ServerListener(l.operator)
+	return l, nil
+}
+
 func listen(s settings.Control) (listeners, error) {
 	var l listeners
 	for _, e := range []struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/caller"
 	"github.com/gooseberrypick/gooseberrypick/internal/distribution"
 	"github.com/gooseberrypick/gooseberrypick/internal/idempotency"
+	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/peer"
 	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
@@ -100,7 +101,7 @@
 	if c.Listen == nil {
 		c.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
-	l, err := listen(c)
+	l, inner, err := open(c)
 	if err != nil {
 		return nil, err
 	}
@@ -112,7 +113,7 @@
 		PeerAddress:      c.Settings.PeerListen,
 		Incarnation:      uint64(now.UnixNano()),
 		Controls:         c.Settings.Control,
-		Dial:             c.Dial,
+		Dial:             inner,
 		Registry:         n.registry,
 		Log:              c.Log.WithName("distribution"),
 		Seed:             uint64(now.UnixNano()),
@@ -126,9 +127,9 @@
 		Dial:    c.Dial,
 	})
 	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n)
-	n.peers = peer.NewClient(c.Dial)
+	n.peers = peer.NewClient(inner)
 	n.peerServer = peer.NewServer(n.local)
-	n.controls = &controls{pool: wire.NewPool(c.Dial), addresses: c.Settings.Control, preferred: n.distribution.Control}
+	n.controls = &controls{pool: wire.NewPool(inner), addresses: c.Settings.Control, preferred: n.distribution.Control}
 	n.once = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
 	n.serversOf(now)
 	return n, nil
@@ -175,6 +176,27 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxLocalHeaderBytes}
 }
 
+// open opens the listeners and returns the Dialer of connections to nodes and
+// controls. With TLS in the settings it secures these connections; callers and
+// upstreams use none.
+func open(c Config) (listeners, wire.Dialer, error) {
+	s := c.Settings
+	if !s.TLS.Enabled() {
+		l, err := listen(c)
+		return l, c.Dial, err
+	}
+	i, err := mtls.New(mtls.Config{Files: s.TLS, Addresses: []string{s.PeerListen}, Log: c.Log.WithName("tls")})
+	if err != nil {
+		return listeners{}, nil, err
+	}
+	l, err := listen(c)
+	if err != nil {
+		return l, nil, err
+	}
+	l.peer = i.Listener(l.peer)
+	return l, i.Dialer(c.Dial), nil
+}
+
 func listen(c Config) (listeners, error) {
 	var l listeners
 	s := c.Settings
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -37,6 +39,9 @@
 	Control []string
 	// Token is the bearer token, empty on loopback without operators.
 	Token string
+	// Authority, if set, makes the client use TLS and trust controls with a
+	// certificate of these authorities alone.
+	Authority *x509.CertPool
 	// Timeout bounds one attempt at one control; zero for DefaultTimeout.
 	Timeout time.Duration
 	// Dial opens connections; nil for TCP.
@@ -46,6 +51,7 @@
 // Client calls the controls in turn.
 type Client struct {
 	config ClientConfig
+	scheme string
 	http   *http.Client
 }
 
@@ -65,9 +71,15 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{config: c, http: &http.Client{
+	t := &http.Transport{DialContext: c.Dial, IdleConnTimeout: idleTimeout, TLSHandshakeTimeout: dialTimeout}
+	scheme := "http://"
+	if c.Authority != nil {
+		t.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: c.Authority}
+		scheme = "https://"
+	}
+	return &Client{config: c, scheme: scheme, http: &http.Client{
 		// No proxy: controls are reached by address within the mesh.
-		Transport: &http.Transport{DialContext: c.Dial, IdleConnTimeout: idleTimeout},
+		Transport: t,
 		// A redirect would carry the token to an address nobody configured.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}, nil
@@ -221,7 +233,7 @@
 	if body != nil {
 		method = http.MethodPost
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, c.scheme+address+path, bytes.NewReader(body))
 	if err != nil {
 		return errkind.Wrap(err, errkind.Usage, "control address %q", address)
 	}
@@ -268,6 +280,9 @@
 		}
 		return nil
 	}
+	if status == http.StatusBadRequest && strings.Contains(string(b), "HTTPS server") { // by net/http, before any handler
+		return errkind.New(errkind.Unreachable, "the control uses TLS; pass --authority FILE").WithExecution(errkind.NotRun)
+	}
 	var f Fault
 	if err := json.Unmarshal(b, &f); err != nil || f.Kind == "" {
 		return errkind.New(errkind.Unreachable, "status %d without a fault; is this the Listen address of a control?", status)
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"io"
+	"log"
 	"math"
 	"mime"
 	"net/http"
@@ -67,7 +68,7 @@
 
 // NewServer returns a server for h with the limits of the API.
 func NewServer(h http.Handler) *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
@@ -75,6 +76,19 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	if h, ok := h.(*handler); ok {
+		s.ErrorLog = log.New(connectionLog{h.log}, "", 0)
+	}
+	return s
+}
+
+// connectionLog writes what net/http says of connections that fail.
+type connectionLog struct{ log logr.Logger }
+
+// Write implements io.Writer.
+func (l connectionLog) Write(b []byte) (int, error) {
+	l.log.Info("operator connection failed", "cause", strings.TrimSpace(string(b)))
+	return len(b), nil
 }
 
 // call is one request on its way through the handler.
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -40,6 +40,7 @@
 	for i, a := range s.Control {
 		c.peer(jsonc.Index("Control", i), a, seen)
 	}
+	c.tls(s.TLS)
 	c.common(s.LogLevel, s.StopLimit)
 }
 
@@ -55,6 +56,7 @@
 	if c.d.Valid("DataFolder") && s.DataFolder == "" {
 		c.d.Fault("DataFolder", "empty", "a folder")
 	}
+	c.tls(s.TLS)
 	c.operators(s.Operators)
 	if c.d.Valid("ClaimGroups") && (s.ClaimGroups < 1 || s.ClaimGroups > maxClaimGroups) {
 		c.d.Fault("ClaimGroups", fmt.Sprintf("%d is out of range", s.ClaimGroups), "a whole number from 1 to 64")
--- a/pkg/settings/client.go
+++ b/pkg/settings/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"path/filepath"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/jsonc"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -15,6 +14,10 @@
 	// TokenFile holds the bearer token. A relative name counts from the folder
 	// of the settings file.
 	TokenFile string `jsonc:"optional"`
+	// Authority holds the certificates of the authorities that issue those of
+	// the controls, in PEM. It is for controls with TLS in their settings. A
+	// relative name counts as that of TokenFile does.
+	Authority string `jsonc:"optional"`
 }
 
 // ReadClient reads the settings of the operator commands.
@@ -43,8 +46,6 @@
 	if err := d.Err(); err != nil {
 		return nil, errkind.New(errkind.Usage, "%v", err)
 	}
-	if s.TokenFile != "" && !filepath.IsAbs(s.TokenFile) {
-		s.TokenFile = filepath.Join(filepath.Dir(file), s.TokenFile)
-	}
+	s.TokenFile, s.Authority = beside(file, s.TokenFile), beside(file, s.Authority)
 	return s, nil
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -42,9 +42,11 @@
 	PeerListen  string
 	AdminListen string
 	// Control lists the PeerListen addresses of controls.
-	Control  []string `jsonc:"max=100"`
-	LogLevel string   `jsonc:"optional"`
-	Pprof    bool     `jsonc:"optional"`
+	Control []string `jsonc:"max=100"`
+	// TLS is for connections to and from other nodes and controls.
+	TLS      TLS    `jsonc:"optional"`
+	LogLevel string `jsonc:"optional"`
+	Pprof    bool   `jsonc:"optional"`
 	// StopLimit bounds a graceful shutdown.
 	StopLimit time.Duration `jsonc:"optional"`
 }
@@ -61,6 +63,9 @@
 	// Members lists all controls that vote, including this one.
 	Members    []Member `jsonc:"max=100"`
 	DataFolder string
+	// TLS is for connections to and from nodes and other controls, and for the
+	// operator API, which asks for no certificate of the client.
+	TLS TLS `jsonc:"optional"`
 	// Operators may be empty; then only loopback is allowed.
 	Operators   []Operator `jsonc:"optional,max=1000"`
 	ClaimGroups int        `jsonc:"optional"`
@@ -113,6 +118,7 @@
 	if err := d.Err(); err != nil {
 		return nil, errkind.New(errkind.Usage, "%v", err)
 	}
+	s.TLS = s.TLS.within(file)
 	return s, nil
 }
 
@@ -129,6 +135,7 @@
 	if err := d.Err(); err != nil {
 		return nil, errkind.New(errkind.Usage, "%v", err)
 	}
+	s.TLS = s.TLS.within(file)
 	return s, nil
 }
 
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -53,6 +53,8 @@
 		"log level":            {node, `"Control"`, `"LogLevel": "warn", "Control"`, `f:8:13: LogLevel: unknown level "warn"; expected one of "debug", "info", "error"`},
 		"stop limit":           {node, `"Control"`, `"StopLimit": "0s", "Control"`, `f:8:14: StopLimit: 0s is out of range; expected a duration above 0`},
 		"bad duration":         {node, `"Control"`, `"StopLimit": "30", "Control"`, `f:8:14: StopLimit: bad duration "30"; expected a duration such as "1m30s"`},
+		"TLS without key":      {node, `"Control"`, `"TLS": {"Certificate": "c", "Authority": "a"}, "Control"`, `f:8:8: TLS.Key: missing required key; expected a string`},
+		"TLS of an empty name": {control, `"DataFolder"`, `"TLS": {"Certificate": "c", "Key": "", "Authority": "a"}, "DataFolder"`, `f:10:36: TLS.Key: empty; expected a file in PEM`},
 		"pprof":                {node, `"Control"`, `"Pprof": 1, "Control"`, `f:8:10: Pprof: wrong type number; expected true or false`},
 		"two members":          {control, "}\n],", `}, {"Name": "c-2", "Address": "127.0.0.1:4"}],`, `f:7:12: Members: 2 members; expected 1, 3 or 5 members`},
 		"same member":          {control, "}\n],", `}, {"Name": "c-1", "Address": "127.0.0.1:4"}, {"Name": "c-3", "Address": "127.0.0.1:5"}],`, `f:8:53: Members[1].Name: duplicate name "c-1"; expected unique names`},
@@ -95,6 +97,22 @@
 	}
 }
 
+// A name that counts from the working folder would be another file, or none,
+// where a supervisor starts the process elsewhere.
+func TestFilesBesideSettings(t *testing.T) {
+	const files = `"TLS": {"Certificate": "c", "Key": "../k", "Authority": "/a"}, "Control"`
+	n, err := settings.ParseNode("/etc/mesh/n.jsonc", []byte(strings.Replace(node, `"Control"`, files, 1)))
+	assertNoError(t, err)
+	if got, want := n.TLS, (settings.TLS{Certificate: "/etc/mesh/c", Key: "/etc/k", Authority: "/a"}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	c, err := settings.ParseClient("/etc/mesh/c.jsonc", []byte(`{"Control": ["127.0.0.1:1"], "Authority": "a"}`))
+	assertNoError(t, err)
+	if got, want := c.Authority, "/etc/mesh/a"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
 // A missing file must count as a fault of usage, not as an internal one.
 func TestReadMissingFile(t *testing.T) {
 	_, err := settings.ReadNode(filepath.Join(t.TempDir(), "none.jsonc"))
