Count a node that was turned away as lagging

status now counts a node with a refusal as lagging and shows the refusal.

The new case of TestStatusWait fails without the change (got exit code 0).

--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -181,7 +181,7 @@
   - level-reading
 Routes: 0 added, 0 changed, 4 removed
   - GET levels`, `^$`},
-		"plan invalid":           {[]string{"plan", invalid, toControl}, 1, `^$`, `(?s)run validate:\n.*:1:19: Bad`},
+		"plan invalid":           {[]string{"plan", invalid, toControl}, 1, `^$`, `(?s)run plan again:\n.*:1:19: Bad`},
 		"accept":                 {[]string{"accept", pichler, toControl, "--base=1"}, 0, `(?s)Version 2 of customer pichler was accepted \(base 1, request ID \w{26}\).*status --wait 10s --control 10.0.0.1:1`, `^Request ID: \w{26}\n$`},
 		"accept resent":          {[]string{"accept", pichler, toControl, "--base=0", "--request-id=first"}, 0, `Version 1 .* by an earlier request`, `^$`},
 		"accept JSON":            {[]string{"accept", pichler, toControl, "--base=1", "--output=json"}, 0, `"Version": 2,(?s).*"RequestId": "\w{26}"`, `^$`},
@@ -260,7 +260,8 @@
 		"caught up":        {nodes: []operator.Node{{Name: "n1", Version: 1}}},
 		"in time":          {nodes: []operator.Node{{Name: "n1"}}, caughtUp: 9 * time.Second},
 		"too late":         {nodes: []operator.Node{{Name: "n1"}}, caughtUp: 11 * time.Second, code: 1, stderr: "n1: version 0, behind by 1"},
-		"refused":          {nodes: []operator.Node{{Name: "n1", Refused: 1, Reason: "digest\x1b[2J"}}, code: 1, stderr: "n1: refused version 1: digest?[2J\n"},
+		"refused":          {nodes: []operator.Node{{Name: "n1", Refused: 1, Reason: "digest\x1b[2J"}}, code: 1, stderr: "n1: version 0 in force, refused at version 1: digest?[2J\n"},
+		"other lineage":    {nodes: []operator.Node{{Name: "n1", Version: 1, Refused: 1, Reason: "lineage"}}, code: 1, stderr: "n1: version 1 in force, refused at version 1: lineage\n"},
 		"ahead":            {nodes: []operator.Node{{Name: "n1", Version: 2}}},
 		"older report":     {nodes: []operator.Node{{Name: "n1", LastHeard: time.Unix(2, 0)}, {Name: "n1", Version: 1, LastHeard: time.Unix(1, 0)}}, code: 1, stderr: "1 of 1 nodes did not have version 1 in force within 10s:\n  n1: version 0"},
 		"newer report":     {nodes: []operator.Node{{Name: "n1", LastHeard: time.Unix(1, 0)}, {Name: "n1", Version: 1, LastHeard: time.Unix(2, 0)}}},
--- a/internal/commands/operation.go
+++ b/internal/commands/operation.go
@@ -164,7 +164,7 @@
 func explain(err error) error {
 	e := errkind.From(err)
 	if e.Kind == errkind.InvalidFile {
-		return errkind.New(e.Kind, "the file is refused; nothing was changed; correct it and run validate:\n%s", e.Error())
+		return errkind.New(e.Kind, "the file is refused; nothing was changed; correct it and run plan again:\n%s", e.Error())
 	}
 	if h, ok := hints[e.Kind]; ok {
 		return errkind.New(e.Kind, "%s; %s", e.Error(), h).WithExecution(e.Execution)
--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -117,8 +117,8 @@
 	switch {
 	case !n.Heard:
 		return "not heard from; check that its process runs and reaches a control"
-	case n.Refused > n.Version:
-		return fmt.Sprintf("refused version %d: %s", n.Refused, printable(n.Reason))
+	case n.Reason != "":
+		return fmt.Sprintf("version %d in force, refused at version %d: %s", n.Version, n.Refused, printable(n.Reason))
 	}
 	return fmt.Sprintf("version %d, behind by %d, last heard at %s", n.Version, n.BehindBy, timeText(n.LastHeard))
 }
@@ -157,10 +157,10 @@
 func nodeRow(n operator.Node) []string {
 	r := []string{n.Name, orDash(n.AvailabilityZone), yesNo(n.Heard)}
 	if !n.Heard {
-		return append(r, "-", "-", "never", "-")
+		return append(r, "-", "-", "-", "-")
 	}
 	refusal := ""
-	if n.Refused != 0 {
+	if n.Reason != "" {
 		refusal = fmt.Sprintf("%d: %s", n.Refused, n.Reason)
 	}
 	return append(r, fmt.Sprint(n.Version), fmt.Sprint(n.BehindBy), timeText(n.LastHeard), orDash(n.Control), refusal)
--- /dev/null
+++ b/internal/contract/pages_test.go
@@ -0,0 +1,280 @@
+package contract_test
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	readme = "README.md"
+	// pageLimit only keeps a broken page from hanging.
+	pageLimit = 120 * time.Second
+	// pagesAtOnce bounds the processes of the example systems that run at the
+	// same time; a page starts about 15.
+	pagesAtOnce = 4
+	// blockEnd separates the outputs of the blocks of a page.
+	blockEnd = "@@ end of block @@"
+)
+
+// A command on a page that does not work as written, or whose output has
+// changed, misleads the reader when it matters most. Blocks marked sh are run
+// in order by one bash; the text blocks that follow one show lines of its
+// output, with … for any text.
+func TestPages(t *testing.T) {
+	l, err := filepath.Glob(filepath.Join(moduleFolder, "docs", "operations", "*.md"))
+	if err != nil || len(l) == 0 {
+		t.Fatalf("no pages: %v", err)
+	}
+	slots := make(chan struct{}, pagesAtOnce)
+	for _, f := range append(l, filepath.Join(moduleFolder, readme)) {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".md"), func(t *testing.T) {
+			t.Parallel()
+			b, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := newPage(t, filepath.Base(f))
+			blocks := fencedBlocks(p.local(t, string(b)))
+			if !strings.Contains(string(b), "```sh\n") {
+				return
+			}
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			checkOutputs(t, blocks, p.run(t, blocks))
+		})
+	}
+}
+
+// page is one page with a folder that looks like the root of the source tree.
+type page struct {
+	site
+	name    string
+	devBase int
+}
+
+func newPage(t *testing.T, name string) *page {
+	t.Helper()
+	p := &page{site: site{folder: t.TempDir(), ports: map[string]string{}}, name: name}
+	if name == readme { // it builds the programs itself
+		p.copyTree(t, "main.go", "go.mod", "go.sum", "internal", "pkg", "examples")
+		return p
+	}
+	p.copyTree(t, "examples")
+	bin := filepath.Join(p.folder, "bin")
+	if err := os.Mkdir(bin, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	for n, pkg := range map[string]string{"gooseberrypick": ".", "upstream": "./examples/upstream"} {
+		if err := os.Symlink(build(t, pkg), filepath.Join(bin, n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return p
+}
+
+// copyTree copies files and folders of the source tree, with free ports in the
+// examples' settings.
+func (p *page) copyTree(t *testing.T, names ...string) {
+	t.Helper()
+	for _, n := range names {
+		err := filepath.WalkDir(filepath.Join(moduleFolder, n), func(from string, e os.DirEntry, err error) error {
+			if err != nil || e.IsDir() || strings.HasSuffix(from, "_test.go") {
+				return err
+			}
+			b, err := os.ReadFile(from)
+			if err != nil {
+				return err
+			}
+			if strings.HasSuffix(from, ".jsonc") {
+				b = []byte(p.local(t, string(b)))
+			}
+			i, err := e.Info()
+			if err != nil {
+				return err
+			}
+			to := filepath.Join(p.folder, strings.TrimPrefix(from, moduleFolder))
+			if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
+				return err
+			}
+			return os.WriteFile(to, b, i.Mode())
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+const (
+	devBasePort = "--base-port 20100"
+	// devPorts is the number of ports that gooseberrypick dev uses.
+	devPorts = 40
+)
+
+var pagePort = regexp.MustCompile(devBasePort + `|127\.0\.0\.1:2[0-2]\d{3}`)
+
+// local replaces the ports of the examples and of gooseberrypick dev by free
+// ones.
+func (p *page) local(t *testing.T, s string) string {
+	t.Helper()
+	return pagePort.ReplaceAllStringFunc(s, func(a string) string {
+		n, dev := strings.CutPrefix(a, "127.0.0.1:201")
+		if a != devBasePort && !dev {
+			return p.address(t, a)
+		}
+		if p.devBase == 0 {
+			p.devBase = freePorts(t, devPorts)
+		}
+		if a == devBasePort {
+			return fmt.Sprintf("--base-port %d", p.devBase)
+		}
+		k, _ := strconv.Atoi(n)
+		return fmt.Sprintf("127.0.0.1:%d", p.devBase+k)
+	})
+}
+
+// block is one fenced block of a page.
+type block struct {
+	line       int
+	mark, text string
+}
+
+func fencedBlocks(s string) []block {
+	var l []block
+	open := false
+	for i, k := range strings.Split(s, "\n") {
+		mark, fence := strings.CutPrefix(k, "```")
+		switch {
+		case fence && !open:
+			l = append(l, block{line: i + 1, mark: mark})
+		case !fence && open:
+			l[len(l)-1].text += k + "\n"
+		}
+		open = open != fence
+	}
+	return l
+}
+
+// run runs the sh blocks of a page and returns the output of each, in order.
+// Every process of the page belongs to the process group of its bash.
+func (p *page) run(t *testing.T, blocks []block) []string {
+	t.Helper()
+	// Ends the page also when the test process dies without cleaning up: the
+	// pipe at descriptor 3 then breaks.
+	script := "{ read -r _ <&3 || kill -KILL 0; } &\nset -euo pipefail\n"
+	for _, b := range blocks {
+		if b.mark == "sh" {
+			script += b.text + "echo '" + blockEnd + "'\n"
+		}
+	}
+	file := filepath.Join(t.TempDir(), "page.sh")
+	if err := os.WriteFile(file, []byte(script), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := p.bash(t, file)
+	l := strings.Split(out, blockEnd+"\n")
+	n := 0
+	for _, b := range blocks {
+		if b.mark != "sh" {
+			continue
+		}
+		if n++; n == len(l) {
+			t.Fatalf("%s:%d: %v in\n%s\noutput:\n%s\nlogs:\n%s", p.name, b.line, err, b.text, l[n-1], p.logs())
+		}
+	}
+	return l
+}
+
+func (p *page) bash(t *testing.T, file string) (string, error) {
+	t.Helper()
+	alive, test := pipe(t)
+	output, w := pipe(t)
+	c := exec.Command("bash", file)
+	c.Dir = p.folder
+	c.Env = append(os.Environ(), "PATH="+filepath.Join(p.folder, "bin")+":"+os.Getenv("PATH"), "LC_ALL=C", "GOFLAGS=-trimpath")
+	c.Stdout, c.Stderr, c.ExtraFiles = w, w, []*os.File{alive}
+	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	limit := time.AfterFunc(pageLimit, func() { syscall.Kill(-c.Process.Pid, syscall.SIGKILL) })
+	defer limit.Stop()
+	read := make(chan []byte, 1)
+	go func() {
+		b, _ := io.ReadAll(output) // ends when no process of the page is left
+		read <- b
+	}()
+	err := c.Wait()
+	syscall.Kill(-c.Process.Pid, syscall.SIGKILL)
+	test.Close()
+	return string(<-read), err
+}
+
+func pipe(t *testing.T) (r, w *os.File) {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.Close()
+		w.Close()
+	})
+	return r, w
+}
+
+// logs returns the ends of the logs of the page's processes.
+func (p *page) logs() string {
+	var s strings.Builder
+	l, _ := filepath.Glob(filepath.Join(p.folder, "data", "*", "log", "*.log"))
+	for _, f := range l {
+		b, _ := os.ReadFile(f)
+		fmt.Fprintf(&s, "%s:\n%s\n", filepath.Base(f), tail(string(b), 2))
+	}
+	return s.String()
+}
+
+// checkOutputs checks that each text block after an sh block shows lines of its
+// output, in order.
+func checkOutputs(t *testing.T, blocks []block, outputs []string) {
+	t.Helper()
+	n, rest := -1, []string(nil)
+	for _, b := range blocks {
+		if b.mark == "sh" {
+			n++
+			rest = strings.Split(outputs[n], "\n")
+			continue
+		}
+		if b.mark != "text" || n < 0 {
+			continue
+		}
+		for i, want := range strings.Split(strings.TrimSpace(b.text), "\n") {
+			k := indexLine(rest, want)
+			if k < 0 {
+				t.Errorf("line %d: the output has no line (or no later one) %q:\n%s", b.line+1+i, want, outputs[n])
+				break
+			}
+			rest = rest[k+1:]
+		}
+	}
+}
+
+func indexLine(l []string, want string) int {
+	p := strings.ReplaceAll(regexp.QuoteMeta(strings.Join(strings.Fields(want), " ")), "…", ".*")
+	r := regexp.MustCompile("^" + p + "$")
+	for i, k := range l {
+		if r.MatchString(strings.Join(strings.Fields(k), " ")) {
+			return i
+		}
+	}
+	return -1
+}
--- a/internal/contract/process_test.go
+++ b/internal/contract/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -34,7 +33,7 @@
 		return f
 	}
 	f := filepath.Join(builds.folder, filepath.Base(pkg)+".bin")
-	c := exec.Command("go", "build", "-o", f, pkg)
+	c := exec.Command("go", "build", "-trimpath", "-o", f, pkg)
 	c.Dir = moduleFolder
 	if out, err := c.CombinedOutput(); err != nil {
 		t.Fatalf("build %s: %v\n%s", pkg, err, out)
@@ -83,14 +82,13 @@
 	t.Cleanup(func() {
 		p.cmd.Process.Kill()
 		if t.Failed() {
-			t.Logf("log of %s:\n%s", p.name, tail(p.log.String()))
+			t.Logf("log of %s:\n%s", p.name, tail(p.log.String(), 15))
 		}
 	})
 	return p
 }
 
-func tail(s string) string {
-	const lines = 15
+func tail(s string, lines int) string {
 	l := strings.Split(s, "\n")
 	return strings.Join(l[max(0, len(l)-lines):], "\n")
 }
@@ -154,15 +152,9 @@
 // address returns the free address that stands for one of the example.
 func (s *site) address(t *testing.T, example string) string {
 	t.Helper()
-	if a, ok := s.ports[example]; ok {
-		return a
+	if _, ok := s.ports[example]; !ok {
+		s.ports[example] = fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1))
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	s.ports[example] = l.Addr().String()
 	return s.ports[example]
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -188,17 +188,20 @@
 	Version uint64
 	// BehindBy is the number of versions accepted after Version.
 	BehindBy uint64
-	// Refused is the last version that the node refused, zero if none.
+	// Refused is the newest version at the last refusal, by the node or of the
+	// node. A version that is put in force later clears it and Reason.
 	Refused uint64 `json:",omitempty"`
-	// Reason is why the node refused it.
+	// Reason is why, empty if there is no refusal.
 	Reason    string    `json:",omitempty"`
 	LastHeard time.Time `json:",omitzero"`
 	// Control is the control that the node is connected to, or was last.
 	Control string `json:",omitempty"`
 }
 
-// CaughtUp reports whether n has the newest version in force.
-func (n Node) CaughtUp() bool { return n.Heard && n.BehindBy == 0 }
+// CaughtUp reports whether n has the newest version in force. The version of a
+// node that was turned away, for example because it is of another lineage, does
+// not compare with the newest version of this control system.
+func (n Node) CaughtUp() bool { return n.Heard && n.BehindBy == 0 && n.Reason == "" }
 
 // Lagging returns the nodes that have not caught up.
 func (s Status) Lagging() []Node {
