--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -48,6 +49,15 @@
 	return operator.Accepted{Version: v, Customer: c.Customer, Base: r.Base, RequestID: r.RequestID, Repeated: x.Repeated}, err
 }
 
+func (b *backend) Forget(_ context.Context, r operator.ForgetRequest) (operator.Forgotten, error) {
+	f, err := operator.NewForgotten(r, b.Nodes(), b.nodes, []operator.Member{{Name: "control-2", Role: operator.Unreachable}}, time.Now().Add(-time.Minute))
+	if err == nil {
+		c, _ := versions.ForgetNodes{Names: f.Removed}.Encode()
+		b.Apply(1, c)
+	}
+	return f, err
+}
+
 func (b *backend) Status(context.Context) (operator.Status, error) {
 	v := b.Current().Version()
 	for i := range b.nodes {
@@ -62,6 +72,17 @@
 	}, nil
 }
 
+func (b *backend) Report(_ context.Context, r operator.ReportRequest) (operator.Report, error) {
+	counts := wire.RankCounts{Answers: 30_000, InTarget: 29_999, Overload: 2, Caller: 7, Unknown: 1, Worth: 299_990}
+	a, err := operator.NewReport(r, b.Current(), &wire.RankTotals{Nodes: 2, Ranks: []wire.RankTotal{
+		{RankStats: wire.RankStats{RankCounts: wire.RankCounts{Caller: 3}}},
+		{RankStats: wire.RankStats{Customer: "pichler", Rank: "before", RankCounts: wire.RankCounts{Unavailable: 1}}},
+		{RankStats: wire.RankStats{Customer: "pichler", Rank: "operation", RankCounts: counts}, PerSecond: wire.RankRates{Requests: 8, InTarget: 4, Worth: 40}},
+	}})
+	a.Control, a.Known, a.Silent, a.Current = "control-1", 3, []string{"control-2"}, !b.notCurrent
+	return a, err
+}
+
 func (b *backend) History(_ context.Context, r operator.HistoryRequest) (operator.History, error) {
 	return operator.NewHistory(b.Current(), r), nil
 }
@@ -181,20 +202,30 @@
   - level-reading
 Routes: 0 added, 0 changed, 4 removed
   - GET levels`, `^$`},
-		"plan invalid":           {[]string{"plan", invalid, toControl}, 1, `^$`, `(?s)run plan again:\n.*:1:19: Bad`},
-		"accept":                 {[]string{"accept", pichler, toControl, "--base=1"}, 0, `(?s)Version 2 of customer pichler was accepted \(base 1, request ID \w{26}\).*status --wait 10s --control 10.0.0.1:1`, `^Request ID: \w{26}\n$`},
-		"accept resent":          {[]string{"accept", pichler, toControl, "--base=0", "--request-id=first"}, 0, `Version 1 .* by an earlier request`, `^$`},
-		"accept JSON":            {[]string{"accept", pichler, toControl, "--base=1", "--output=json"}, 0, `"Version": 2,(?s).*"RequestId": "\w{26}"`, `^$`},
-		"accept conflict":        {[]string{"accept", pichler, toControl, "--base=0"}, 1, `^$`, `version 1 was accepted by loopback at .*; run plan again`},
-		"accept conflict JSON":   {[]string{"accept", pichler, toControl, "--base=0", "--output=json", "--request-id=x"}, 1, `^$`, `^\{\n  "Kind": "Conflict",(?s).*"RequestId": "x",\n  "Execution": "not-run"\n\}\n$`},
-		"accept without base":    {[]string{"accept", pichler, toControl}, 2, `^$`, `"base" not set; run with --help`},
-		"accept reused ID":       {[]string{"accept", pichler, toControl, "--base=1", "--request-id=first"}, 1, `^$`, `use a new request ID`},
-		"history":                {[]string{"history", toControl}, 0, `VERSION  TIME .*REQUEST ID\n1 .* loopback  pichler   0     3 .*  first\n`, `^$`},
-		"history of another":     {[]string{"history", toControl, "--customer=p"}, 0, `Customer p has no version`, `^$`},
-		"show":                   {[]string{"show", toControl}, 0, `^// Pichler`, `VERSION +1\n`},
-		"show customer JSON":     {[]string{"show", toControl, "--customer=pichler", "--output=json"}, 0, `"FileKept": true`, `^$`},
-		"show missing":           {[]string{"show", toControl, "--version=9"}, 1, `^$`, `version 9 does not exist; the latest is 1`},
-		"status":                 {[]string{"status", toControl}, 0, `(?s)Latest version: 1, confirmed.*Nodes: 0 known.*control-1  a     Leader  yes`, `^$`},
+		"plan invalid":         {[]string{"plan", invalid, toControl}, 1, `^$`, `(?s)run plan again:\n.*:1:19: Bad`},
+		"accept":               {[]string{"accept", pichler, toControl, "--base=1"}, 0, `(?s)Version 2 of customer pichler was accepted \(base 1, request ID \w{26}\).*status --wait 10s --control 10.0.0.1:1`, `^Request ID: \w{26}\n$`},
+		"accept resent":        {[]string{"accept", pichler, toControl, "--base=0", "--request-id=first"}, 0, `Version 1 .* by an earlier request`, `^$`},
+		"accept JSON":          {[]string{"accept", pichler, toControl, "--base=1", "--output=json"}, 0, `"Version": 2,(?s).*"RequestId": "\w{26}"`, `^$`},
+		"accept conflict":      {[]string{"accept", pichler, toControl, "--base=0"}, 1, `^$`, `version 1 was accepted by loopback at .*; run plan again`},
+		"accept conflict JSON": {[]string{"accept", pichler, toControl, "--base=0", "--output=json", "--request-id=x"}, 1, `^$`, `^\{\n  "Kind": "Conflict",(?s).*"RequestId": "x",\n  "Execution": "not-run"\n\}\n$`},
+		"accept without base":  {[]string{"accept", pichler, toControl}, 2, `^$`, `"base" not set; run with --help`},
+		"accept reused ID":     {[]string{"accept", pichler, toControl, "--base=1", "--request-id=first"}, 1, `^$`, `use a new request ID`},
+		"history":              {[]string{"history", toControl}, 0, `VERSION  TIME .*REQUEST ID\n1 .* loopback  pichler   0     3 .*  first\n`, `^$`},
+		"history of another":   {[]string{"history", toControl, "--customer=p"}, 0, `Customer p has no version`, `^$`},
+		"show":                 {[]string{"show", toControl}, 0, `^// Pichler`, `VERSION +1\n`},
+		"show customer JSON":   {[]string{"show", toControl, "--customer=pichler", "--output=json"}, 0, `"FileKept": true`, `^$`},
+		"show missing":         {[]string{"show", toControl, "--version=9"}, 1, `^$`, `version 9 does not exist; the latest is 1`},
+		"status":               {[]string{"status", toControl}, 0, `(?s)Latest version: 1, confirmed.*Nodes: 0 known.*control-1  a     Leader  yes`, `^$`},
+		"report": {[]string{"report", toControl}, 0, `(?s)2 of 3 known nodes counted.*No answer from control-2;.*
+CUSTOMER +ORDER +RANK +TARGET +REQUESTS +IN TARGET +SHARE +WORTH EARNED +UNKNOWN +REFUSED +NOW +REQUESTS/S +SHARE +WORTH/S
+pichler +1 +level-reading +100ms +0 +0 +- +0.0 +0 +0 +0.0 +- +0.0
+pichler +2 +operation +250ms +30003 +29999 +99.98% +299990.0 +1 +9 \(overload 2, caller 7\) +8.0 +50.00% +40.0
+pichler +3 +archive .*
+pichler +- +before +- +1 +0 +0.00% +0.0 +0 +1 \(unavailable 1\) +0.0 +- +0.0
+- +- +- +- +0 +0 +- +0.0 +0 +3 \(caller 3\) +0.0 +- +0.0
+$`, `^$`},
+		"report JSON":            {[]string{"report", toControl, "--customer=pichler", "--output=json"}, 0, `(?s)"Requests": 30003,.*"ShareInTarget": 0.99986.*"Overload": 2,`, `^$`},
+		"report of another":      {[]string{"report", toControl, "--customer=p"}, 1, `^$`, `customer "p" has no version and no requests`},
 		"no control":             {[]string{"status"}, 2, `^$`, `pass --control HOST:PORT`},
 		"control as URL":         {[]string{"status", "--control=http://h:1"}, 2, `^$`, `is not HOST:PORT`},
 		"unknown flag":           {[]string{"status", "--no"}, 2, `^$`, `unknown flag: --no`},
@@ -246,6 +277,46 @@
 	})
 }
 
+// An operator who forgets a node that runs would lose sight of it, and one whose
+// first answer was lost must be able to repeat the command.
+func TestForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		b, _ := versions.RememberNodes{Nodes: []versions.Node{{Name: "live"}, {Name: "old"}, {Name: "gone 1"}, {Name: "gone-2"}}}.Encode()
+		f.backend.Apply(1, b)
+		f.backend.nodes = []operator.Node{
+			{Name: "live", Control: "control-1", LastHeard: time.Now()},
+			{Name: "old", Control: "control-1", LastHeard: time.Now().Add(-time.Hour)},
+		}
+		const silent = "No answer from control-2"
+		for _, step := range []struct {
+			args   []string
+			lose   bool
+			code   int
+			output string
+		}{
+			{args: []string{"status"}, output: "Nodes not heard from: 2. Remove those that no longer exist from this list:\n  gooseberrypick forget 'gone 1' gone-2 --control 10.0.0.1:1\n"},
+			{args: []string{"forget", "gone-2", "live"}, code: 1, output: "heard from just now: live (by control-1)"},
+			{args: []string{"status"}, output: "Nodes not heard from: 2"},
+			{args: []string{"forget", "gone-2"}, lose: true, code: 3, output: "run the same command again"},
+			{args: []string{"forget", "gone-2", "gone 1", "old"}, output: "Removed: gone 1, old\nNot on the list: gone-2\n" + silent},
+			{args: []string{"forget", "gone-2", "gone 1"}, output: "Not on the list: gone 1, gone-2\n" + silent},
+			{args: []string{"status"}, output: "Nodes: 2 known"},
+			{args: []string{"forget"}, code: 2, output: "requires at least 1 arg"},
+			{args: []string{"forget", ""}, code: 2, output: "has 0 bytes"},
+		} {
+			f.loseAnswers = step.lose
+			code, o, e := f.run(t, append(step.args, toControl)...)
+			if code != step.code || !strings.Contains(o+e, step.output) {
+				t.Errorf("%q: got %d %q, want %d %q", step.args, code, o+e, step.code, step.output)
+			}
+		}
+		if l := f.backend.Nodes(); len(l) != 1 || l[0].Name != "live" {
+			t.Errorf("got nodes %v, want live alone", l)
+		}
+	})
+}
+
 // A wait that ends well while a node lags, or while newer versions may exist,
 // tells the operator that the fleet has caught up when it has not.
 func TestStatusWait(t *testing.T) {
--- a/internal/contract/pages_test.go
+++ b/internal/contract/pages_test.go
@@ -57,18 +57,18 @@
 // page is one page with a folder that looks like the root of the source tree.
 type page struct {
 	site
-	name    string
-	devBase int
+	name string
 }
 
 func newPage(t *testing.T, name string) *page {
 	t.Helper()
-	p := &page{site: site{folder: t.TempDir(), ports: map[string]string{}}, name: name}
-	if name == readme { // it builds the programs itself
-		p.copyTree(t, "main.go", "go.mod", "go.sum", "internal", "pkg", "examples")
+	p := &page{site: site{folder: t.TempDir(), ports: map[string]string{}, nextPort: reservePorts(t)}, name: name}
+	if name == readme { // it builds the programs and needs no settings
+		p.copyTree(t, "main.go", "go.mod", "go.sum", "internal", "pkg", "examples/examples.go", "examples/upstream",
+			"examples/pichler/customer.jsonc", "examples/vineta-norte/customer.jsonc")
 		return p
 	}
-	p.copyTree(t, "examples")
+	p.copyTree(t, "examples/run.sh", "examples/pichler", "examples/vineta-norte/customer.jsonc")
 	bin := filepath.Join(p.folder, "bin")
 	if err := os.Mkdir(bin, 0o700); err != nil {
 		t.Fatal(err)
@@ -113,11 +113,7 @@
 	}
 }
 
-const (
-	devBasePort = "--base-port 20100"
-	// devPorts is the number of ports that gooseberrypick dev uses.
-	devPorts = 40
-)
+const devBasePort = "--base-port 20100"
 
 var pagePort = regexp.MustCompile(devBasePort + `|127\.0\.0\.1:2[0-2]\d{3}`)
 
@@ -127,17 +123,14 @@
 	t.Helper()
 	return pagePort.ReplaceAllStringFunc(s, func(a string) string {
 		n, dev := strings.CutPrefix(a, "127.0.0.1:201")
-		if a != devBasePort && !dev {
-			return p.address(t, a)
-		}
-		if p.devBase == 0 {
-			p.devBase = freePorts(t, devPorts)
-		}
-		if a == devBasePort {
-			return fmt.Sprintf("--base-port %d", p.devBase)
+		switch {
+		case a == devBasePort:
+			return fmt.Sprintf("--base-port %d", p.nextPort)
+		case dev:
+			k, _ := strconv.Atoi(n)
+			return fmt.Sprintf("127.0.0.1:%d", p.nextPort+k)
 		}
-		k, _ := strconv.Atoi(n)
-		return fmt.Sprintf("127.0.0.1:%d", p.devBase+k)
+		return p.address(t, a)
 	})
 }
 
--- a/internal/contract/process_test.go
+++ b/internal/contract/process_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -66,21 +68,25 @@
 type process struct {
 	name string
 	cmd  *exec.Cmd
-	log  bytes.Buffer
-	done chan error
+	log  bytes.Buffer // written by the program until done is closed
+	done chan struct{}
+	err  error // valid once done is closed
 }
 
 func start(t *testing.T, folder, name, binary string, args ...string) *process {
 	t.Helper()
-	p := &process{name: name, cmd: exec.Command(binary, args...), done: make(chan error, 1)}
+	p := &process{name: name, cmd: exec.Command(binary, args...), done: make(chan struct{})}
 	p.cmd.Dir = folder
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { p.done <- p.cmd.Wait() }()
+	go func() {
+		defer close(p.done)
+		p.err = p.cmd.Wait()
+	}()
 	t.Cleanup(func() {
-		p.cmd.Process.Kill()
+		p.kill()
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", p.name, tail(p.log.String(), 15))
 		}
@@ -100,9 +106,9 @@
 		t.Errorf("%s: %v", p.name, err)
 	}
 	select {
-	case err := <-p.done:
-		if err != nil {
-			t.Errorf("%s: got %v, want exit code 0", p.name, err)
+	case <-p.done:
+		if p.err != nil {
+			t.Errorf("%s: got %v, want exit code 0", p.name, p.err)
 		}
 	case <-time.After(startLimit):
 		t.Errorf("%s did not end", p.name)
@@ -121,6 +127,7 @@
 	binary   string
 	settings []string
 	ports    map[string]string
+	nextPort int
 }
 
 var examplePort = regexp.MustCompile(`127\.0\.0\.1:(2[12]\d{3})`)
@@ -129,7 +136,7 @@
 // so that several runs can share a machine. Nothing else is changed.
 func newSite(t *testing.T, example string) *site {
 	t.Helper()
-	s := &site{folder: t.TempDir(), binary: build(t, "."), ports: map[string]string{}}
+	s := &site{folder: t.TempDir(), binary: build(t, "."), ports: map[string]string{}, nextPort: reservePorts(t)}
 	files, err := filepath.Glob(filepath.Join(moduleFolder, "examples", example, "vms", "*.jsonc"))
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no settings in examples/%s/vms: %v", example, err)
@@ -149,11 +156,36 @@
 	return s
 }
 
+const (
+	// Ports below the usual range of ephemeral ports: one of that range can be
+	// taken by an outgoing connection before the process listens on it.
+	firstPort, lastPort = 10000, 32000
+	// portBlock is the number of ports that one site takes.
+	portBlock = 64
+)
+
+// reservePorts takes a block of ports. It holds the first one, so that other
+// sites, also those of other test processes, take other blocks.
+func reservePorts(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		b := firstPort + rand.IntN((lastPort-firstPort)/portBlock)*portBlock
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", b))
+		if err == nil {
+			t.Cleanup(func() { l.Close() })
+			return b + 1
+		}
+	}
+	t.Fatal("no free block of ports")
+	return 0
+}
+
 // address returns the free address that stands for one of the example.
 func (s *site) address(t *testing.T, example string) string {
 	t.Helper()
-	if _, ok := s.ports[example]; !ok {
-		s.ports[example] = fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1))
+	if s.ports[example] == "" {
+		s.ports[example] = fmt.Sprintf("127.0.0.1:%d", s.nextPort)
+		s.nextPort++
 	}
 	return s.ports[example]
 }
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -16,6 +16,10 @@
 	proposeLimit = 5 * time.Second
 	// leaderPause spaces the tries while no leader is known.
 	leaderPause = 50 * time.Millisecond
+	// leaderConnectLimit bounds connecting to the leader. Connecting to one that
+	// a silent partition cuts off would otherwise outlast the election of the
+	// next.
+	leaderConnectLimit = time.Second
 )
 
 // config is the config group as the rest of the control sees it. It implements
@@ -36,13 +40,14 @@
 func (c *config) ReadBarrier(ctx context.Context) error { return c.group.ReadBarrier(ctx) }
 
 // propose runs a command on the leader, here or at another member. Commands
-// carry IDs, so a command that reaches the log twice has one effect.
+// carry IDs, so a command that reaches the log twice has one effect. It waits
+// for the next leader while it knows that the command was sent to nobody.
 func (c *config) propose(ctx context.Context, command []byte) (versions.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
 	defer cancel()
 	for {
 		r, err := c.proposeOnce(ctx, command)
-		if k := errkind.Of(err); k != errkind.NotLeader && k != errkind.NotReady {
+		if !awaitsLeader(err) {
 			return r, err
 		}
 		t := time.NewTimer(leaderPause)
@@ -55,6 +60,16 @@
 	}
 }
 
+// awaitsLeader reports whether err proves that no leader got the command and
+// that another try can reach one.
+func awaitsLeader(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.NotLeader, errkind.NotReady, errkind.ConnectFailed:
+		return errkind.From(err).Execution == errkind.NotRun
+	}
+	return false
+}
+
 func (c *config) proposeOnce(ctx context.Context, command []byte) (versions.Result, error) {
 	v, err := c.group.Propose(ctx, command)
 	if err == nil {
@@ -64,8 +79,7 @@
 	if errkind.Of(err) != errkind.NotLeader || s.Leader.Name == "" {
 		return versions.Result{}, err
 	}
-	a, err := peerCall[wire.ProposeRequest, wire.ProposeResponse](ctx, c.peers, s.Leader.Name, wire.MethodPropose,
-		&wire.ProposeRequest{Group: configGroup, Command: command})
+	a, err := c.forward(ctx, s.Leader.Name, &wire.ProposeRequest{Group: configGroup, Command: command})
 	if err != nil {
 		return versions.Result{}, unknownUnlessNotRun(err)
 	}
@@ -73,6 +87,23 @@
 	return r, wire.Unmarshal(a.Result, &r)
 }
 
+// forward sends a command to the named member.
+func (c *config) forward(ctx context.Context, leader string, q *wire.ProposeRequest) (*wire.ProposeResponse, error) {
+	a, ok := c.peers.addresses[leader]
+	if !ok {
+		return nil, errkind.New(errkind.NotLeader, "member %q is not in the settings", leader)
+	}
+	connecting, cancel := context.WithTimeout(ctx, leaderConnectLimit)
+	defer cancel()
+	k, err := c.peers.pool.Get(connecting, a)
+	if err != nil {
+		return nil, err
+	}
+	r, err := wire.Call[wire.ProposeRequest, wire.ProposeResponse](ctx, k, wire.MethodPropose, q)
+	c.peers.pool.Put(a, k, errkind.Of(err) != errkind.Unreachable && ctx.Err() == nil)
+	return r, err
+}
+
 // unknownUnlessNotRun turns a transport error into OutcomeUnknown, since the
 // leader may have appended the command.
 func unknownUnlessNotRun(err error) error {
@@ -101,8 +132,10 @@
 	config *config
 	// reports collects the nodes and members of all controls.
 	reports func(ctx context.Context) ([]operator.Node, []operator.Member)
-	name    string
-	clock   func() time.Time
+	// ranks sums the counts by rank and names the controls that gave none.
+	ranks func(ctx context.Context) (*wire.RankTotals, []string)
+	name  string
+	clock func() time.Time
 }
 
 // Plan implements operator.Backend.
@@ -134,6 +167,29 @@
 	return operator.Accepted{Version: v, Customer: c.Customer, Base: r.Base, RequestID: r.RequestID, Repeated: x.Repeated}, nil
 }
 
+// Forget implements operator.Backend. A node that connects meanwhile is stored
+// again by its control.
+func (b *backend) Forget(ctx context.Context, r operator.ForgetRequest) (operator.Forgotten, error) {
+	if err := b.barrier(ctx); err != nil {
+		return operator.Forgotten{}, err
+	}
+	n, m := b.reports(ctx)
+	f, err := operator.NewForgotten(r, b.config.Nodes(), n, m, b.clock().Add(-NodeLease))
+	if err != nil || len(f.Removed) == 0 {
+		return f, err
+	}
+	c, err := versions.ForgetNodes{Names: f.Removed}.Encode()
+	if err != nil {
+		return operator.Forgotten{}, err
+	}
+	x, err := b.config.propose(ctx, c)
+	if err != nil {
+		return operator.Forgotten{}, err
+	}
+	_, err = x.Outcome()
+	return f, err
+}
+
 // Status implements operator.Backend. It answers even without a majority, and
 // then says that it is not current.
 func (b *backend) Status(ctx context.Context) (operator.Status, error) {
@@ -149,6 +205,16 @@
 	}, nil
 }
 
+// Report implements operator.Backend. It answers even without a majority, and
+// then says that it is not current.
+func (b *backend) Report(ctx context.Context, r operator.ReportRequest) (operator.Report, error) {
+	current := b.barrier(ctx) == nil
+	t, silent := b.ranks(ctx)
+	a, err := operator.NewReport(r, b.config.Current(), t)
+	a.Control, a.Current, a.Silent, a.Known = b.name, current, silent, len(b.config.Nodes())
+	return a, err
+}
+
 // History implements operator.Backend.
 func (b *backend) History(ctx context.Context, r operator.HistoryRequest) (operator.History, error) {
 	if err := b.barrier(ctx); err != nil {
