--- a/internal/contract/pages_test.go
+++ b/internal/contract/pages_test.go
@@ -17,7 +17,7 @@
 const (
 	readme = "README.md"
 	// pageLimit only keeps a broken page from hanging.
-	pageLimit = 120 * time.Second
+	pageLimit = 60 * time.Second
 	// pagesAtOnce bounds the processes of the example systems that run at the
 	// same time; a page starts about 15.
 	pagesAtOnce = 4
@@ -161,8 +161,9 @@
 func (p *page) run(t *testing.T, blocks []block) []string {
 	t.Helper()
 	// Ends the page also when the test process dies without cleaning up: the
-	// pipe at descriptor 3 then breaks.
-	script := "{ read -r _ <&3 || kill -KILL 0; } &\nset -euo pipefail\n"
+	// pipe at descriptor 3 then breaks. The inner shell keeps it out of the list
+	// of jobs, which belongs to the page.
+	script := "( { read -r _ <&3 || kill -KILL 0; } & )\nset -euo pipefail\n"
 	for _, b := range blocks {
 		if b.mark == "sh" {
 			script += b.text + "echo '" + blockEnd + "'\n"
