queue: less spare headroom

Cause: at 5 slots each spare slot is a fifth of the capacity; with one node lost or failing, scans did not get the slots that swaps and pages left. Change: the spare part of the headroom is sized for a tail of exp(-3) instead of exp(-5). TestHeadroomForUrgent still fails with headroom ignored.

--- a/internal/queue/headroom.go
+++ b/internal/queue/headroom.go
@@ -11,8 +11,10 @@
 	// a flood may change the urgent rank's service.
 	enoughReleases = 6.0
 	// tailExponent sizes spare slots so that the wait for one of them exceeds
-	// the slack with a chance of exp(-5), 0.7%.
-	tailExponent = 5.0
+	// the slack with a chance of about exp(-3). With 5, surveys and scans lost
+	// service while urgent work gained nothing, as the demand is already the
+	// higher of two windows.
+	tailExponent = 3.0
 	// spareDeviations bounds the spare slots in standard deviations of a
 	// Poisson number of busy slots.
 	spareDeviations = 2.5
