Answer an error when a recorded answer was too large to keep

Cause: a resend of a request whose answer exceeded 16 KiB got status and headers without the body, which a caller can take for the whole answer.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,8 +13,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -209,8 +211,10 @@
 
 // ready returns why this control cannot serve, or nil.
 func (k *Control) ready() error {
-	if s := k.config.group.Status(); !s.Current {
-		return errors.Errorf("not in contact with a majority of the members (role %s)", s.Role)
+	for _, n := range slices.Sorted(maps.Keys(k.groups)) {
+		if s := k.groups[n].Status(); !s.Current {
+			return errors.Errorf("group %s: not in contact with a majority of the members (role %s)", n, s.Role)
+		}
 	}
 	return nil
 }
--- a/internal/idempotency/idempotency.go
+++ b/internal/idempotency/idempotency.go
@@ -16,9 +16,8 @@
 // # Answers
 //
 // A resend of a request that ran gets the recorded answer with the header
-// Gooseberrypick-Replayed: true. Where the body was too large to record, the
-// answer has the recorded status and headers, no body, and the header
-// Gooseberrypick-Body: not-kept as well.
+// Gooseberrypick-Replayed: true, or an error of kind AnswerNotKept with the
+// status in its reason when the answer was too large to record.
 //
 // All other answers are errors of package errkind. Execution not-run speaks of
 // the request at hand: it was not sent to an upstream. An earlier request with
@@ -31,14 +30,11 @@
 	"net/http"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// Headers that mark a replayed answer.
-const (
-	ReplayedHeader = "Gooseberrypick-Replayed"
-	BodyHeader     = "Gooseberrypick-Body"
-	BodyNotKept    = "not-kept"
-)
+// ReplayedHeader marks a replayed answer.
+const ReplayedHeader = "Gooseberrypick-Replayed"
 
 // Request identifies one request of an AtMostOnce route.
 type Request struct {
@@ -69,8 +65,6 @@
 	More bool
 	// Replayed marks an answer to an earlier request with the same key.
 	Replayed bool
-	// BodyNotKept marks a replayed answer whose body was not recorded.
-	BodyNotKept bool
 }
 
 func (r *Response) outcome() wire.Outcome {
@@ -81,20 +75,16 @@
 	return o.Bounded()
 }
 
-// bodyHeaders describe a body and must not accompany an empty one.
-var bodyHeaders = []string{"Content-Length", "Content-Encoding", "Content-Range", "Content-Type", "Transfer-Encoding"}
-
-func replay(o *wire.Outcome) *Response {
-	r := &Response{Status: o.Status, Header: http.Header{}, Body: o.Body, Replayed: true, BodyNotKept: o.Truncated}
+// replay returns a recorded answer. One that was too large to record is an error:
+// an answer without its body could be taken for the whole.
+func replay(o *wire.Outcome) (*Response, error) {
+	if o.Truncated {
+		return nil, errkind.New(errkind.AnswerNotKept, "a request with this Idempotency-Key ran and was answered with status %d; its answer was too large to be kept", o.Status)
+	}
+	r := &Response{Status: o.Status, Header: http.Header{}, Body: o.Body, Replayed: true}
 	for name, values := range o.Header {
 		r.Header[http.CanonicalHeaderKey(name)] = values
 	}
-	if o.Truncated {
-		for _, name := range bodyHeaders {
-			r.Header.Del(name)
-		}
-		r.Header.Set(BodyHeader, BodyNotKept)
-	}
 	r.Header.Set(ReplayedHeader, "true")
-	return r
+	return r, nil
 }
--- a/internal/idempotency/run.go
+++ b/internal/idempotency/run.go
@@ -126,7 +126,7 @@
 func answer(a *wire.ClaimResponse) (*Response, error) {
 	switch {
 	case a.State == wire.Recorded && a.Outcome != nil:
-		return replay(a.Outcome), nil
+		return replay(a.Outcome)
 	case a.State == wire.Mismatch:
 		return nil, errkind.New(errkind.KeyReused, "the Idempotency-Key was used for another request")
 	case a.State == wire.InProgress:
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -38,6 +38,7 @@
 	KeyReused        Kind = "KeyReused"
 	InProgress       Kind = "InProgress"
 	OutcomeUnknown   Kind = "OutcomeUnknown"
+	AnswerNotKept    Kind = "AnswerNotKept"
 	QueueFull        Kind = "QueueFull"
 	DeadlineTooShort Kind = "DeadlineTooShort"
 	DeadlineExceeded Kind = "DeadlineExceeded"
@@ -123,6 +124,7 @@
 	KeyReused:        {http.StatusUnprocessableEntity, NotRun, ExitRefused, 0},
 	InProgress:       {http.StatusConflict, Unknown, ExitUnknown, shortRetry},
 	OutcomeUnknown:   {http.StatusConflict, Unknown, ExitUnknown, 0},
+	AnswerNotKept:    {http.StatusConflict, Unknown, ExitUnknown, 0},
 	QueueFull:        {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
 	DeadlineTooShort: {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
 	DeadlineExceeded: {http.StatusGatewayTimeout, Unknown, ExitUnknown, 0},
