Stop a member at what a newer release wrote

Apply returns an error of the new kind Outdated for what a newer release wrote, and the replica stops the member before that entry; log, readyz and status say so. A leader refuses a forwarded command that it cannot read. The same holds for claims and for unknown kinds of log entries.

--- a/internal/claims/machine.go
+++ b/internal/claims/machine.go
@@ -94,10 +94,19 @@
 }
 
 // Apply executes one log entry and returns a Result, or a []Result for a
-// batch. A malformed entry changes nothing.
-func (m *Machine) Apply(_ uint64, command []byte) any {
+// batch. A malformed entry changes nothing, on every member alike. For an entry
+// of a newer release Apply returns an error instead and changes nothing, so that
+// the member stops: members of the newer release change their state by it.
+func (m *Machine) Apply(index uint64, command []byte) any {
 	var c Command
-	if err := wire.Unmarshal(command, &c); err != nil {
+	err := wire.UnmarshalStrict(command, &c)
+	batch, faults := decodeBatch(c.Batch)
+	for _, f := range append(faults, err) {
+		if errkind.Of(f) == errkind.Outdated {
+			return errkind.Wrap(f, errkind.Outdated, "entry %d of the log is of a newer release; upgrade this member", index)
+		}
+	}
+	if err != nil {
 		return refuse(errkind.BadRequest, "malformed command: %v", err)
 	}
 	defer m.publish()
@@ -108,18 +117,26 @@
 	if c.Batch == nil {
 		return m.applyOne(&c, l)
 	}
-	r := make([]Result, len(c.Batch))
-	for i, b := range c.Batch {
-		var e Command
-		if err := wire.Unmarshal(b, &e); err != nil {
-			r[i] = refuse(errkind.BadRequest, "malformed command: %v", err)
+	r := make([]Result, len(batch))
+	for i := range batch {
+		if faults[i] != nil {
+			r[i] = refuse(errkind.BadRequest, "malformed command: %v", faults[i])
 			continue
 		}
-		r[i] = m.applyOne(&e, l)
+		r[i] = m.applyOne(&batch[i], l)
 	}
 	return r
 }
 
+// decodeBatch decodes the commands of a batch. A malformed one has a fault.
+func decodeBatch(l []cbor.RawMessage) ([]Command, []error) {
+	batch, faults := make([]Command, len(l)), make([]error, len(l))
+	for i, b := range l {
+		faults[i] = wire.UnmarshalStrict(b, &batch[i])
+	}
+	return batch, faults
+}
+
 func (m *Machine) applyOne(c *Command, l Limits) Result {
 	m.expire()
 	if err := c.check(); err != nil {
--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -67,7 +67,7 @@
 	}
 	return operator.Status{
 		Control: "control-1", Current: !b.notCurrent, Version: v,
-		Members: []operator.Member{{Name: "control-1", AvailabilityZone: "a", Role: "Leader", Current: true}},
+		Members: []operator.Member{{Name: "control-1", AvailabilityZone: "a", Role: "Leader", Current: true}, {Name: "control-2", Role: "Failed", Reason: "entry 7"}},
 		Nodes:   operator.NewNodes(b.Nodes(), b.nodes, v),
 	}, nil
 }
@@ -215,7 +215,7 @@
 		"show":                 {[]string{"show", toControl}, 0, `^// Pichler`, `VERSION +1\n`},
 		"show customer JSON":   {[]string{"show", toControl, "--customer=pichler", "--output=json"}, 0, `"FileKept": true`, `^$`},
 		"show missing":         {[]string{"show", toControl, "--version=9"}, 1, `^$`, `version 9 does not exist; the latest is 1`},
-		"status":               {[]string{"status", toControl}, 0, `(?s)Latest version: 1, confirmed.*Nodes: 0 known.*control-1  a     Leader  yes`, `^$`},
+		"status":               {[]string{"status", toControl}, 0, `(?s)Latest version: 1, confirmed.*Nodes: 0 known.*control-1  a     Leader  yes\ncontrol-2  -     Failed  no\nControl control-2: entry 7\n`, `^$`},
 		"report": {[]string{"report", toControl}, 0, `(?s)2 of 3 known nodes counted.*No answer from control-2;.*
 CUSTOMER +ORDER +RANK +TARGET +REQUESTS +IN TARGET +SHARE +WORTH EARNED +UNKNOWN +REFUSED +NOW +REQUESTS/S +SHARE +WORTH/S
 pichler +1 +level-reading +100ms +0 +0 +- +0.0 +0 +0 +0.0 +- +0.0
--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -143,9 +143,17 @@
 	for _, m := range s.Members {
 		rows = append(rows, []string{m.Name, orDash(m.AvailabilityZone), orDash(m.Role), yesNo(m.Current)})
 	}
-	if err := table(w, []string{"CONTROL", "ZONE", "ROLE", "CURRENT"}, rows); err != nil || len(listed) == 0 {
+	if err := table(w, []string{"CONTROL", "ZONE", "ROLE", "CURRENT"}, rows); err != nil {
 		return err
 	}
+	for _, m := range s.Members {
+		if m.Reason != "" {
+			fmt.Fprintf(w, "Control %s: %s\n", printable(m.Name), printable(m.Reason))
+		}
+	}
+	if len(listed) == 0 {
+		return nil
+	}
 	fmt.Fprintln(w)
 	rows = make([][]string, 0, len(listed))
 	for _, n := range listed {
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -119,6 +119,10 @@
 	if q.Group != configGroup {
 		return nil, errkind.New(errkind.NotFound, "group %q takes no forwarded commands", q.Group)
 	}
+	// Once in the log, a command that this member cannot read would stop it.
+	if err := versions.Check(q.Command); errkind.Of(err) == errkind.Outdated {
+		return nil, errkind.Wrap(err, errkind.Outdated, "the leader is of an older release; upgrade all controls first")
+	}
 	v, err := c.group.Propose(ctx, q.Command)
 	if err != nil {
 		return nil, err
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -209,6 +209,9 @@
 
 // ready returns why this control cannot serve, or nil.
 func (k *Control) ready() error {
+	if err := k.groups.failure(); err != nil {
+		return err
+	}
 	if s := k.config.group.Status(); !s.Current {
 		return errors.Errorf("not in contact with a majority of the members (role %s)", s.Role)
 	}
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -137,6 +139,16 @@
 // groups holds the replicas of this control by group name.
 type groups map[string]*replica.Group
 
+// failure returns why a group of this control stopped, or nil.
+func (g groups) failure() error {
+	for _, n := range slices.Sorted(maps.Keys(g)) {
+		if err := g[n].Status().Failure; err != nil {
+			return errors.Wrapf(err, "group %s stopped", n)
+		}
+	}
+	return nil
+}
+
 // openGroup starts one replica under the data folder.
 func openGroup(name string, s settings.Control, m replica.Machine, t replica.Transport, p replica.Peers, l logr.Logger) (*replica.Group, error) {
 	k := make([]replica.Member, 0, len(s.Members))
--- a/internal/control/propose_test.go
+++ b/internal/control/propose_test.go
@@ -22,12 +22,19 @@
 	members []settings.Member
 	configs map[string]*config
 	stops   map[string]func()
+	folders map[string]string
+	// machine wraps the machine of a member; nil for none.
+	machine func(name string, m *versions.Machine) replica.Machine
 }
 
-func newGroup(t *testing.T) *group {
-	g := &group{t: t, net: newNetwork(time.Millisecond), configs: map[string]*config{}, stops: map[string]func(){}}
+func newGroup(t *testing.T, machine func(name string, m *versions.Machine) replica.Machine) *group {
+	g := &group{
+		t: t, net: newNetwork(time.Millisecond), machine: machine,
+		configs: map[string]*config{}, stops: map[string]func(){}, folders: map[string]string{},
+	}
 	for _, n := range three {
 		g.members = append(g.members, settings.Member{Name: n, Address: n})
+		g.folders[n] = t.TempDir()
 	}
 	for _, n := range three {
 		g.start(n)
@@ -37,11 +44,15 @@
 
 func (g *group) start(name string) {
 	ctx, cancel := context.WithCancel(g.t.Context())
-	s := settings.Control{Name: name, Members: g.members, DataFolder: g.t.TempDir()}
+	s := settings.Control{Name: name, Members: g.members, DataFolder: g.folders[name]}
 	x := newTransport(ctx, name, g.members, g.net.dialer(name), logr.Discard())
 	p := newPeers(wire.NewPool(g.net.dialer(name)), g.members)
 	m := versions.New()
-	r, err := openGroup(configGroup, s, m, x, p, logr.Discard())
+	var k replica.Machine = m
+	if g.machine != nil {
+		k = g.machine(name, m)
+	}
+	r, err := openGroup(configGroup, s, k, x, p, logr.Discard())
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -97,7 +108,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := newGroup(t)
+				g := newGroup(t, nil)
 				defer g.close()
 				l := g.leader()
 				fault(g, l)
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -35,7 +35,12 @@
 
 func (c *Control) memberReport() wire.MemberReport {
 	s := c.config.group.Status()
+	reason := ""
+	if err := c.groups.failure(); err != nil {
+		reason = err.Error()
+	}
 	return wire.MemberReport{
+		Reason:           reason,
 		Name:             c.c.Settings.Name,
 		AvailabilityZone: c.c.Settings.AvailabilityZone,
 		Role:             string(s.Role),
@@ -87,7 +92,7 @@
 			continue
 		}
 		members = append(members, operator.Member{
-			Name: m.Name, AvailabilityZone: a.Member.AvailabilityZone, Role: a.Member.Role, Current: a.Member.Current,
+			Name: m.Name, AvailabilityZone: a.Member.AvailabilityZone, Role: a.Member.Role, Current: a.Member.Current, Reason: a.Member.Reason,
 		})
 		for _, r := range a.Reports {
 			nodes = append(nodes, operatorNode(now, r))
--- /dev/null
+++ b/internal/control/upgrade_test.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/replica"
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// newer is the machine of a release that reads commands of version 2, which do
+// the same as those of version 1.
+type newer struct{ *versions.Machine }
+
+func (m newer) Apply(index uint64, command []byte) any {
+	var e map[int]any
+	if cbor.Unmarshal(command, &e) == nil && e[1] == uint64(2) {
+		e[1], e[3] = 1, cbor.RawMessage(mustEncode(e[3]))
+		command = mustEncode(e)
+	}
+	return m.Machine.Apply(index, command)
+}
+
+func mustEncode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func rememberCommand(version int, node string) []byte {
+	return mustEncode(map[int]any{1: version, 2: "RememberNodes", 3: map[int]any{1: []any{map[int]any{1: node, 2: "z"}}}})
+}
+
+// A member that passes over a command of a newer release would differ from the
+// others for ever, also after its own upgrade.
+func TestMemberStopsAtNewerCommand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := "" // the member of this release
+		g := newGroup(t, func(name string, m *versions.Machine) replica.Machine {
+			if name == old {
+				return m
+			}
+			return newer{m}
+		})
+		defer g.close()
+		for _, n := range three {
+			if n != g.leader() {
+				old = n
+			}
+		}
+		g.stops[old]()
+		g.start(old)
+		l := g.leader()
+		propose := func(c []byte) {
+			t.Helper()
+			if _, err := g.configs[l].group.Propose(t.Context(), c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		propose(rememberCommand(1, "n1"))
+		propose(rememberCommand(2, "n2"))
+		propose(rememberCommand(1, "n3"))
+		time.Sleep(time.Second)
+		s := g.configs[old].group.Status()
+		if nodes := g.configs[old].Nodes(); s.Role != replica.Failed || s.Current || len(nodes) != 1 ||
+			!strings.Contains(s.Failure.Error(), "is of a newer release; upgrade this member: command version 2") {
+			t.Errorf("got role %s, failure %v, nodes %v; want Failed before n2", s.Role, s.Failure, nodes)
+		}
+
+		o := old
+		g.stops[o]()
+		old = "" // upgraded
+		g.start(o)
+		time.Sleep(5 * time.Second)
+		got, err := g.configs[o].Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, err := g.configs[l].Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(got, want) || len(g.configs[o].Nodes()) != 3 {
+			t.Errorf("after the upgrade: got nodes %v, want the state of the others", g.configs[o].Nodes())
+		}
+	})
+}
+
+// A leader that takes a command which it cannot read stops at it, and the members
+// of its release with it.
+func TestLeaderRefusesNewerCommand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, nil)
+		defer g.close()
+		l := g.leader()
+		for n, c := range g.configs {
+			if n == l {
+				continue
+			}
+			_, err := c.propose(t.Context(), rememberCommand(2, "n"))
+			if e := errkind.From(err); e == nil || e.Kind != errkind.Outdated || e.Execution != errkind.NotRun {
+				t.Errorf("got %v, want Outdated and not-run", err)
+			}
+		}
+		time.Sleep(time.Second)
+		if s := g.configs[l].group.Status(); s.Failure != nil {
+			t.Errorf("the leader stopped: %v", s.Failure)
+		}
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -205,6 +205,8 @@
 	Role             string
 	// Current tells whether the member holds the newest version.
 	Current bool
+	// Reason is why a group of the member stopped.
+	Reason string `json:",omitempty"`
 }
 
 // Node is what the controls know of one node.
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -37,7 +37,10 @@
 // Machine is the replicated state machine. All methods are called by one
 // goroutine.
 type Machine interface {
-	// Apply executes a committed command and returns its result.
+	// Apply executes a committed command and returns its result. A result that is
+	// an error says that this machine cannot know what the command does on other
+	// members. The member then stops before the command, since its state would
+	// differ from theirs for ever.
 	Apply(index uint64, command []byte) any
 	// Snapshot returns the encoded state.
 	Snapshot() ([]byte, error)
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -21,7 +21,10 @@
 			return
 		}
 		for _, c := range r.Committed {
-			e.apply(c)
+			if err := e.apply(c); err != nil {
+				e.fail(err)
+				return
+			}
 		}
 		for _, c := range r.Reads {
 			if q := e.reads[c.ID]; q != nil {
@@ -96,23 +99,32 @@
 	}
 }
 
-func (e *engine) apply(x wire.RaftEntry) {
+// apply applies x, unless the machine cannot.
+func (e *engine) apply(x wire.RaftEntry) error {
 	var v any
-	if x.Kind == wire.EntryCommand {
+	switch x.Kind {
+	case wire.EntryCommand:
 		v = e.machine.Apply(x.Index, x.Data)
+		if err, ok := v.(error); ok {
+			return err
+		}
+	case wire.EntryEmpty, wire.EntryMembership:
+	default:
+		return errkind.New(errkind.Outdated, "entry %d of the log has kind %d of a newer release; upgrade this member", x.Index, x.Kind)
 	}
 	e.applied = x.Index
 	e.appliedBytes += len(x.Data)
 	p := e.pending[x.Index]
 	if p == nil {
-		return
+		return nil
 	}
 	delete(e.pending, x.Index)
 	if p.term != x.Term {
 		p.finish(nil, errkind.New(errkind.NotLeader, "the command was overwritten by another leader").WithExecution(errkind.NotRun))
-		return
+		return nil
 	}
 	p.finish(v, nil)
+	return nil
 }
 
 func (e *engine) finishReads() {
--- a/internal/versions/command.go
+++ b/internal/versions/command.go
@@ -20,9 +20,11 @@
 // MaxNameBytes bounds customer names, request IDs, authors and file names.
 const MaxNameBytes = 256
 
-// commandVersion is the version of the command encoding. A member refuses
-// commands of a later version, so all members must be upgraded before a control
-// proposes one.
+// commandVersion is the newest version of commands that this release reads, and
+// the one that it proposes. A release that changes what a command does, also by
+// a check or a bound, raises it, and applies commands of earlier versions as the
+// earlier releases do. A member that reads a later version stops, so a release
+// reads a new version before the next release proposes it.
 const commandVersion = 1
 
 type commandType string
@@ -82,7 +84,10 @@
 
 func newDecoder() cbor.DecMode {
 	// A snapshot at the target holds 37,000 nodes and 26,000 request IDs.
-	m, err := cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 20}.DecMode()
+	// Unknown fields are those of a newer release.
+	m, err := cbor.DecOptions{
+		MaxNestedLevels: 16, MaxArrayElements: 1 << 20, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode()
 	if err != nil {
 		panic(err) // the options above are constant
 	}
@@ -113,13 +118,28 @@
 	return c, nil
 }
 
+// Check reports why this release cannot read a command. The kind is Outdated for
+// one of a newer release.
+func Check(command []byte) error {
+	c, err := decode(command)
+	if a, ok := c.(Accept); ok && err == nil {
+		_, err = a.config()
+	}
+	return err
+}
+
+// decode returns the command that b holds. An error has kind Outdated if a newer
+// release may take b for something else than a malformed command.
 func decode(b []byte) (any, error) {
 	var e envelope
-	if err := decoder.Unmarshal(b, &e); err != nil {
+	if err := unmarshal(b, &e); err != nil {
 		return nil, errors.Wrap(err, "decode envelope")
 	}
-	if e.Version != commandVersion {
-		return nil, errors.Errorf("command version %d, this release reads %d", e.Version, commandVersion)
+	if e.Version < 1 {
+		return nil, errors.Errorf("command version %d", e.Version)
+	}
+	if e.Version > commandVersion {
+		return nil, errkind.New(errkind.Outdated, "command version %d, this release reads up to %d", e.Version, commandVersion)
 	}
 	switch e.Type {
 	case typeAccept:
@@ -129,12 +149,21 @@
 	case typeForgetNodes:
 		return decodeBody[ForgetNodes](e)
 	}
-	return nil, errors.Errorf("unknown command type %q", e.Type)
+	return nil, errkind.New(errkind.Outdated, "unknown command type %q", e.Type)
+}
+
+// unmarshal decodes b. An error has kind Outdated if b has a field that v lacks.
+func unmarshal(b []byte, v any) error {
+	err := decoder.Unmarshal(b, v)
+	if u := (*cbor.UnknownFieldError)(nil); errors.As(err, &u) {
+		return errkind.Wrap(err, errkind.Outdated, "unknown field of a newer release")
+	}
+	return err
 }
 
 func decodeBody[T any](e envelope) (any, error) {
 	var c T
-	err := decoder.Unmarshal(e.Body, &c)
+	err := unmarshal(e.Body, &c)
 	return c, errors.Wrapf(err, "decode %s", e.Type)
 }
 
--- a/internal/versions/snapshot.go
+++ b/internal/versions/snapshot.go
@@ -52,12 +52,12 @@
 // was.
 func (m *Machine) Restore(snapshot []byte) error {
 	var s state
-	if err := decoder.Unmarshal(snapshot, &s); err != nil {
-		return errkind.Wrap(err, errkind.Corrupt, "decode snapshot of the config group")
+	if err := unmarshal(snapshot, &s); err != nil {
+		return unreadable(err)
 	}
 	v, err := s.view()
 	if err != nil {
-		return errkind.Wrap(err, errkind.Corrupt, "snapshot of the config group")
+		return unreadable(err)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -72,7 +72,18 @@
 	return nil
 }
 
+// unreadable keeps apart what needs an upgrade from what needs another copy.
+func unreadable(err error) error {
+	if errkind.Of(err) == errkind.Outdated {
+		return errkind.Wrap(err, errkind.Outdated, "the snapshot of the config group is of a newer release; upgrade this member")
+	}
+	return errkind.Wrap(err, errkind.Corrupt, "snapshot of the config group")
+}
+
 func (s state) view() (*View, error) {
+	if s.Format > snapshotVersion {
+		return nil, errkind.New(errkind.Outdated, "format %d, this release reads up to %d", s.Format, snapshotVersion)
+	}
 	if s.Format != snapshotVersion {
 		return nil, errors.Errorf("format %d, this release reads %d", s.Format, snapshotVersion)
 	}
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -116,12 +116,25 @@
 }
 
 // Apply runs one encoded command and returns its Result. A malformed command is
-// refused and changes nothing. Commands need no index: an accept that occurs
-// twice in the log is recognized by its request ID.
-func (m *Machine) Apply(_ uint64, command []byte) any {
+// refused and changes nothing, on every member alike. For a command of a newer
+// release Apply returns an error instead, so that the member stops: members of
+// the newer release change their state by it. Commands need no index to be told
+// apart: an accept that occurs twice in the log is recognized by its request ID.
+func (m *Machine) Apply(index uint64, command []byte) any {
+	r, err := m.apply(command)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Outdated, "entry %d of the log is of a newer release; upgrade this member", index)
+	}
+	return r
+}
+
+func (m *Machine) apply(command []byte) (Result, error) {
 	c, err := decode(command)
+	if errkind.Of(err) == errkind.Outdated {
+		return Result{}, err
+	}
 	if err != nil {
-		return refused(errkind.BadRequest, "malformed command: %v", err)
+		return refused(errkind.BadRequest, "malformed command: %v", err), nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -129,43 +142,48 @@
 	case Accept:
 		return m.accept(c)
 	case RememberNodes:
-		return m.remember(c)
+		return m.remember(c), nil
 	case ForgetNodes:
 		for _, n := range c.Names {
 			delete(m.nodes, n)
 		}
-		return Result{}
+		return Result{}, nil
 	}
-	return refused(errkind.BadRequest, "unknown command")
+	return refused(errkind.BadRequest, "unknown command"), nil
 }
 
-func (m *Machine) accept(a Accept) Result {
+// accept applies a. It refuses what does not depend on the resources first, as a
+// newer release does, and fails for resources of a newer release.
+func (m *Machine) accept(a Accept) (Result, error) {
 	if err := a.check(); err != nil {
-		return refused(errkind.BadRequest, "%v", err)
+		return refused(errkind.BadRequest, "%v", err), nil
 	}
 	content := a.content()
 	if r, ok := m.requests[a.RequestID]; ok {
 		if r.Content != content {
-			return refused(errkind.KeyReused, "request ID %q already made version %d from another customer, base or file; use a new request ID for new content", a.RequestID, r.Version)
+			return refused(errkind.KeyReused, "request ID %q already made version %d from another customer, base or file; use a new request ID for new content", a.RequestID, r.Version), nil
 		}
-		return Result{Version: r.Version, Repeated: true}
+		return Result{Version: r.Version, Repeated: true}, nil
 	}
 	v := m.current.Load()
 	if err := v.checkBase(a.Customer, a.Base); err != nil {
-		return refusal(err)
+		return refusal(err), nil
 	}
 	n, err := a.config()
+	if errkind.Of(err) == errkind.Outdated {
+		return Result{}, err
+	}
 	if err != nil {
-		return refused(errkind.InvalidFile, "%v", err)
+		return refused(errkind.InvalidFile, "%v", err), nil
 	}
 	if err := v.CheckOverlap(n); err != nil {
-		return refusal(err)
+		return refusal(err), nil
 	}
 	next := v.with(a, n)
 	m.keepRequest(request{ID: a.RequestID, Content: content, Version: next.version})
 	m.current.Store(next)
 	close(v.superseded)
-	return Result{Version: next.version}
+	return Result{Version: next.version}, nil
 }
 
 func (m *Machine) keepRequest(r request) {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -48,4 +48,6 @@
 	Role             string `cbor:"3,keyasint"`
 	Current          bool   `cbor:"4,keyasint"`
 	Version          uint64 `cbor:"5,keyasint"`
+	// Reason is why a group of the control stopped.
+	Reason string `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -56,7 +56,8 @@
 
 var (
 	encoder = newEncoder()
-	decoder = newDecoder()
+	decoder = newDecoder(cbor.ExtraDecErrorNone)
+	strict  = newDecoder(cbor.ExtraDecErrorUnknownField)
 )
 
 func newEncoder() cbor.EncMode {
@@ -69,8 +70,8 @@
 	return m
 }
 
-func newDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16}.DecMode()
+func newDecoder(e cbor.ExtraDecErrorCond) cbor.DecMode {
+	m, err := cbor.DecOptions{ExtraReturnErrors: e, UTF8: cbor.UTF8DecodeInvalid, MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16}.DecMode()
 	if err != nil {
 		panic(err) // the options above are constant
 	}
@@ -106,6 +107,20 @@
 	return errors.Wrap(decoder.Unmarshal(b, m), "decode message")
 }
 
+// UnmarshalStrict decodes b into m like Unmarshal, but refuses fields that m
+// lacks with kind Outdated. It is for what is replicated: a member that left
+// them out would reach another state than the release that wrote them.
+func UnmarshalStrict(b []byte, m any) error {
+	if len(b) > MaxMessageBytes {
+		return errors.Errorf("message of %d bytes exceeds %d", len(b), MaxMessageBytes)
+	}
+	err := strict.Unmarshal(b, m)
+	if u := (*cbor.UnknownFieldError)(nil); errors.As(err, &u) {
+		return errkind.Wrap(err, errkind.Outdated, "message of a newer release")
+	}
+	return errors.Wrap(err, "decode message")
+}
+
 // UnmarshalLarge decodes b, which was assembled from several messages.
 func UnmarshalLarge(b []byte, m any) error {
 	return errors.Wrap(decoder.Unmarshal(b, m), "decode update")
--- a/pkg/customer/resource.go
+++ b/pkg/customer/resource.go
@@ -9,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 // ResourceKind names the kind of a resource.
@@ -136,14 +138,30 @@
 	case KindRoute:
 		return decode(c.routes, r, Route.Name)
 	}
-	return errors.New("unknown resource kind")
+	return errkind.New(errkind.Outdated, "unknown resource kind of a newer release")
+}
+
+var decoder = newDecoder()
+
+// newDecoder returns a decoder that refuses unknown fields. A process that left
+// out a field of a newer release would hold another configuration.
+func newDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
+	if err != nil {
+		panic(err) // the options above are constant
+	}
+	return m
 }
 
 // decode refuses data with another name than the resource, because a later
 // removal would miss it.
 func decode[T any](m map[string]T, r Resource, name func(T) string) error {
 	var v T
-	if err := cbor.Unmarshal(r.Data, &v); err != nil {
+	err := decoder.Unmarshal(r.Data, &v)
+	if u := (*cbor.UnknownFieldError)(nil); errors.As(err, &u) {
+		return errkind.Wrap(err, errkind.Outdated, "unknown field of a newer release")
+	}
+	if err != nil {
 		return errors.Wrap(err, "decode")
 	}
 	if n := name(v); n != r.Name {
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -54,6 +54,7 @@
 	InvalidFile      Kind = "InvalidFile"
 	DiskFull         Kind = "DiskFull"
 	Corrupt          Kind = "Corrupt"
+	Outdated         Kind = "Outdated"
 	Usage            Kind = "Usage"
 	Unreachable      Kind = "Unreachable"
 	Internal         Kind = "Internal"
@@ -139,6 +140,7 @@
 	InvalidFile:      {http.StatusUnprocessableEntity, NotRun, ExitRefused, 0},
 	DiskFull:         {http.StatusInsufficientStorage, NotRun, ExitRefused, longRetry},
 	Corrupt:          {http.StatusInternalServerError, Unknown, ExitRefused, 0},
+	Outdated:         {http.StatusServiceUnavailable, NotRun, ExitRefused, 0},
 	Usage:            {http.StatusBadRequest, NotRun, ExitUsage, 0},
 	Unreachable:      {http.StatusBadGateway, Unknown, ExitUnknown, 0},
 	Internal:         {http.StatusInternalServerError, Unknown, ExitUnknown, 0},
