--- /dev/null
+++ b/internal/standin/ports.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// Ports below the usual range of ephemeral ports: one of that range can be
+	// taken by an outgoing connection before a process listens on it.
+	firstPort, lastPort = 10_000, 32_000
+	portBlock           = 64
+	portTries           = 100
+)
+
+// Ports is a block of ports on loopback that no other block shares, also not one
+// of another process.
+type Ports struct {
+	held      net.Listener
+	next, end int
+}
+
+// ReservePorts takes a block. It holds the block's first port until Close.
+func ReservePorts() (*Ports, error) {
+	for range portTries {
+		b := firstPort + rand.IntN((lastPort-firstPort)/portBlock)*portBlock
+		if l, err := net.Listen("tcp", loopbackAddress(b)); err == nil {
+			return &Ports{held: l, next: b + 1, end: b + portBlock}, nil
+		}
+	}
+	return nil, errors.New("no free block of ports")
+}
+
+func loopbackAddress(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
+// Address returns the next free address of the block.
+func (p *Ports) Address() (string, error) {
+	for p.next < p.end {
+		a := loopbackAddress(p.next)
+		p.next++
+		if l, err := net.Listen("tcp", a); err == nil {
+			l.Close()
+			return a, nil
+		}
+	}
+	return "", errors.New("no free port in the block")
+}
+
+// Close gives the block back.
+func (p *Ports) Close() error { return p.held.Close() }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,6 +1,7 @@
 // Package standin holds stand-ins for what surrounds a node, for demonstrations,
 // tests and benchmarks: an upstream that answers every request with its name
-// and what it received, a control without disk, and a network in memory.
+// and what it received, a control without disk, a network in memory, an
+// authority of certificates, and ports on loopback.
 //
 // # Usage
 //
@@ -12,6 +13,10 @@
 //	l, err := n.Listen("control-1:1")
 //	err = wire.Serve(ctx, l, m, wire.ServeOptions{})
 //	c, err := n.Dial(ctx, "control-1:1")
+//
+//	a, err := standin.NewAuthority()
+//	k, err := a.Issue("127.0.0.1", time.Hour)
+//	settings.TLS, err = a.Write(folder, k)
 package standin
 
 import (
