--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -211,6 +211,9 @@
 
 // ready returns why this control cannot serve, or nil.
 func (k *Control) ready() error {
+	if err := k.groups.failure(); err != nil {
+		return err
+	}
 	for _, n := range slices.Sorted(maps.Keys(k.groups)) {
 		if s := k.groups[n].Status(); !s.Current {
 			return errors.Errorf("group %s: not in contact with a majority of the members (role %s)", n, s.Role)
