Remove nodes only with knowledge of what the other controls know

Cause: a control that had been cut off removed the nodes of all other controls as soon as it had a majority again, before it had heard from them; the loss of one link between two controls removed the live nodes of both; a record that came back to a restarted home, or whose home was no member, was never removed; the lease of a vanished node counted twice. Comparing two registries took 2 s for each 2,000 records, and records of another system were taken. Change: removals wait until the control has compared with each other one since it regained a majority, or 30 s; controls tell each other whom they have heard; a home adopts records that name it; comparisons run in parts without a pause and carry the lineage. Result: TestMembership and TestExchange; rows fail without the wait, without the comparison, without what others told, without the adoption, with a lease counted from the end of the stream, with one part, and without the lineage.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -9,12 +9,15 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
 const (
 	// compareInterval is how often two controls compare their registries. It
-	// also shows that the other control is alive.
+	// also shows that the other control is alive. A change that was lost on its
+	// way arrives with the next comparison, within the 3 s in which a leaving
+	// upstream must be known.
 	compareInterval = 2 * time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 2 * time.Second
@@ -22,39 +25,53 @@
 	// to appear at another one. It is longer than the largest backoff of a
 	// node plus its lease.
 	homeLimit = 30 * time.Second
+	// maxPending bounds the records that wait for one control.
+	maxPending = 8 * endpointChunk
 )
 
 // exchange spreads node records between controls: changes at once, and a
 // comparison of digests from time to time, which repairs what was lost.
 type exchange struct {
 	control  string
+	source   configSource
 	registry *registry.Registry
 	streams  *Streams
 	log      logr.Logger
 	pool     *wire.Pool
-	others   []settings.Member
 
-	mu       sync.Mutex
-	pending  map[string][]wire.NodeRecord
-	answered map[string]time.Time
-	started  time.Time
+	mu      sync.Mutex
+	peers   map[string]*peer
+	started time.Time
+	// since is when this control came into contact with a majority, zero while
+	// it is not.
+	since time.Time
 }
 
-func newExchange(control string, members []settings.Member, p *wire.Pool, s *Streams, l logr.Logger) *exchange {
+// peer is another control.
+type peer struct {
+	member  settings.Member
+	pending []wire.NodeRecord
+	// heard is when this control last exchanged records with the peer, told
+	// when any other control said that it did.
+	heard, told time.Time
+	// compared is when the last complete comparison began.
+	compared time.Time
+}
+
+func newExchange(control string, members []settings.Member, c configSource, p *wire.Pool, s *Streams, l logr.Logger) *exchange {
 	e := &exchange{
 		control:  control,
+		source:   c,
 		registry: s.registry,
 		streams:  s,
 		log:      l,
 		pool:     p,
-		pending:  map[string][]wire.NodeRecord{},
-		answered: map[string]time.Time{},
+		peers:    map[string]*peer{},
 		started:  time.Now(),
 	}
 	for _, m := range members {
 		if m.Name != control {
-			e.others = append(e.others, m)
-			e.answered[m.Name] = e.started
+			e.peers[m.Name] = &peer{member: m}
 		}
 	}
 	return e
@@ -62,28 +79,66 @@
 
 // receive answers another control.
 func (e *exchange) receive(_ context.Context, q *wire.RegistrySyncRequest) (*wire.RegistrySyncResponse, error) {
-	e.heard(q.Control)
+	if l := e.source.Lineage(); l == "" || q.Lineage != l {
+		return nil, errkind.New(errkind.NotCurrent, "control %s is of lineage %q, the call of lineage %q", e.control, l, q.Lineage)
+	}
+	p, ok := e.peers[q.Control]
+	if !ok {
+		return nil, errkind.New(errkind.BadRequest, "control %q is not a member", q.Control)
+	}
+	e.exchanged(p, q.Heard)
 	e.take(q.Records)
-	a := &wire.RegistrySyncResponse{}
+	a := &wire.RegistrySyncResponse{Heard: e.heard()}
 	if len(q.Buckets) > 0 {
-		for _, b := range e.registry.Differing(q.Buckets) {
-			if len(a.Records)+len(b.Records) > endpointChunk {
-				break // the next comparison continues
-			}
-			a.Records = append(a.Records, b.Records...)
-		}
+		a.Records, a.Next = e.differing(q.Buckets, q.First)
 	}
 	return a, nil
 }
 
-func (e *exchange) heard(control string) {
+// differing returns the records of differing buckets from first on, and the
+// bucket to continue with, or zero.
+func (e *exchange) differing(digests []uint64, first int) ([]wire.NodeRecord, int) {
+	var l []wire.NodeRecord
+	for _, b := range e.registry.Differing(digests) {
+		if b.Number < first {
+			continue
+		}
+		if len(l) > 0 && len(l)+len(b.Records) > endpointChunk {
+			return l, b.Number
+		}
+		l = append(l, b.Records...)
+	}
+	return l, 0
+}
+
+// exchanged notes that p is alive, and which controls p has heard.
+func (e *exchange) exchanged(p *peer, heard map[string]time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.answered[control]; ok {
-		e.answered[control] = time.Now()
+	now := time.Now()
+	p.heard = now
+	for k, age := range heard {
+		if o := e.peers[k]; o != nil && o != p && now.Add(-age).After(o.told) {
+			o.told = now.Add(-age)
+		}
 	}
 }
 
+// heard returns how long ago this control exchanged with each other control
+// itself. What others told is left out, so that controls do not keep a dead one
+// alive by telling each other.
+func (e *exchange) heard() map[string]time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := map[string]time.Duration{}
+	for k, p := range e.peers {
+		if !p.heard.IsZero() {
+			m[k] = time.Since(p.heard)
+		}
+	}
+	return m
+}
+
 // take stores records from another control and passes them to this control's
 // nodes.
 func (e *exchange) take(l []wire.NodeRecord) { e.streams.put(l) }
@@ -102,13 +157,15 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, m := range e.others {
-		e.pending[m.Name] = append(e.pending[m.Name], own...)
+	for _, p := range e.peers {
+		if p.pending = append(p.pending, own...); len(p.pending) > maxPending {
+			p.pending = nil // the next comparison finds them
+		}
 	}
 }
 
 // run exchanges with one control until ctx ends.
-func (e *exchange) run(ctx context.Context, m settings.Member) {
+func (e *exchange) run(ctx context.Context, p *peer) {
 	t := time.NewTicker(batchInterval)
 	defer t.Stop()
 	var compared time.Time
@@ -117,16 +174,17 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			l := e.takePending(m.Name)
+			l := e.takePending(p)
 			compare := now.Sub(compared) >= compareInterval
-			if len(l) == 0 && !compare {
+			if e.source.Lineage() == "" || len(l) == 0 && !compare {
 				continue
 			}
 			if compare {
 				compared = now
 			}
-			if err := e.call(ctx, m, l, compare); err != nil {
-				e.log.V(1).Info("registry exchange failed", "control", m.Name, "cause", err.Error())
+			if err := e.exchange(ctx, p, l, compare); err != nil {
+				compared = time.Time{} // the records of this call are lost
+				e.log.V(1).Info("registry exchange failed", "control", p.member.Name, "cause", err.Error())
 			}
 		}
 	}
@@ -134,58 +192,46 @@
 
 // takePending returns the queued records. What is lost with a failed call is
 // repaired by the next comparison.
-func (e *exchange) takePending(name string) []wire.NodeRecord {
+func (e *exchange) takePending(p *peer) []wire.NodeRecord {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := e.pending[name]
-	n := min(len(l), endpointChunk)
-	e.pending[name] = l[n:]
-	return l[:n]
+	n := min(len(p.pending), endpointChunk)
+	l := p.pending[:n]
+	p.pending = p.pending[n:]
+	return l
 }
 
-func (e *exchange) call(ctx context.Context, m settings.Member, l []wire.NodeRecord, compare bool) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	q := &wire.RegistrySyncRequest{Control: e.control, Records: l}
-	if compare {
-		q.Buckets = e.registry.Buckets()
-	}
-	a, err := wire.PoolCall[wire.RegistrySyncRequest, wire.RegistrySyncResponse](ctx, e.pool, m.Address, wire.MethodRegistrySync, q)
-	if err != nil {
-		return err
-	}
-	e.heard(m.Name)
-	e.take(a.Records)
-	return nil
-}
-
-// expire removes nodes whose control has not answered for homeLimit and which
-// did not appear at another control. Call it only while this control is in
-// contact with a majority.
-func (e *exchange) expire(now time.Time) {
-	e.mu.Lock()
-	silent := map[string]bool{}
-	for k, t := range e.answered {
-		if now.Sub(t) > homeLimit {
-			silent[k] = true
+// exchange sends records and takes what differs, in several calls where one
+// cannot hold it.
+func (e *exchange) exchange(ctx context.Context, p *peer, l []wire.NodeRecord, compare bool) error {
+	start := time.Now()
+	q := &wire.RegistrySyncRequest{Control: e.control, Lineage: e.source.Lineage(), Records: l}
+	for {
+		q.Heard = e.heard()
+		if compare {
+			q.Buckets = e.registry.Buckets()
 		}
-	}
-	e.mu.Unlock()
-	if len(silent) == 0 {
-		return
-	}
-	var gone []wire.NodeRecord
-	for _, r := range e.registry.Records() {
-		if silent[r.Home] {
-			r.Gone = true
-			gone = append(gone, r)
+		a, err := e.call(ctx, p, q)
+		if err != nil {
+			return err
 		}
+		e.exchanged(p, a.Heard)
+		e.take(a.Records)
+		if a.Next <= q.First {
+			break
+		}
+		q.Records, q.First = nil, a.Next
 	}
-	for _, r := range e.streams.put(gone) {
-		e.log.Info("node removed", "node", r.Node, "reason", "its control "+r.Home+" is silent and no other control holds its lease")
+	if compare {
+		e.mu.Lock()
+		p.compared = start
+		e.mu.Unlock()
 	}
+	return nil
 }
 
-// settled reports whether this control has had time to learn of every node: all
-// other controls answered since it started, or had homeLimit to do so.
-func (e *exchange) settled(now time.Time) bool { return now.Sub(e.started) > homeLimit }
+func (e *exchange) call(ctx context.Context, p *peer, q *wire.RegistrySyncRequest) (*wire.RegistrySyncResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return wire.PoolCall[wire.RegistrySyncRequest, wire.RegistrySyncResponse](ctx, e.pool, p.member.Address, wire.MethodRegistrySync, q)
+}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -12,6 +12,9 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
+// expireInterval is how often leases are checked. It is short against a lease.
+const expireInterval = time.Second
+
 // fleetConfig holds what a fleet needs.
 type fleetConfig struct {
 	Control string
@@ -38,8 +41,8 @@
 	if c.Seen != nil {
 		f.streams.seen = c.Seen
 	}
-	f.exchange = newExchange(c.Control, c.Members, c.Pool, f.streams, c.Log)
-	f.streams.settled = func() bool { return f.exchange.settled(time.Now()) }
+	f.exchange = newExchange(c.Control, c.Members, c.Source, c.Pool, f.streams, c.Log)
+	f.streams.informed, f.streams.settled = f.exchange.informed, f.exchange.settled
 	return f
 }
 
@@ -58,9 +61,10 @@
 func (f *fleet) run(ctx context.Context) {
 	var g sync.WaitGroup
 	defer g.Wait()
-	for _, m := range f.exchange.others {
-		g.Go(func() { f.exchange.run(ctx, m) })
+	for _, p := range f.exchange.peers {
+		g.Go(func() { f.exchange.run(ctx, p) })
 	}
+	var expired time.Time
 	t := time.NewTicker(batchInterval)
 	defer t.Stop()
 	for {
@@ -69,8 +73,10 @@
 			return
 		case now := <-t.C:
 			f.exchange.push(f.streams.Flush())
-			f.streams.Expire(now)
-			if f.source.IsCurrent() {
+			f.exchange.observe(now, f.source.IsCurrent())
+			if now.Sub(expired) >= expireInterval {
+				expired = now
+				f.streams.Expire(now)
 				f.exchange.expire(now)
 			}
 		}
--- /dev/null
+++ b/internal/control/membership_test.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+func (w *world) named(node string) *testNode {
+	return w.nodes[slices.IndexFunc(w.nodes, func(n *testNode) bool { return n.name == node })]
+}
+
+// holders are the registries of controls and of nodes that run.
+func (w *world) holders() map[string]*registry.Registry {
+	m := map[string]*registry.Registry{}
+	for k, c := range w.controls {
+		m[k] = c.registry
+	}
+	for _, n := range w.nodes {
+		select {
+		case <-n.done:
+		default:
+			m[n.name] = n.registry
+		}
+	}
+	return m
+}
+
+// lacking returns which of the holders lack the upstream of node.
+func lacking(m map[string]*registry.Registry, node string) []string {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(m)), func(k string) bool { return state(m[k], node) == wire.Serving })
+}
+
+// A false removal takes capacity away; a removal that never comes sends requests
+// to a dead node.
+func TestMembership(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(w *world)
+		hold  time.Duration
+		// stay lists nodes that no holder but those in except may ever lack,
+		// also while the fault heals.
+		stay   []string
+		except []string
+		// gone is a node that must disappear everywhere, between from and to
+		// after the fault.
+		gone     string
+		from, to time.Duration
+		heal     func(w *world)
+	}{
+		{
+			name: "a control crashes", fault: func(w *world) { w.crashControl("a"); delete(w.controls, "a") },
+			hold: 2 * time.Minute, stay: []string{"n-b", "n-c", "n-ab"}, gone: "n-a", from: 28 * time.Second, to: 35 * time.Second,
+		},
+		{
+			name: "a control restarts while one of its nodes dies", fault: func(w *world) {
+				w.crash(w.named("n-a"))
+				w.crashControl("a")
+				w.startControl("a")
+			},
+			hold: 2 * time.Minute, stay: []string{"n-b", "n-c", "n-ab"}, except: []string{"a"}, gone: "n-a", from: 28 * time.Second, to: 35 * time.Second,
+		},
+		{
+			name: "a node dies", fault: func(w *world) { w.crash(w.named("n-c")) },
+			hold: time.Minute, stay: []string{"n-a", "n-b", "n-ab"}, gone: "n-c", from: 8 * time.Second, to: 12 * time.Second,
+		},
+		{
+			name: "the VM of a node vanishes", fault: func(w *world) { w.net.cut("n-c", anyone); w.named("n-c").stop() },
+			hold: time.Minute, stay: []string{"n-a", "n-b", "n-ab"}, gone: "n-c", from: 8 * time.Second, to: 12 * time.Second,
+		},
+		{
+			name: "two controls lose contact", fault: func(w *world) { w.net.cut("a", "b") },
+			hold: 5 * time.Minute, stay: []string{"n-a", "n-b", "n-c", "n-ab"}, heal: func(w *world) { w.net.heal("a", "b") },
+		},
+		{
+			name: "a control is cut off from all", fault: func(w *world) { w.cutOff("a") },
+			hold: time.Hour, stay: []string{"n-b", "n-c", "n-ab"},
+			heal: func(w *world) { // consensus recovers before the exchange of records
+				w.controls["a"].source.current.Store(true)
+				time.Sleep(3 * time.Second)
+				w.net.heal("a", anyone)
+			},
+		},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, three, func(w *world) {
+				w.accept(newCustomer("x", 1))
+				for _, l := range []string{"a", "b", "c", "ab"} {
+					w.startAt(l)
+				}
+				all := []string{"n-a", "n-b", "n-c", "n-ab"}
+				complete := func() bool {
+					return !slices.ContainsFunc(all, func(n string) bool { return len(lacking(w.holders(), n)) > 0 })
+				}
+				w.within(5*time.Second, "known everywhere", complete)
+				time.Sleep(time.Minute)
+				known := w.controls["a"].registry.Len()
+				var gone time.Duration
+				watch := func(d time.Duration) {
+					for start := time.Now(); time.Since(start) < d; time.Sleep(200 * time.Millisecond) {
+						m := w.holders()
+						maps.DeleteFunc(m, func(k string, _ *registry.Registry) bool { return k == c.gone || slices.Contains(c.except, k) })
+						for _, n := range c.stay {
+							if l := lacking(m, n); len(l) > 0 {
+								t.Fatalf("after %s: %s lack %s", time.Since(start), l, n)
+							}
+						}
+						if c.gone != "" && gone == 0 && len(lacking(m, c.gone)) == len(m) {
+							gone = time.Since(start)
+						}
+					}
+				}
+				c.fault(w)
+				watch(c.hold)
+				if c.gone != "" && (gone < c.from || gone > c.to) {
+					t.Errorf("%s disappeared after %s, want %s to %s", c.gone, gone, c.from, c.to)
+				}
+				if c.heal == nil {
+					return
+				}
+				if got := w.controls["a"].registry.Len(); got != known {
+					t.Errorf("the control that was cut off knows %d nodes, want %d", got, known)
+				}
+				go c.heal(w)
+				watch(15 * time.Second)
+				w.never(time.Minute, "a live node is lacking", func() bool { return !complete() })
+			})
+		})
+	}
+}
+
+// A control that restarted would take 40 s for a fleet of 37,000 nodes if each
+// comparison carried one part; records of another system must not get in.
+func TestExchange(t *testing.T) {
+	run(t, []string{"a", "b"}, func(w *world) {
+		var l []wire.NodeRecord
+		for i := range 3*endpointChunk + 1 {
+			l = append(l, wire.NodeRecord{Node: fmt.Sprint("m", i), Incarnation: 1, Home: "b"})
+		}
+		w.controls["b"].registry.Put(time.Now(), l)
+		a := w.controls["a"].registry
+		w.within(compareInterval+time.Second, "complete", func() bool { return a.Len() == len(l) })
+		p := wire.NewPool(w.net.dialer("z"))
+		defer p.Close()
+		for _, q := range []wire.RegistrySyncRequest{{Control: "b", Lineage: "M"}, {Control: "z", Lineage: "L"}} {
+			q.Records = []wire.NodeRecord{{Node: "foreign", Incarnation: 1, Home: "b"}}
+			_, err := wire.PoolCall[wire.RegistrySyncRequest, wire.RegistrySyncResponse](w.Context(), p, "a", wire.MethodRegistrySync, &q)
+			if _, ok := a.Record("foreign"); ok || err == nil {
+				t.Errorf("lineage %s, control %s: got error %v, want a refusal", q.Lineage, q.Control, err)
+			}
+		}
+	})
+}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -183,7 +183,7 @@
 // each message. It always sends at least one message, which tells the node that
 // it is in step.
 func (s *Streams) sendDiffering(n *nodeStream, digests []uint64) error {
-	authoritative := s.settled() && s.source.IsCurrent()
+	authoritative := s.settled(time.Now())
 	e := &wire.Endpoints{Authoritative: authoritative}
 	for _, b := range s.registry.Differing(digests) {
 		if len(e.Records) > 0 && len(e.Records)+len(b.Records) > endpointChunk {
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -50,8 +50,9 @@
 	log      logr.Logger
 	updates  *updateCache
 	slots    chan struct{}
-	// settled reports whether this control knows all nodes.
-	settled func() bool
+	// informed reports whether this control may remove nodes, settled whether
+	// it knows all nodes.
+	informed, settled func(now time.Time) bool
 	// seen is called for each node that connects.
 	seen func(node, zone string)
 
@@ -69,12 +70,6 @@
 	since  time.Time
 }
 
-type lostNode struct {
-	record wire.NodeRecord
-	since  time.Time
-	last   wire.NodeReport
-}
-
 func newStreams(control string, source configSource, r *registry.Registry, l logr.Logger) *Streams {
 	return &Streams{
 		control:  control,
@@ -83,7 +78,8 @@
 		log:      l,
 		updates:  newUpdateCache(),
 		slots:    make(chan struct{}, maxSnapshots),
-		settled:  func() bool { return false },
+		informed: func(time.Time) bool { return false },
+		settled:  func(time.Time) bool { return false },
 		seen:     func(string, string) {},
 		nodes:    map[string]*nodeStream{},
 		lost:     map[string]lostNode{},
@@ -191,17 +187,22 @@
 	}
 	delete(s.nodes, n.name)
 	if r, ok := s.registry.Record(n.name); ok && !r.Gone && r.Home == s.control {
-		s.lost[n.name] = lostNode{record: r, since: time.Now(), last: n.snapshot(time.Now())}
+		now := time.Now()
+		last := n.snapshot(now)
+		heard := now.Add(-last.SinceHeard)
+		s.lost[n.name] = lostNode{until: heard.Add(NodeLease), heard: heard, last: last}
 	}
 	s.log.Info("node disconnected", "node", n.name)
 }
 
 // put stores records and queues what changed for all nodes.
 func (s *Streams) put(l []wire.NodeRecord) []wire.NodeRecord {
-	c := s.registry.Put(time.Now(), l)
+	now := time.Now()
+	c := s.registry.Put(now, l)
 	if len(c) > 0 {
 		s.mu.Lock()
 		s.pending = append(s.pending, c...)
+		s.adopt(now, c)
 		s.mu.Unlock()
 	}
 	return c
@@ -257,7 +258,7 @@
 	}
 	for _, n := range s.lost {
 		r := n.last
-		r.SinceHeard += now.Sub(n.since)
+		r.SinceHeard = now.Sub(n.heard)
 		l = append(l, r)
 	}
 	for _, n := range s.turned {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -176,6 +176,20 @@
 	return l
 }
 
+// Select returns the records that are not marked Gone and for which f holds. f
+// must not call r.
+func (r *Registry) Select(f func(wire.NodeRecord) bool) []wire.NodeRecord {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var l []wire.NodeRecord
+	for _, n := range r.records {
+		if !n.Gone && f(n) {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
 // Len returns the number of nodes that are not marked Gone.
 func (r *Registry) Len() int {
 	r.mu.RLock()
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -10,11 +10,19 @@
 	// Buckets are the sender's digests after Records; empty when the sender
 	// asks for no comparison.
 	Buckets []uint64 `cbor:"3,keyasint,omitempty"`
+	// First is the bucket to compare from.
+	First   int    `cbor:"4,keyasint,omitempty"`
+	Lineage string `cbor:"5,keyasint"`
+	// Heard tells how long ago the sender exchanged with each other control.
+	Heard map[string]time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // RegistrySyncResponse holds the receiver's records of differing buckets.
 type RegistrySyncResponse struct {
 	Records []NodeRecord `cbor:"1,keyasint,omitempty"`
+	// Next is the bucket to continue the comparison with, zero at its end.
+	Next  int                      `cbor:"2,keyasint,omitempty"`
+	Heard map[string]time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // NodeReport is what a control knows of a node connected to it.
