Let a node refute a false record of itself

Cause: a node that one side of a partition had removed stayed removed on all sides after the partition healed, as long as its stream lasted. A node whose clock had gone back over a restart kept its old upstreams in the fleet. Change: a node that receives a newer record of itself takes over its incarnation and publishes its own state above it, unless another address wrote it; that is logged as a second process of the same name. Result: the row 'a control is cut off from the others' of TestMembership and TestRestartWithEarlierClock fail without it; the latter also fails when a second process is refuted, which would let the two fight without end.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -49,6 +49,7 @@
 	members  []settings.Member
 	controls map[string]*testControl
 	nodes    []*testNode
+	clock    time.Duration // offset of the clocks of nodes
 	mu       sync.Mutex
 	lines    []string
 }
@@ -169,7 +170,7 @@
 	r := registry.New()
 	n := &testNode{name: name, registry: r, done: make(chan struct{})}
 	n.Client = distribution.New(distribution.Config{
-		Node: name, AvailabilityZone: "z", PeerAddress: name, Incarnation: uint64(time.Now().UnixNano()),
+		Node: name, AvailabilityZone: "z", PeerAddress: name, Incarnation: uint64(time.Now().Add(w.clock).UnixNano()),
 		Controls: controls, Dial: w.net.dialer(name), Registry: r, Log: w.log(), Seed: uint64(len(w.nodes)),
 	})
 	ctx, cancel := context.WithCancel(w.Context())
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -39,6 +39,13 @@
 // A false removal takes capacity away; a removal that never comes sends requests
 // to a dead node.
 func TestMembership(t *testing.T) {
+	cutFromControls := func(down bool) func(*world) {
+		return func(w *world) {
+			w.controls["a"].source.current.Store(!down)
+			w.net.set("a", "b", down)
+			w.net.set("a", "c", down)
+		}
+	}
 	tests := []struct {
 		name  string
 		fault func(w *world)
@@ -77,6 +84,10 @@
 			name: "two controls lose contact", fault: func(w *world) { w.net.cut("a", "b") },
 			hold: 5 * time.Minute, stay: []string{"n-a", "n-b", "n-c", "n-ab"}, heal: func(w *world) { w.net.heal("a", "b") },
 		},
+		{
+			name: "a control is cut off from the others", fault: cutFromControls(true),
+			hold: 5 * time.Minute, stay: []string{"n-b", "n-c", "n-ab"}, heal: cutFromControls(false),
+		},
 		{
 			name: "a control is cut off from all", fault: func(w *world) { w.cutOff("a") },
 			hold: time.Hour, stay: []string{"n-b", "n-c", "n-ab"},
@@ -135,6 +146,30 @@
 	}
 }
 
+// A node whose clock went back over a restart would keep its old upstreams in
+// the fleet for ever, and two nodes of one name must not fight.
+func TestRestartWithEarlierClock(t *testing.T) {
+	run(t, []string{"a"}, func(w *world) {
+		w.startAt("a")
+		o := w.startNode("n", "a")
+		w.within(5*time.Second, "serving", func() bool { return state(o.registry, "n-a") == wire.Serving })
+		w.crash(w.named("n-a"))
+		w.nodes = w.nodes[1:]
+		w.clock = -time.Hour
+		n := w.startNode("n-a", "a")
+		n.upstream(wire.Starting)
+		w.within(5*time.Second, "starting", func() bool { return state(o.registry, "n-a") == wire.Starting })
+		if n := w.logged("another process"); n > 0 {
+			t.Errorf("%d lines about another process", n)
+		}
+		w.controls["a"].streams.put([]wire.NodeRecord{{Node: "n-a", PeerAddress: "other", Incarnation: 1 << 62, Home: "a"}})
+		time.Sleep(time.Minute)
+		if n := w.logged("another process", "other"); n != 1 {
+			t.Errorf("got %d lines about another process, want 1", n)
+		}
+	})
+}
+
 // A control that restarted would take 40 s for a fleet of 37,000 nodes if each
 // comparison carried one part; records of another system must not get in.
 func TestExchange(t *testing.T) {
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -121,27 +121,27 @@
 // SetUpstreams publishes the node's own upstreams. The node itself uses them at
 // once, the rest of the fleet as soon as a control passes them on.
 func (n *Client) SetUpstreams(l []wire.Upstream) {
-	n.mu.Lock()
-	n.record.Sequence++
-	n.record.Upstreams = slices.Clone(l)
-	r := n.record
-	n.mu.Unlock()
-	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
+	n.publish(func(r *wire.NodeRecord) { r.Upstreams = slices.Clone(l) })
+}
+
+// publish changes the own record and has it sent.
+func (n *Client) publish(change func(*wire.NodeRecord)) {
+	n.raise(change)
 	select {
 	case n.changed <- struct{}{}:
 	default:
 	}
 }
 
-// nextRecord raises the sequence, so that this connection supersedes what an
-// earlier control may still say about the node.
-func (n *Client) nextRecord() wire.NodeRecord {
+// raise changes the own record and raises its sequence, so that it supersedes
+// what a control may still say about the node.
+func (n *Client) raise(change func(*wire.NodeRecord)) wire.NodeRecord {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.record.Sequence++
-	r := n.record
-	n.mu.Unlock()
-	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
-	return r
+	change(&n.record)
+	n.c.Registry.Put(time.Now(), []wire.NodeRecord{n.record})
+	return n.record
 }
 
 func (n *Client) currentRecord() wire.NodeRecord {
@@ -203,17 +203,7 @@
 // Leave tells the control that this node stops, so that its record is removed
 // at once. It waits until the message is written or ctx ends.
 func (n *Client) Leave(ctx context.Context) {
-	n.mu.Lock()
-	n.record.Sequence++
-	n.record.Gone = true
-	n.record.Upstreams = nil
-	r := n.record
-	n.mu.Unlock()
-	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
-	select {
-	case n.changed <- struct{}{}:
-	default:
-	}
+	n.publish(func(r *wire.NodeRecord) { r.Gone, r.Upstreams = true, nil })
 	for n.Control() != "" && len(n.changed) > 0 && ctx.Err() == nil {
 		n.sleep(ctx, leavePoll)
 	}
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -93,7 +93,7 @@
 		return nil, errors.Wrap(err, "open stream")
 	}
 	err = s.send(&wire.NodeMessage{Hello: &wire.Hello{
-		Record:  n.nextRecord(),
+		Record:  n.raise(func(*wire.NodeRecord) {}),
 		Lineage: n.lineageInForce(),
 		Version: n.Table().Version(),
 		Buckets: n.c.Registry.Buckets(),
@@ -220,6 +220,8 @@
 	for _, r := range e.Records {
 		if r.Node != n.c.Node {
 			l = append(l, r)
+		} else {
+			n.refute(r)
 		}
 	}
 	n.c.Registry.Put(now, l)
@@ -229,3 +231,23 @@
 	// The first message of every stream lists the buckets that differ, or none.
 	n.synced.Store(true)
 }
+
+// refute raises the own record above r, which says that this node is gone or
+// which an earlier process with a faster clock wrote.
+func (n *Client) refute(r wire.NodeRecord) {
+	n.mu.Lock()
+	o := n.record
+	if o.Gone || !r.Newer(o) {
+		n.mu.Unlock()
+		return
+	}
+	if !r.Gone && r.PeerAddress != o.PeerAddress {
+		n.mu.Unlock()
+		n.c.Log.Error(nil, "another process uses the name of this node", "node", r.Node, "address", r.PeerAddress)
+		return
+	}
+	n.record.Incarnation, n.record.Sequence = r.Incarnation, r.Sequence
+	n.mu.Unlock()
+	n.c.Log.Info("the fleet held another state of this node", "gone", r.Gone, "incarnation", r.Incarnation)
+	n.publish(func(*wire.NodeRecord) {})
+}
