Confirm a planned stop and forget the node's name

Cause: a node that stopped as planned did not know whether its control had heard, came back as a live node when its stream broke during the stop, and its name stayed in status as not heard from for ever. A node does not try the control that has just failed first when it has others.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,7 +56,6 @@
 	config    *config
 	claims    *claims.Service
 	fleet     *fleet
-	names     *remembrance
 	metrics   metrics.Registry
 	transport *transport
 	stopRaft  context.CancelFunc
@@ -81,7 +80,6 @@
 		log:       c.Log.WithName("control"),
 		pool:      wire.NewPool(c.Dial),
 		groups:    groups{},
-		names:     &remembrance{pending: map[string]string{}},
 		metrics:   metrics.NewRegistry(),
 		listeners: l,
 	}
@@ -110,7 +108,7 @@
 		return err
 	}
 	k.fleet = newFleet(fleetConfig{
-		Control: s.Name, Members: s.Members, Source: k.config, Pool: k.pool, Log: k.log, Seen: k.names.add,
+		Control: s.Name, Members: s.Members, Source: k.config, Names: k.config, Pool: k.pool, Log: k.log,
 	})
 	return k.openServers()
 }
@@ -216,7 +214,6 @@
 	})
 	g.Go(func() error { k.fleet.run(serving); return nil })
 	g.Go(func() error { k.sample(serving); return nil })
-	g.Go(func() error { k.remember(serving); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -20,29 +20,33 @@
 	Control string
 	Members []settings.Member
 	Source  configSource
+	Names   nameStore
 	Pool    *wire.Pool
 	Log     logr.Logger
-	// Seen is called for each node that connects; it may be nil.
-	Seen func(node, zone string)
 }
 
 // fleet is what a control knows of nodes and does for them: the registry, the
-// streams of connected nodes and the exchange with the other controls.
+// streams of connected nodes, the exchange with the other controls, and the
+// names of known nodes.
 type fleet struct {
 	registry *registry.Registry
 	streams  *Streams
 	exchange *exchange
+	names    *names
 	source   configSource
 }
 
 func newFleet(c fleetConfig) *fleet {
 	f := &fleet{registry: registry.New(), source: c.Source}
 	f.streams = newStreams(c.Control, c.Source, f.registry, c.Log)
-	if c.Seen != nil {
-		f.streams.seen = c.Seen
-	}
 	f.exchange = newExchange(c.Control, c.Members, c.Source, c.Pool, f.streams, c.Log)
 	f.streams.informed, f.streams.settled = f.exchange.informed, f.exchange.settled
+	f.names = &names{store: c.Names, connected: f.streams.connected, log: c.Log, pending: map[string]nameChange{}}
+	f.names.alive = func(node string) bool {
+		r, ok := f.registry.Record(node)
+		return ok && !r.Gone
+	}
+	f.streams.seen, f.streams.left = f.names.remember, f.names.forget
 	return f
 }
 
@@ -64,6 +68,7 @@
 	for _, p := range f.exchange.peers {
 		g.Go(func() { f.exchange.run(ctx, p) })
 	}
+	g.Go(func() { f.names.run(ctx) })
 	var expired time.Time
 	t := time.NewTicker(batchInterval)
 	defer t.Stop()
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -27,6 +27,7 @@
 // source is a config group whose contact with a majority the test decides.
 type source struct {
 	*versions.Machine
+	world   *world
 	lineage atomic.Value
 	current atomic.Bool
 }
@@ -51,9 +52,25 @@
 	nodes    []*testNode
 	clock    time.Duration // offset of the clocks of nodes
 	mu       sync.Mutex
+	sources  []*source
 	lines    []string
 }
 
+// propose commits a command at all controls that are current.
+func (s *source) propose(_ context.Context, command []byte) (versions.Result, error) {
+	if !s.current.Load() {
+		return versions.Result{}, errkind.New(errkind.NoQuorum, "no majority")
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	for _, o := range s.world.sources {
+		if o.current.Load() {
+			o.Apply(0, command)
+		}
+	}
+	return versions.Result{}, nil
+}
+
 type testControl struct {
 	*fleet
 	source *source
@@ -128,16 +145,20 @@
 // startControl starts a control with an empty registry. It keeps what the
 // control of this name had accepted before.
 func (w *world) startControl(name string) *testControl {
-	s := &source{Machine: versions.New()}
+	s := &source{Machine: versions.New(), world: w}
 	s.lineage.Store("L")
+	s.current.Store(true)
 	if o := w.controls[name]; o != nil {
 		s = o.source
+	} else {
+		w.mu.Lock()
+		w.sources = append(w.sources, s)
+		w.mu.Unlock()
 	}
-	s.current.Store(true)
 	ctx, cancel := context.WithCancel(w.Context())
 	p := wire.NewPool(w.net.dialer(name))
 	c := &testControl{source: s, stop: cancel, done: make(chan struct{})}
-	c.fleet = newFleet(fleetConfig{Control: name, Members: w.members, Source: s, Pool: p, Log: w.log()})
+	c.fleet = newFleet(fleetConfig{Control: name, Members: w.members, Source: s, Names: s, Pool: p, Log: w.log()})
 	m := wire.NewMux()
 	c.register(m)
 	l := w.net.listen(name)
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
@@ -170,6 +171,83 @@
 	})
 }
 
+// A node that stops as planned must get no work meanwhile, and must not stay in
+// the list of nodes as one that is not heard from.
+func TestLeave(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after func(w *world)
+		limit         time.Duration // of the confirmation
+		stays         bool
+	}{
+		{"connected", nil, nil, 100 * time.Millisecond, false},
+		{"its control is silent", func(w *world) { w.cutOff("a") }, nil, 5 * time.Second, false},
+		{"no majority at first", func(w *world) { w.controls["a"].source.current.Store(false) }, func(w *world) {
+			time.Sleep(time.Minute)
+			w.controls["a"].source.current.Store(true)
+		}, 100 * time.Millisecond, false},
+		{"back at once elsewhere", nil, func(w *world) {
+			w.startNode("n-ab", "b").upstream(wire.Serving)
+		}, 100 * time.Millisecond, true},
+		{"back and forgotten late", nil, func(w *world) {
+			w.startNode("n-ab", "b").upstream(wire.Serving)
+			time.Sleep(time.Second)
+			b, _ := versions.ForgetNodes{Names: []string{"n-ab"}}.Encode()
+			w.controls["b"].source.Apply(0, b)
+		}, 100 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, []string{"a", "b"}, func(w *world) {
+				w.startAt("b")
+				n := w.startAt("ab")
+				known := func() bool { return w.controls["b"].source.Knows("n-ab", "z") }
+				w.within(5*time.Second, "known", func() bool { return known() && len(lacking(w.holders(), "n-ab")) == 0 })
+				if c.before != nil {
+					c.before(w)
+				}
+				start := time.Now()
+				n.Leave(w.Context())
+				if got := time.Since(start); got > c.limit {
+					t.Errorf("confirmed after %s, want at most %s", got, c.limit)
+				}
+				m := w.holders()
+				delete(m, "a")
+				delete(m, "n-ab")
+				w.within(time.Second, "gone", func() bool { return len(lacking(m, "n-ab")) == len(m) })
+				n.stop()
+				<-n.done
+				if c.after != nil {
+					c.after(w)
+				}
+				time.Sleep(namesRepair + time.Second)
+				if _, ok := w.report("b", "n-ab"); known() != c.stays || ok != c.stays {
+					t.Errorf("got known %t, reported %t; want %t", known(), ok, c.stays)
+				}
+				if got := len(lacking(m, "n-ab")) == 0; got != c.stays {
+					t.Errorf("got upstream present %t, want %t", got, c.stays)
+				}
+			})
+		})
+	}
+}
+
+// Forgetting a node that has come back would hide it from status for a while.
+func TestForgetOnlyGoneNodes(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		run(t, []string{"a"}, func(w *world) {
+			c := w.controls["a"]
+			c.names.remember("n", "z")
+			c.names.flush(w.Context())
+			c.names.alive = func(string) bool { return alive }
+			c.names.forget("n")
+			c.names.flush(w.Context())
+			if got := c.source.Knows("n", "z"); got != alive {
+				t.Errorf("alive %t: got known %t", alive, got)
+			}
+		})
+	}
+}
+
 // A control that restarted would take 40 s for a fleet of 37,000 nodes if each
 // comparison carried one part; records of another system must not get in.
 func TestExchange(t *testing.T) {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -6,19 +6,12 @@
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
-	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
-const (
-	// reportTimeout bounds the question to another control for its nodes.
-	reportTimeout = time.Second
-	// rememberInterval collects new node names into one entry of the log.
-	rememberInterval = 500 * time.Millisecond
-	// rememberBatch bounds the names in one entry of the log.
-	rememberBatch = 1000
-)
+// reportTimeout bounds the question to another control for its nodes.
+const reportTimeout = time.Second
 
 // report answers another control.
 func (c *Control) report(_ context.Context, _ *wire.Empty) (*wire.NodeReports, error) {
@@ -90,61 +83,3 @@
 		Control:          r.Control,
 	}
 }
-
-// remembrance writes the names of new nodes to the config group, so that status
-// lists them even after all controls restarted.
-type remembrance struct {
-	mu      sync.Mutex
-	pending map[string]string
-}
-
-func (r *remembrance) add(node, zone string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.pending) < rememberBatch {
-		r.pending[node] = zone
-	}
-}
-
-func (r *remembrance) take() map[string]string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.pending
-	r.pending = map[string]string{}
-	return l
-}
-
-// remember runs until ctx ends.
-func (c *Control) remember(ctx context.Context) {
-	t := time.NewTicker(rememberInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			q := versions.RememberNodes{Time: now}
-			for n, z := range c.names.take() {
-				if !c.config.Knows(n, z) {
-					q.Nodes = append(q.Nodes, versions.Node{Name: n, AvailabilityZone: z})
-				}
-			}
-			if len(q.Nodes) > 0 {
-				c.proposeNodes(ctx, q)
-			}
-		}
-	}
-}
-
-func (c *Control) proposeNodes(ctx context.Context, q versions.RememberNodes) {
-	b, err := q.Encode()
-	if err == nil {
-		_, err = c.config.propose(ctx, b)
-	}
-	if err != nil {
-		c.log.Info("names of new nodes not stored; trying again", "nodes", len(q.Nodes), "cause", err.Error())
-		for _, n := range q.Nodes {
-			c.names.add(n.Name, n.AvailabilityZone)
-		}
-	}
-}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -89,14 +89,13 @@
 		}
 		switch {
 		case m.Report != nil && m.Report.Node == n.name:
-			r := *m.Report
-			r.Home = s.control
-			s.put([]wire.NodeRecord{r})
+			s.store(*m.Report)
 		case m.Ack != nil:
 			s.acknowledge(n, m.Ack)
 		case m.Ping != nil:
 			n.pinged(m.Ping)
-			p := &wire.Pong{Committed: s.source.Current().Version(), Current: s.source.IsCurrent()}
+			r, _ := s.registry.Record(n.name)
+			p := &wire.Pong{Committed: s.source.Current().Version(), Current: s.source.IsCurrent(), Left: r.Gone}
 			if sendControl(n.stream, &wire.ControlMessage{Pong: p}) != nil {
 				return
 			}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -53,8 +53,10 @@
 	// informed reports whether this control may remove nodes, settled whether
 	// it knows all nodes.
 	informed, settled func(now time.Time) bool
-	// seen is called for each node that connects.
+	// seen is called for each node that connects, left for each that leaves as
+	// planned.
 	seen func(node, zone string)
+	left func(node string)
 
 	mu    sync.Mutex
 	nodes map[string]*nodeStream
@@ -81,6 +83,7 @@
 		informed: func(time.Time) bool { return false },
 		settled:  func(time.Time) bool { return false },
 		seen:     func(string, string) {},
+		left:     func(string) {},
 		nodes:    map[string]*nodeStream{},
 		lost:     map[string]lostNode{},
 		turned:   map[string]turnedNode{},
@@ -173,9 +176,10 @@
 	if o != nil {
 		o.cancel() // the node came back before its old stream ended
 	}
-	r.Home, r.Gone = s.control, false
-	s.put([]wire.NodeRecord{r})
-	s.seen(r.Node, r.AvailabilityZone)
+	s.store(r)
+	if !r.Gone {
+		s.seen(r.Node, r.AvailabilityZone)
+	}
 	s.log.Info("node connected", "node", n.name, "availabilityZone", r.AvailabilityZone, "version", n.report.Version)
 }
 
@@ -195,6 +199,17 @@
 	s.log.Info("node disconnected", "node", n.name)
 }
 
+// store takes a record from its own node.
+func (s *Streams) store(r wire.NodeRecord) {
+	r.Home = s.control
+	for range s.put([]wire.NodeRecord{r}) {
+		if r.Gone {
+			s.log.Info("node removed", "node", r.Node, "reason", "the node leaves")
+			s.left(r.Node)
+		}
+	}
+}
+
 // put stores records and queues what changed for all nodes.
 func (s *Streams) put(l []wire.NodeRecord) []wire.NodeRecord {
 	now := time.Now()
@@ -247,6 +262,20 @@
 	return len(s.nodes)
 }
 
+// connected returns the nodes that are connected, and do not leave, with their
+// zones.
+func (s *Streams) connected() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := make(map[string]string, len(s.nodes))
+	for k, n := range s.nodes {
+		if r, ok := s.registry.Record(k); ok && !r.Gone {
+			m[k] = n.report.AvailabilityZone
+		}
+	}
+	return m
+}
+
 // Reports returns what this control knows of its nodes: connected ones, those
 // that were lost recently and those that it turned away.
 func (s *Streams) Reports(now time.Time) []wire.NodeReport {
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -38,8 +38,13 @@
 	// behindLimit is how long a control may be behind a version seen at a peer.
 	behindLimit    = 3 * time.Second
 	connectTimeout = 3 * time.Second
-	minBackoff     = 100 * time.Millisecond
-	maxBackoff     = 5 * time.Second
+	// leaveLimit bounds the wait of a stopping node for its control. It allows
+	// for a silent control and the change to another one.
+	leaveLimit = 6 * time.Second
+	// leaveLimitAlone is the bound for a node without a control.
+	leaveLimitAlone = time.Second
+	minBackoff      = 100 * time.Millisecond
+	maxBackoff      = 5 * time.Second
 )
 
 // Config holds what a Client needs.
@@ -66,6 +71,9 @@
 	synced  atomic.Bool
 	control atomic.Value // string
 	changed chan struct{}
+	// left is closed when a control has confirmed that this node leaves.
+	left     chan struct{}
+	leftOnce sync.Once
 	// preferred is the control to try next; only Run uses it.
 	preferred string
 
@@ -77,7 +85,7 @@
 
 // New returns a Client without configuration.
 func New(c Config) *Client {
-	n := &Client{c: c, changed: make(chan struct{}, 1), random: rand.New(rand.NewPCG(c.Seed, c.Incarnation))}
+	n := &Client{c: c, changed: make(chan struct{}, 1), left: make(chan struct{}), random: rand.New(rand.NewPCG(c.Seed, c.Incarnation))}
 	n.record = wire.NodeRecord{
 		Node:             c.Node,
 		AvailabilityZone: c.AvailabilityZone,
@@ -152,15 +160,20 @@
 
 // Run keeps a stream open until ctx ends.
 func (n *Client) Run(ctx context.Context) {
-	order := n.shuffled()
+	var order []string
+	address := ""
 	backoff := minBackoff
-	for i := 0; ctx.Err() == nil; i++ {
-		if i > 0 && i%len(order) == 0 {
+	for ctx.Err() == nil {
+		if len(order) == 0 {
 			order = n.shuffled()
+			if order[0] == address { // it has just failed; the others come first
+				order = append(order[1:], address)
+			}
 		}
-		address := order[i%len(order)]
 		if n.preferred != "" {
 			address, n.preferred = n.preferred, ""
+		} else {
+			address, order = order[0], order[1:]
 		}
 		welcomed, err := n.session(ctx, address)
 		n.control.Store("")
@@ -200,14 +213,20 @@
 	}
 }
 
-// Leave tells the control that this node stops, so that its record is removed
-// at once. It waits until the message is written or ctx ends.
+// Leave tells the fleet that this node stops, so that its record is removed at
+// once and its name forgotten. It returns when a control has confirmed that, at
+// the latest after a few seconds.
 func (n *Client) Leave(ctx context.Context) {
+	limit := leaveLimit
+	if n.Control() == "" {
+		limit = leaveLimitAlone
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	n.publish(func(r *wire.NodeRecord) { r.Gone, r.Upstreams = true, nil })
-	for n.Control() != "" && len(n.changed) > 0 && ctx.Err() == nil {
-		n.sleep(ctx, leavePoll)
+	select {
+	case <-n.left:
+	case <-ctx.Done():
+		n.c.Log.Info("no control confirmed that this node leaves; its record ends with its lease")
 	}
 }
-
-// leavePoll is short against the stop limit.
-const leavePoll = 10 * time.Millisecond
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -156,8 +156,7 @@
 			err = s.handle(m)
 			silence.Reset(silenceLimit)
 		case <-s.client.changed:
-			r := s.client.currentRecord()
-			err = s.send(&wire.NodeMessage{Report: &r})
+			err = s.report()
 		case a := <-s.found:
 			s.client.preferred = a
 			err = errkind.New(errkind.NotCurrent, "control is out of contact with a majority, %s is not", a)
@@ -170,6 +169,20 @@
 	}
 }
 
+// report sends the own record. A node that leaves asks for an answer at once.
+func (s *session) report() error {
+	r := s.client.currentRecord()
+	err := s.send(&wire.NodeMessage{Report: &r})
+	if err == nil && r.Gone {
+		err = s.ping()
+	}
+	return err
+}
+
+func (s *session) ping() error {
+	return s.send(&wire.NodeMessage{Ping: &wire.Ping{Version: s.client.Table().Version()}})
+}
+
 func (s *session) handle(m *wire.ControlMessage) error {
 	n := s.client
 	switch {
@@ -188,6 +201,9 @@
 func (s *session) pong(p *wire.Pong) {
 	n := s.client
 	n.SeeVersion(p.Committed)
+	if p.Left && n.currentRecord().Gone {
+		n.leftOnce.Do(func() { close(n.left) })
+	}
 	s.current = p.Current
 	if p.Committed >= max(n.seen.Load(), n.Table().Version()) {
 		s.behindSince = time.Time{}
@@ -209,7 +225,7 @@
 	} else {
 		s.probeOthers(ctx, now)
 	}
-	return s.send(&wire.NodeMessage{Ping: &wire.Ping{Version: n.Table().Version()}})
+	return s.ping()
 }
 
 // applyEndpoints stores changed records. Nothing removes this node's own
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -147,4 +147,6 @@
 	Committed uint64 `cbor:"1,keyasint"`
 	// Current is set while the control is in contact with a majority.
 	Current bool `cbor:"2,keyasint,omitempty"`
+	// Left is set when the control holds this node's record as Gone.
+	Left bool `cbor:"3,keyasint,omitempty"`
 }
