Compare the records of connected nodes with their control's

Cause: a removal that no control remembers, as after a restart of all controls, never reached the nodes that were connected, so that they kept dead nodes until their next reconnect. Change: answers to pings carry the digest of a control that knows all nodes; a node whose records differ in three successive answers asks for what differs. Result: the row 'all controls restart while a node dies' of TestMembership fails without the digest, with a control that takes its own list for complete before it has met the others, and before the nodes had time to connect.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -147,7 +147,6 @@
 func (w *world) startControl(name string) *testControl {
 	s := &source{Machine: versions.New(), world: w}
 	s.lineage.Store("L")
-	s.current.Store(true)
 	if o := w.controls[name]; o != nil {
 		s = o.source
 	} else {
@@ -155,6 +154,7 @@
 		w.sources = append(w.sources, s)
 		w.mu.Unlock()
 	}
+	s.current.Store(true)
 	ctx, cancel := context.WithCancel(w.Context())
 	p := wire.NewPool(w.net.dialer(name))
 	c := &testControl{source: s, stop: cancel, done: make(chan struct{})}
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -73,6 +73,18 @@
 			},
 			hold: 2 * time.Minute, stay: []string{"n-b", "n-c", "n-ab"}, except: []string{"a"}, gone: "n-a", from: 28 * time.Second, to: 35 * time.Second,
 		},
+		{
+			name: "all controls restart while a node dies", fault: func(w *world) {
+				w.crash(w.named("n-a"))
+				for _, c := range three {
+					w.crashControl(c)
+				}
+				for _, c := range three {
+					w.startControl(c)
+				}
+			},
+			hold: 2 * time.Minute, stay: []string{"n-b", "n-c", "n-ab"}, except: three, gone: "n-a", from: 30 * time.Second, to: 45 * time.Second,
+		},
 		{
 			name: "a node dies", fault: func(w *world) { w.crash(w.named("n-c")) },
 			hold: time.Minute, stay: []string{"n-a", "n-b", "n-ab"}, gone: "n-c", from: 8 * time.Second, to: 12 * time.Second,
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -21,8 +21,10 @@
 	stream drpc.Stream
 	batch  chan wire.Raw
 	// ack holds the newest acknowledgement that serve has not seen.
-	ack    chan wire.Ack
-	cancel context.CancelFunc
+	ack chan wire.Ack
+	// compare holds the digests of a node that asked for what differs.
+	compare chan []uint64
+	cancel  context.CancelFunc
 
 	mu     sync.Mutex
 	report wire.NodeReport
@@ -94,11 +96,14 @@
 			s.acknowledge(n, m.Ack)
 		case m.Ping != nil:
 			n.pinged(m.Ping)
-			r, _ := s.registry.Record(n.name)
-			p := &wire.Pong{Committed: s.source.Current().Version(), Current: s.source.IsCurrent(), Left: r.Gone}
-			if sendControl(n.stream, &wire.ControlMessage{Pong: p}) != nil {
+			if sendControl(n.stream, &wire.ControlMessage{Pong: s.pong(n)}) != nil {
 				return
 			}
+		case m.Compare != nil:
+			select {
+			case n.compare <- m.Compare.Buckets:
+			default: // the last comparison is still under way
+			}
 		default:
 			s.log.Info("node sent an unexpected message", "node", n.name)
 			return
@@ -106,6 +111,15 @@
 	}
 }
 
+func (s *Streams) pong(n *nodeStream) *wire.Pong {
+	r, _ := s.registry.Record(n.name)
+	p := &wire.Pong{Committed: s.source.Current().Version(), Current: s.source.IsCurrent(), Left: r.Gone}
+	if s.settled(time.Now()) {
+		p.Digest = s.registry.Digest()
+	}
+	return p
+}
+
 func (n *nodeStream) pinged(p *wire.Ping) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -172,6 +186,10 @@
 			if err := n.stream.MsgSend(b, wire.Encoding{}); err != nil {
 				return err
 			}
+		case b := <-n.compare:
+			if err := s.sendDiffering(n, b); err != nil {
+				return err
+			}
 		case a := <-n.ack:
 			c = c.acknowledged(a)
 		}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -103,13 +103,14 @@
 		return sendControl(d, &wire.ControlMessage{Fault: wire.NewFault(err)})
 	}
 	n := &nodeStream{
-		name:   h.Record.Node,
-		stream: d,
-		batch:  make(chan wire.Raw, streamBuffer),
-		ack:    make(chan wire.Ack, 1),
-		cancel: cancel,
-		heard:  time.Now(),
-		report: wire.NodeReport{Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control},
+		name:    h.Record.Node,
+		stream:  d,
+		batch:   make(chan wire.Raw, streamBuffer),
+		ack:     make(chan wire.Ack, 1),
+		compare: make(chan []uint64, 1),
+		cancel:  cancel,
+		heard:   time.Now(),
+		report:  wire.NodeReport{Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control},
 	}
 	s.add(n, h.Record)
 	defer s.remove(n)
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -38,6 +38,11 @@
 	// behindLimit is how long a control may be behind a version seen at a peer.
 	behindLimit    = 3 * time.Second
 	connectTimeout = 3 * time.Second
+	// differedLimit is how many answers to pings must differ before the node
+	// compares its records with the control's, and comparePause how long it
+	// waits before it does so again.
+	differedLimit = 3
+	comparePause  = 10 * time.Second
 	// leaveLimit bounds the wait of a stopping node for its control. It allows
 	// for a silent control and the change to another one.
 	leaveLimit = 6 * time.Second
@@ -80,7 +85,9 @@
 	mu      sync.Mutex
 	record  wire.NodeRecord
 	lineage string
-	random  *rand.Rand
+	// rival is the incarnation of another process that uses this node's name.
+	rival  uint64
+	random *rand.Rand
 }
 
 // New returns a Client without configuration.
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -23,6 +23,10 @@
 	assembly assembly
 	current  bool
 	probe    *probe
+	// differed counts successive answers with another digest than this node's;
+	// compared is when the node last asked what differs.
+	differed int
+	compared time.Time
 	// behindSince is when the control was first seen to be behind.
 	behindSince time.Time
 }
@@ -191,14 +195,14 @@
 	case m.Endpoints != nil:
 		n.applyEndpoints(m.Endpoints)
 	case m.Pong != nil:
-		s.pong(m.Pong)
+		return s.pong(m.Pong)
 	case m.Fault != nil:
 		return m.Fault.Err()
 	}
 	return nil
 }
 
-func (s *session) pong(p *wire.Pong) {
+func (s *session) pong(p *wire.Pong) error {
 	n := s.client
 	n.SeeVersion(p.Committed)
 	if p.Left && n.currentRecord().Gone {
@@ -207,11 +211,24 @@
 	s.current = p.Current
 	if p.Committed >= max(n.seen.Load(), n.Table().Version()) {
 		s.behindSince = time.Time{}
-		return
-	}
-	if s.behindSince.IsZero() {
+	} else if s.behindSince.IsZero() {
 		s.behindSince = time.Now()
 	}
+	return s.compare(p.Digest)
+}
+
+// compare asks the control for what differs when its records have differed for
+// a while. A change that is on its way differs for less than that.
+func (s *session) compare(digest uint64) error {
+	if digest == 0 || digest == s.client.c.Registry.Digest() {
+		s.differed = 0
+		return nil
+	}
+	if s.differed++; s.differed < differedLimit || time.Since(s.compared) < s.client.jitter(comparePause) {
+		return nil
+	}
+	s.differed, s.compared = 0, time.Now()
+	return s.send(&wire.NodeMessage{Compare: &wire.Compare{Buckets: s.client.c.Registry.Buckets()}})
 }
 
 // tick pings the control and decides whether to leave it.
@@ -258,7 +275,12 @@
 		return
 	}
 	if !r.Gone && r.PeerAddress != o.PeerAddress {
+		known := n.rival == r.Incarnation
+		n.rival = r.Incarnation
 		n.mu.Unlock()
+		if known {
+			return
+		}
 		n.c.Log.Error(nil, "another process uses the name of this node", "node", r.Node, "address", r.PeerAddress)
 		return
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -204,6 +204,17 @@
 	return slices.Clone(r.buckets[:])
 }
 
+// Digest returns the digest over all records.
+func (r *Registry) Digest() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var d uint64
+	for _, b := range r.buckets {
+		d ^= b
+	}
+	return d
+}
+
 // Bucket is one bucket with all its records, removals included.
 type Bucket struct {
 	Number  int
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -70,6 +70,13 @@
 	Report *NodeRecord `cbor:"2,keyasint,omitempty"`
 	Ack    *Ack        `cbor:"3,keyasint,omitempty"`
 	Ping   *Ping       `cbor:"4,keyasint,omitempty"`
+	// Compare asks for the records that differ.
+	Compare *Compare `cbor:"5,keyasint,omitempty"`
+}
+
+// Compare holds the registry digests of a node.
+type Compare struct {
+	Buckets []uint64 `cbor:"1,keyasint"`
 }
 
 // Hello opens a node's stream.
@@ -147,6 +154,9 @@
 	Committed uint64 `cbor:"1,keyasint"`
 	// Current is set while the control is in contact with a majority.
 	Current bool `cbor:"2,keyasint,omitempty"`
+	// Digest covers all records of a control that knows all nodes; otherwise it
+	// is zero.
+	Digest uint64 `cbor:"4,keyasint,omitempty"`
 	// Left is set when the control holds this node's record as Gone.
 	Left bool `cbor:"3,keyasint,omitempty"`
 }
