--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -12,34 +12,41 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
+// expireInterval is how often leases are checked. It is short against a lease.
+const expireInterval = time.Second
+
 // fleetConfig holds what a fleet needs.
 type fleetConfig struct {
 	Control string
 	Members []settings.Member
 	Source  configSource
+	Names   nameStore
 	Pool    *wire.Pool
 	Log     logr.Logger
-	// Seen is called for each node that connects; it may be nil.
-	Seen func(node, zone string)
 }
 
 // fleet is what a control knows of nodes and does for them: the registry, the
-// streams of connected nodes and the exchange with the other controls.
+// streams of connected nodes, the exchange with the other controls, and the
+// names of known nodes.
 type fleet struct {
 	registry *registry.Registry
 	streams  *Streams
 	exchange *exchange
+	names    *names
 	source   configSource
 }
 
 func newFleet(c fleetConfig) *fleet {
 	f := &fleet{registry: registry.New(), source: c.Source}
 	f.streams = newStreams(c.Control, c.Source, f.registry, c.Log)
-	if c.Seen != nil {
-		f.streams.seen = c.Seen
+	f.exchange = newExchange(c.Control, c.Members, c.Source, c.Pool, f.streams, c.Log)
+	f.streams.informed, f.streams.settled = f.exchange.informed, f.exchange.settled
+	f.names = &names{store: c.Names, connected: f.streams.connected, log: c.Log, pending: map[string]nameChange{}}
+	f.names.alive = func(node string) bool {
+		r, ok := f.registry.Record(node)
+		return ok && !r.Gone
 	}
-	f.exchange = newExchange(c.Control, c.Members, c.Pool, f.streams, c.Log)
-	f.streams.settled = func() bool { return f.exchange.settled(time.Now()) }
+	f.streams.seen, f.streams.left = f.names.remember, f.names.forget
 	return f
 }
 
@@ -58,9 +65,11 @@
 func (f *fleet) run(ctx context.Context) {
 	var g sync.WaitGroup
 	defer g.Wait()
-	for _, m := range f.exchange.others {
-		g.Go(func() { f.exchange.run(ctx, m) })
+	for _, p := range f.exchange.peers {
+		g.Go(func() { f.exchange.run(ctx, p) })
 	}
+	g.Go(func() { f.names.run(ctx) })
+	var expired time.Time
 	t := time.NewTicker(batchInterval)
 	defer t.Stop()
 	for {
@@ -69,8 +78,10 @@
 			return
 		case now := <-t.C:
 			f.exchange.push(f.streams.Flush())
-			f.streams.Expire(now)
-			if f.source.IsCurrent() {
+			f.exchange.observe(now, f.source.IsCurrent())
+			if now.Sub(expired) >= expireInterval {
+				expired = now
+				f.streams.Expire(now)
 				f.exchange.expire(now)
 			}
 		}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -26,11 +27,12 @@
 // source is a config group whose contact with a majority the test decides.
 type source struct {
 	*versions.Machine
-	lineage string
+	world   *world
+	lineage atomic.Value
 	current atomic.Bool
 }
 
-func (s *source) Lineage() string { return s.lineage }
+func (s *source) Lineage() string { return s.lineage.Load().(string) }
 func (s *source) IsCurrent() bool { return s.current.Load() }
 
 func (s *source) ReadBarrier(ctx context.Context) error {
@@ -49,9 +51,26 @@
 	controls map[string]*testControl
 	nodes    []*testNode
 	// ranks are the counts by rank of each node that is started; may be nil.
-	ranks func() []wire.RankStats
-	mu    sync.Mutex
-	lines []string
+	ranks   func() []wire.RankStats
+	clock   time.Duration // offset of the clocks of nodes
+	mu      sync.Mutex
+	sources []*source
+	lines   []string
+}
+
+// propose commits a command at all controls that are current.
+func (s *source) propose(_ context.Context, command []byte) (versions.Result, error) {
+	if !s.current.Load() {
+		return versions.Result{}, errkind.New(errkind.NoQuorum, "no majority")
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	for _, o := range s.world.sources {
+		if o.current.Load() {
+			o.Apply(0, command)
+		}
+	}
+	return versions.Result{}, nil
 }
 
 type testControl struct {
@@ -72,6 +91,10 @@
 // run runs f in a bubble with running controls of the given names.
 func run(t *testing.T, names []string, f func(w *world)) {
 	t.Helper()
+	// With the race detector, the runtime of Go 1.26 uses one race context for
+	// all timer channels of a bubble, and crashes when two threads read expired
+	// ones at the same time.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{T: t, net: newNetwork(5 * time.Millisecond), controls: map[string]*testControl{}}
 		for _, n := range names {
@@ -124,15 +147,20 @@
 // startControl starts a control with an empty registry. It keeps what the
 // control of this name had accepted before.
 func (w *world) startControl(name string) *testControl {
-	s := &source{Machine: versions.New(), lineage: "L"}
+	s := &source{Machine: versions.New(), world: w}
+	s.lineage.Store("L")
 	if o := w.controls[name]; o != nil {
 		s = o.source
+	} else {
+		w.mu.Lock()
+		w.sources = append(w.sources, s)
+		w.mu.Unlock()
 	}
 	s.current.Store(true)
 	ctx, cancel := context.WithCancel(w.Context())
 	p := wire.NewPool(w.net.dialer(name))
 	c := &testControl{source: s, stop: cancel, done: make(chan struct{})}
-	c.fleet = newFleet(fleetConfig{Control: name, Members: w.members, Source: s, Pool: p, Log: w.log()})
+	c.fleet = newFleet(fleetConfig{Control: name, Members: w.members, Source: s, Names: s, Pool: p, Log: w.log()})
 	m := wire.NewMux()
 	c.register(m)
 	l := w.net.listen(name)
@@ -165,7 +193,7 @@
 	r := registry.New()
 	n := &testNode{name: name, registry: r, done: make(chan struct{})}
 	n.Client = distribution.New(distribution.Config{
-		Node: name, AvailabilityZone: "z", PeerAddress: name, Incarnation: uint64(time.Now().UnixNano()),
+		Node: name, AvailabilityZone: "z", PeerAddress: name, Incarnation: uint64(time.Now().Add(w.clock).UnixNano()),
 		Controls: controls, Dial: w.net.dialer(name), Registry: r, Log: w.log(), Seed: uint64(len(w.nodes)), Ranks: w.ranks,
 	})
 	ctx, cancel := context.WithCancel(w.Context())
--- a/internal/control/propose_test.go
+++ b/internal/control/propose_test.go
@@ -137,7 +137,6 @@
 		w.startNode("n", "a")
 		a := w.controls["a"]
 		w.within(5*time.Second, "connected", func() bool { return a.streams.Len() == 1 })
-		k := &Control{config: &config{Machine: a.source.Machine}, fleet: a.fleet, names: &remembrance{pending: map[string]string{}}}
 		for _, c := range []struct {
 			name    string
 			command interface{ Encode() ([]byte, error) }
@@ -151,9 +150,12 @@
 				t.Fatal(err)
 			}
 			a.source.Apply(1, b)
-			k.recall()
-			if got := k.names.take(); len(got) != c.want {
-				t.Errorf("%s: got names to store %v, want %d", c.name, got, c.want)
+			a.names.mu.Lock()
+			a.names.pending = map[string]nameChange{}
+			a.names.mu.Unlock()
+			a.names.recall()
+			if got := len(a.names.pending); got != c.want {
+				t.Errorf("%s: got %d names to store, want %d", c.name, got, c.want)
 			}
 		}
 	})
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -53,10 +53,13 @@
 	log      logr.Logger
 	updates  *updateCache
 	slots    chan struct{}
-	// settled reports whether this control knows all nodes.
-	settled func() bool
-	// seen is called for each node that connects.
+	// informed reports whether this control may remove nodes, settled whether
+	// it knows all nodes.
+	informed, settled func(now time.Time) bool
+	// seen is called for each node that connects, left for each that leaves as
+	// planned.
 	seen func(node, zone string)
+	left func(node string)
 
 	mu    sync.Mutex
 	nodes map[string]*nodeStream
@@ -72,12 +75,6 @@
 	since  time.Time
 }
 
-type lostNode struct {
-	record wire.NodeRecord
-	since  time.Time
-	last   wire.NodeReport
-}
-
 func newStreams(control string, source configSource, r *registry.Registry, l logr.Logger) *Streams {
 	return &Streams{
 		control:  control,
@@ -86,8 +83,10 @@
 		log:      l,
 		updates:  newUpdateCache(),
 		slots:    make(chan struct{}, maxSnapshots),
-		settled:  func() bool { return false },
+		informed: func(time.Time) bool { return false },
+		settled:  func(time.Time) bool { return false },
 		seen:     func(string, string) {},
+		left:     func(string) {},
 		nodes:    map[string]*nodeStream{},
 		lost:     map[string]lostNode{},
 		turned:   map[string]turnedNode{},
@@ -107,14 +106,15 @@
 		return sendControl(d, &wire.ControlMessage{Fault: wire.NewFault(err)})
 	}
 	n := &nodeStream{
-		name:   h.Record.Node,
-		zone:   h.Record.AvailabilityZone,
-		stream: d,
-		batch:  make(chan wire.Raw, streamBuffer),
-		ack:    make(chan wire.Ack, 1),
-		cancel: cancel,
-		heard:  time.Now(),
-		report: wire.NodeReport{Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control},
+		name:    h.Record.Node,
+		zone:    h.Record.AvailabilityZone,
+		stream:  d,
+		batch:   make(chan wire.Raw, streamBuffer),
+		ack:     make(chan wire.Ack, 1),
+		compare: make(chan []uint64, 1),
+		cancel:  cancel,
+		heard:   time.Now(),
+		report:  wire.NodeReport{Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control},
 	}
 	s.add(n, h.Record)
 	defer s.remove(n)
@@ -181,9 +181,10 @@
 	if o != nil {
 		o.cancel() // the node came back before its old stream ended
 	}
-	r.Home, r.Gone = s.control, false
-	s.put([]wire.NodeRecord{r})
-	s.seen(r.Node, r.AvailabilityZone)
+	s.store(r)
+	if !r.Gone {
+		s.seen(r.Node, r.AvailabilityZone)
+	}
 	s.log.Info("node connected", "node", n.name, "availabilityZone", r.AvailabilityZone, "version", n.report.Version)
 }
 
@@ -195,17 +196,33 @@
 	}
 	delete(s.nodes, n.name)
 	if r, ok := s.registry.Record(n.name); ok && !r.Gone && r.Home == s.control {
-		s.lost[n.name] = lostNode{record: r, since: time.Now(), last: n.snapshot(time.Now())}
+		now := time.Now()
+		last := n.snapshot(now)
+		heard := now.Add(-last.SinceHeard)
+		s.lost[n.name] = lostNode{until: heard.Add(NodeLease), heard: heard, last: last}
 	}
 	s.log.Info("node disconnected", "node", n.name)
 }
 
+// store takes a record from its own node.
+func (s *Streams) store(r wire.NodeRecord) {
+	r.Home = s.control
+	for range s.put([]wire.NodeRecord{r}) {
+		if r.Gone {
+			s.log.Info("node removed", "node", r.Node, "reason", "the node leaves")
+			s.left(r.Node)
+		}
+	}
+}
+
 // put stores records and queues what changed for all nodes.
 func (s *Streams) put(l []wire.NodeRecord) []wire.NodeRecord {
-	c := s.registry.Put(time.Now(), l)
+	now := time.Now()
+	c := s.registry.Put(now, l)
 	if len(c) > 0 {
 		s.mu.Lock()
 		s.pending = append(s.pending, c...)
+		s.adopt(now, c)
 		s.mu.Unlock()
 	}
 	return c
@@ -250,13 +267,16 @@
 	return len(s.nodes)
 }
 
-// connected returns the zones of the connected nodes by name.
+// connected returns the nodes that are connected, and do not leave, with their
+// zones.
 func (s *Streams) connected() map[string]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := make(map[string]string, len(s.nodes))
 	for k, n := range s.nodes {
-		m[k] = n.zone
+		if r, ok := s.registry.Record(k); ok && !r.Gone {
+			m[k] = n.zone
+		}
 	}
 	return m
 }
@@ -272,7 +292,7 @@
 	}
 	for _, n := range s.lost {
 		r := n.last
-		r.SinceHeard += now.Sub(n.since)
+		r.SinceHeard = now.Sub(n.heard)
 		l = append(l, r)
 	}
 	for _, n := range s.turned {
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -40,8 +40,18 @@
 	// behindLimit is how long a control may be behind a version seen at a peer.
 	behindLimit    = 3 * time.Second
 	connectTimeout = 3 * time.Second
-	minBackoff     = 100 * time.Millisecond
-	maxBackoff     = 5 * time.Second
+	// differedLimit is how many answers to pings must differ before the node
+	// compares its records with the control's, and comparePause how long it
+	// waits before it does so again.
+	differedLimit = 3
+	comparePause  = 10 * time.Second
+	// leaveLimit bounds the wait of a stopping node for its control. It allows
+	// for a silent control and the change to another one.
+	leaveLimit = 6 * time.Second
+	// leaveLimitAlone is the bound for a node without a control.
+	leaveLimitAlone = time.Second
+	minBackoff      = 100 * time.Millisecond
+	maxBackoff      = 5 * time.Second
 )
 
 // Config holds what a Client needs.
@@ -70,18 +80,23 @@
 	synced  atomic.Bool
 	control atomic.Value // string
 	changed chan struct{}
+	// left is closed when a control has confirmed that this node leaves.
+	left     chan struct{}
+	leftOnce sync.Once
 	// preferred is the control to try next; only Run uses it.
 	preferred string
 
 	mu      sync.Mutex
 	record  wire.NodeRecord
 	lineage string
-	random  *rand.Rand
+	// rival is the incarnation of another process that uses this node's name.
+	rival  uint64
+	random *rand.Rand
 }
 
 // New returns a Client without configuration.
 func New(c Config) *Client {
-	n := &Client{c: c, changed: make(chan struct{}, 1), random: rand.New(rand.NewPCG(c.Seed, c.Incarnation))}
+	n := &Client{c: c, changed: make(chan struct{}, 1), left: make(chan struct{}), random: rand.New(rand.NewPCG(c.Seed, c.Incarnation))}
 	n.record = wire.NodeRecord{
 		Node:             c.Node,
 		AvailabilityZone: c.AvailabilityZone,
@@ -125,27 +140,27 @@
 // SetUpstreams publishes the node's own upstreams. The node itself uses them at
 // once, the rest of the fleet as soon as a control passes them on.
 func (n *Client) SetUpstreams(l []wire.Upstream) {
-	n.mu.Lock()
-	n.record.Sequence++
-	n.record.Upstreams = slices.Clone(l)
-	r := n.record
-	n.mu.Unlock()
-	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
+	n.publish(func(r *wire.NodeRecord) { r.Upstreams = slices.Clone(l) })
+}
+
+// publish changes the own record and has it sent.
+func (n *Client) publish(change func(*wire.NodeRecord)) {
+	n.raise(change)
 	select {
 	case n.changed <- struct{}{}:
 	default:
 	}
 }
 
-// nextRecord raises the sequence, so that this connection supersedes what an
-// earlier control may still say about the node.
-func (n *Client) nextRecord() wire.NodeRecord {
+// raise changes the own record and raises its sequence, so that it supersedes
+// what a control may still say about the node.
+func (n *Client) raise(change func(*wire.NodeRecord)) wire.NodeRecord {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.record.Sequence++
-	r := n.record
-	n.mu.Unlock()
-	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
-	return r
+	change(&n.record)
+	n.c.Registry.Put(time.Now(), []wire.NodeRecord{n.record})
+	return n.record
 }
 
 func (n *Client) currentRecord() wire.NodeRecord {
@@ -156,15 +171,20 @@
 
 // Run keeps a stream open until ctx ends.
 func (n *Client) Run(ctx context.Context) {
-	order := n.shuffled()
+	var order []string
+	address := ""
 	backoff := minBackoff
-	for i := 0; ctx.Err() == nil; i++ {
-		if i > 0 && i%len(order) == 0 {
+	for ctx.Err() == nil {
+		if len(order) == 0 {
 			order = n.shuffled()
+			if order[0] == address { // it has just failed; the others come first
+				order = append(order[1:], address)
+			}
 		}
-		address := order[i%len(order)]
 		if n.preferred != "" {
 			address, n.preferred = n.preferred, ""
+		} else {
+			address, order = order[0], order[1:]
 		}
 		welcomed, err := n.session(ctx, address)
 		n.control.Store("")
@@ -204,24 +224,20 @@
 	}
 }
 
-// Leave tells the control that this node stops, so that its record is removed
-// at once. It waits until the message is written or ctx ends.
+// Leave tells the fleet that this node stops, so that its record is removed at
+// once and its name forgotten. It returns when a control has confirmed that, at
+// the latest after a few seconds.
 func (n *Client) Leave(ctx context.Context) {
-	n.mu.Lock()
-	n.record.Sequence++
-	n.record.Gone = true
-	n.record.Upstreams = nil
-	r := n.record
-	n.mu.Unlock()
-	n.c.Registry.Put(time.Now(), []wire.NodeRecord{r})
-	select {
-	case n.changed <- struct{}{}:
-	default:
+	limit := leaveLimit
+	if n.Control() == "" {
+		limit = leaveLimitAlone
 	}
-	for n.Control() != "" && len(n.changed) > 0 && ctx.Err() == nil {
-		n.sleep(ctx, leavePoll)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	n.publish(func(r *wire.NodeRecord) { r.Gone, r.Upstreams = true, nil })
+	select {
+	case <-n.left:
+	case <-ctx.Done():
+		n.c.Log.Info("no control confirmed that this node leaves; its record ends with its lease")
 	}
 }
-
-// leavePoll is short against the stop limit.
-const leavePoll = 10 * time.Millisecond
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -23,6 +23,10 @@
 	assembly assembly
 	current  bool
 	probe    *probe
+	// differed counts successive answers with another digest than this node's;
+	// compared is when the node last asked what differs.
+	differed int
+	compared time.Time
 	// behindSince is when the control was first seen to be behind.
 	behindSince time.Time
 	// rankedAt is when the last counts by rank were sent.
@@ -95,7 +99,7 @@
 		return nil, errors.Wrap(err, "open stream")
 	}
 	err = s.send(&wire.NodeMessage{Hello: &wire.Hello{
-		Record:  n.nextRecord(),
+		Record:  n.raise(func(*wire.NodeRecord) {}),
 		Lineage: n.lineageInForce(),
 		Version: n.Table().Version(),
 		Buckets: n.c.Registry.Buckets(),
@@ -158,8 +162,7 @@
 			err = s.handle(m)
 			silence.Reset(silenceLimit)
 		case <-s.client.changed:
-			r := s.client.currentRecord()
-			err = s.send(&wire.NodeMessage{Report: &r})
+			err = s.report()
 		case a := <-s.found:
 			s.client.preferred = a
 			err = errkind.New(errkind.NotCurrent, "control is out of contact with a majority, %s is not", a)
@@ -172,6 +175,27 @@
 	}
 }
 
+// report sends the own record. A node that leaves asks for an answer at once.
+func (s *session) report() error {
+	r := s.client.currentRecord()
+	err := s.send(&wire.NodeMessage{Report: &r})
+	if err == nil && r.Gone {
+		err = s.ping()
+	}
+	return err
+}
+
+func (s *session) ping() error {
+	n, now := s.client, time.Now()
+	p := &wire.Ping{Version: n.Table().Version()}
+	// Half an interval of pings, because a tick may come a little early.
+	if n.c.Ranks != nil && now.Sub(s.rankedAt) >= RankInterval-PingInterval/2 {
+		s.rankedAt = now
+		p.Ranks = &wire.RankSample{Ranks: n.c.Ranks()}
+	}
+	return s.send(&wire.NodeMessage{Ping: p})
+}
+
 func (s *session) handle(m *wire.ControlMessage) error {
 	n := s.client
 	switch {
@@ -180,24 +204,40 @@
 	case m.Endpoints != nil:
 		n.applyEndpoints(m.Endpoints)
 	case m.Pong != nil:
-		s.pong(m.Pong)
+		return s.pong(m.Pong)
 	case m.Fault != nil:
 		return m.Fault.Err()
 	}
 	return nil
 }
 
-func (s *session) pong(p *wire.Pong) {
+func (s *session) pong(p *wire.Pong) error {
 	n := s.client
 	n.SeeVersion(p.Committed)
+	if p.Left && n.currentRecord().Gone {
+		n.leftOnce.Do(func() { close(n.left) })
+	}
 	s.current = p.Current
 	if p.Committed >= max(n.seen.Load(), n.Table().Version()) {
 		s.behindSince = time.Time{}
-		return
-	}
-	if s.behindSince.IsZero() {
+	} else if s.behindSince.IsZero() {
 		s.behindSince = time.Now()
 	}
+	return s.compare(p.Digest)
+}
+
+// compare asks the control for what differs when its records have differed for
+// a while. A change that is on its way differs for less than that.
+func (s *session) compare(digest uint64) error {
+	if digest == 0 || digest == s.client.c.Registry.Digest() {
+		s.differed = 0
+		return nil
+	}
+	if s.differed++; s.differed < differedLimit || time.Since(s.compared) < s.client.jitter(comparePause) {
+		return nil
+	}
+	s.differed, s.compared = 0, time.Now()
+	return s.send(&wire.NodeMessage{Compare: &wire.Compare{Buckets: s.client.c.Registry.Buckets()}})
 }
 
 // tick pings the control and decides whether to leave it.
@@ -211,18 +251,7 @@
 	} else {
 		s.probeOthers(ctx, now)
 	}
-	return s.send(&wire.NodeMessage{Ping: s.ping(now)})
-}
-
-func (s *session) ping(now time.Time) *wire.Ping {
-	n := s.client
-	p := &wire.Ping{Version: n.Table().Version()}
-	// Half an interval of pings, because a tick may come a little early.
-	if n.c.Ranks != nil && now.Sub(s.rankedAt) >= RankInterval-PingInterval/2 {
-		s.rankedAt = now
-		p.Ranks = &wire.RankSample{Ranks: n.c.Ranks()}
-	}
-	return p
+	return s.ping()
 }
 
 // applyEndpoints stores changed records. Nothing removes this node's own
@@ -233,6 +262,8 @@
 	for _, r := range e.Records {
 		if r.Node != n.c.Node {
 			l = append(l, r)
+		} else {
+			n.refute(r)
 		}
 	}
 	n.c.Registry.Put(now, l)
@@ -242,3 +273,28 @@
 	// The first message of every stream lists the buckets that differ, or none.
 	n.synced.Store(true)
 }
+
+// refute raises the own record above r, which says that this node is gone or
+// which an earlier process with a faster clock wrote.
+func (n *Client) refute(r wire.NodeRecord) {
+	n.mu.Lock()
+	o := n.record
+	if o.Gone || !r.Newer(o) {
+		n.mu.Unlock()
+		return
+	}
+	if !r.Gone && r.PeerAddress != o.PeerAddress {
+		known := n.rival == r.Incarnation
+		n.rival = r.Incarnation
+		n.mu.Unlock()
+		if known {
+			return
+		}
+		n.c.Log.Error(nil, "another process uses the name of this node", "node", r.Node, "address", r.PeerAddress)
+		return
+	}
+	n.record.Incarnation, n.record.Sequence = r.Incarnation, r.Sequence
+	n.mu.Unlock()
+	n.c.Log.Info("the fleet held another state of this node", "gone", r.Gone, "incarnation", r.Incarnation)
+	n.publish(func(*wire.NodeRecord) {})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -176,6 +176,20 @@
 	return l
 }
 
+// Select returns the records that are not marked Gone and for which f holds. f
+// must not call r.
+func (r *Registry) Select(f func(wire.NodeRecord) bool) []wire.NodeRecord {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var l []wire.NodeRecord
+	for _, n := range r.records {
+		if !n.Gone && f(n) {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
 // Len returns the number of nodes that are not marked Gone.
 func (r *Registry) Len() int {
 	r.mu.RLock()
@@ -190,6 +204,17 @@
 	return slices.Clone(r.buckets[:])
 }
 
+// Digest returns the digest over all records.
+func (r *Registry) Digest() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var d uint64
+	for _, b := range r.buckets {
+		d ^= b
+	}
+	return d
+}
+
 // Bucket is one bucket with all its records, removals included.
 type Bucket struct {
 	Number  int
