Refuse commands as not-run on a full disk, whichever call reports it

Cause: a failed sync for lack of space stopped the member for good, and by then the entries had been sent, so that the refusal could not say not-run. A member that lacked space as a follower also refused, as not-run, an entry that it had sent itself as an earlier leader; the other members committed it (found by a fault schedule). Change: wal takes space for a segment in steps of 1 MiB, written and synced before any entry uses it, so that the lack shows before anything is sent. A sync that fails for lack of space anyway drops what was not synced, durably, and the log can be used on; so does the hard state, which is tried again. The empty segment that a failed rotation may leave is removed at Open. Only a leader refuses entries, and the only voter of a group leads on without its first entry. raft takes the size of its batches from its configuration.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -176,7 +176,7 @@
 		}
 		var es []wire.RaftEntry
 		if !p.probing && p.next <= p.match+maxWindow || p.probing && !p.probed {
-			es = n.log.slice(p.next, n.log.last(), maxBatchBytes)
+			es = n.log.slice(p.next, n.log.last(), n.c.BatchBytes)
 		}
 		if len(es) == 0 && !force {
 			return
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -55,16 +55,11 @@
 const (
 	// entryOverhead is what an entry adds to its data in a message.
 	entryOverhead = 32
-	// maxBatchBytes bounds the entries of one append message, unless a single
-	// entry is larger.
-	maxBatchBytes = 1 << 20
 	// maxWindow bounds the entries sent to one member without an answer.
 	maxWindow = 1024
 	// maxCommittedBytes bounds the entries applied between two looks at the
 	// messages that arrived.
 	maxCommittedBytes = 4 << 20
-	// ChunkBytes bounds the data of one message of a snapshot.
-	ChunkBytes = 1 << 20
 	// maxReads bounds the reads that wait for a confirmation.
 	maxReads = 8192
 )
@@ -80,6 +75,9 @@
 	HeartbeatInterval time.Duration
 	// Rand spreads the election timeouts.
 	Rand *rand.Rand
+	// BatchBytes bounds the entries of one append message, unless a single entry
+	// is larger.
+	BatchBytes int
 	// KeepEntries and KeepBytes bound the entries kept behind the newest
 	// snapshot.
 	KeepEntries, KeepBytes int
@@ -125,7 +123,7 @@
 	Entries   []wire.RaftEntry
 	Early     []wire.RaftMessage
 	// Chunks are messages of type RaftSnapshot. Their Data is that of the
-	// snapshot of their Index from their Offset on, at most ChunkBytes.
+	// snapshot of their Index from their Offset on, as much as fits a message.
 	Chunks    []wire.RaftMessage
 	Messages  []wire.RaftMessage
 	Committed []wire.RaftEntry
@@ -345,8 +343,9 @@
 
 // Discard tells that the snapshot or the entries of r could not be written. The
 // snapshot is tried again later; the entries are dropped as if they had never
-// arrived. With sent, other members may hold them, and a
-// leader steps down, because it must not use their indexes again in its term.
+// arrived. With sent, other members may hold them, and a leader steps down,
+// because it must not use their indexes again in its term. So does one without
+// its first entry, unless it is the only voter.
 func (n *Node) Discard(now time.Duration, r Ready, sent bool) {
 	if r.HardState != nil {
 		n.saved = *r.HardState
@@ -364,7 +363,7 @@
 	if n.role != Leader {
 		return
 	}
-	if sent || first <= n.termStart {
+	if sent || first <= n.termStart && !n.alone() {
 		n.follow(now, n.hard.Term, "")
 		return
 	}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -83,6 +83,10 @@
 	FS              wal.FS
 	// Rand spreads timeouts and makes identities; the default has a random seed.
 	Rand *mathrand.Rand
+
+	// chunkBytes and batchBytes bound the data of a snapshot and the entries in
+	// one message.
+	chunkBytes, batchBytes int
 }
 
 func (c Config) withDefaults() (Config, error) {
@@ -98,6 +102,9 @@
 	if c.SnapshotBytes == 0 {
 		c.SnapshotBytes = DefaultSnapshotBytes
 	}
+	if c.chunkBytes == 0 {
+		c.chunkBytes, c.batchBytes = maxMessageData, maxMessageData
+	}
 	if c.FS == nil {
 		c.FS = wal.OS{}
 	}
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -42,7 +42,9 @@
 	// lostAt is when leadership was lost with proposals pending.
 	lostAt  time.Duration
 	leading bool
-	failure error
+	// diskFull is set while the last write failed for lack of space.
+	diskFull bool
+	failure  error
 	runtime
 	snapshots
 }
@@ -162,6 +164,7 @@
 	e.node = raft.New(raft.Config{
 		Identity: e.self.Identity, ElectionTimeout: e.c.ElectionTimeout,
 		HeartbeatInterval: e.c.HeartbeatInterval, Rand: e.c.Rand,
+		BatchBytes:  e.c.batchBytes,
 		KeepEntries: e.c.SnapshotEntries / 4, KeepBytes: e.c.SnapshotBytes / 4,
 		PinBytes: 2 * e.c.SnapshotBytes,
 	}, st, now)
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -41,13 +41,13 @@
 // after that; those of a leader may go out between write and sync, as the leader
 // counts its own entries only once they are durable.
 func (e *engine) save(now time.Duration, r raft.Ready) error {
+	var err error
 	if r.HardState != nil {
-		if err := e.log.SaveHardState(wal.HardState(*r.HardState)); err != nil {
-			return err
+		if err = e.log.SaveHardState(wal.HardState(*r.HardState)); err != nil {
+			r.HardState = nil
 		}
 	}
-	var err error
-	if r.Snapshot != nil {
+	if err == nil && r.Snapshot != nil {
 		err = e.installSnapshot(r.Snapshot)
 	}
 	if err == nil {
@@ -62,16 +62,22 @@
 	}
 	if err == nil {
 		e.node.Saved(r)
+		e.diskFull = e.diskFull && len(r.Entries) == 0
 		return nil
 	}
 	if errkind.Of(err) != errkind.DiskFull {
 		return err
 	}
-	e.node.Discard(now, r, sent)
-	if !sent {
+	if !sent && e.node.Leader() == e.self.Identity {
+		// A follower's entries come from others, even those that it sent itself
+		// as an earlier leader.
 		e.refuse(r.Entries, err)
 	}
-	e.c.Log.Error(err, "log entries not written", "group", e.c.Group, "entries", len(r.Entries))
+	e.node.Discard(now, r, sent)
+	if !e.diskFull {
+		e.c.Log.Error(err, "disk full, refusing commands", "group", e.c.Group)
+	}
+	e.diskFull = true
 	return err
 }
 
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -112,17 +112,19 @@
 
 // admit makes the member a learner of an existing group.
 func (g *Group) admit(ctx context.Context, lineage string) error {
-	return g.do(ctx, func(e *engine, now time.Duration) error {
-		if e.self.Lineage != "" {
-			return nil
-		}
-		i := wal.Identity{Identity: e.self.Identity, Name: e.self.Name, Lineage: lineage}
-		if err := e.log.SaveIdentity(i); err != nil {
-			return err
-		}
-		e.start(e.log.State(), now, false, false)
+	return g.do(ctx, func(e *engine, now time.Duration) error { return e.admit(now, lineage) })
+}
+
+func (e *engine) admit(now time.Duration, lineage string) error {
+	if e.self.Lineage != "" {
 		return nil
-	})
+	}
+	i := wal.Identity{Identity: e.self.Identity, Name: e.self.Name, Lineage: lineage}
+	if err := e.log.SaveIdentity(i); err != nil {
+		return err
+	}
+	e.start(e.log.State(), now, false, false)
+	return nil
 }
 
 // Join serves wire.MethodJoin. It answers once the learner is committed.
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -17,6 +17,9 @@
 	// encodeShare bounds the time spent on encoding snapshots, which stalls the
 	// group: at most one part in encodeShare.
 	encodeShare = 10
+	// maxMessageData bounds the data of one message, unless a single entry is
+	// larger. It is far below wire.MaxMessageBytes, as heartbeats wait behind it.
+	maxMessageData = 1 << 20
 	// maxLogFactor bounds the log in memory, in multiples of SnapshotBytes, while
 	// snapshots are slower than the commands.
 	maxLogFactor = 4
@@ -134,7 +137,7 @@
 // sendChunks reads and sends chunks of snapshots.
 func (e *engine) sendChunks(ms []wire.RaftMessage) {
 	for _, m := range ms {
-		b := make([]byte, min(raft.ChunkBytes, m.Size-m.Offset))
+		b := make([]byte, min(uint64(e.c.chunkBytes), m.Size-m.Offset))
 		if err := e.readSnapshot(m.Index, b, int64(m.Offset)); err != nil {
 			e.c.Log.Error(err, "snapshot not sent", "group", e.c.Group, "index", m.Index, "offset", m.Offset)
 			continue
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -1,11 +1,14 @@
 package wal
 
 import (
+	"bytes"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
@@ -26,6 +29,9 @@
 		}
 		l.segments = append(l.segments, segment{number: number})
 	}
+	if err := l.dropEmptySegment(); err != nil {
+		return err
+	}
 	if len(l.segments) == 0 {
 		return l.rotate()
 	}
@@ -68,13 +74,17 @@
 		s.highest = max(s.highest, e.Index)
 		at = next
 	}
-	if at < int64(len(b)) {
+	if last {
+		l.reserved = int64(len(b))
+	}
+	if at < int64(len(b)) && (!last || !zero(b[at:])) {
 		if !last || damagedAfterSync(b, s.number, at) {
 			return nil, l.corrupt(s.name(), at, "damaged record")
 		}
 		if err := f.Truncate(at); err != nil {
 			return nil, diskError(err, "truncate %s", p)
 		}
+		l.reserved = at
 	}
 	if last {
 		// Also covers records that an earlier process wrote but did not sync.
@@ -86,6 +96,33 @@
 	return es, nil
 }
 
+// dropEmptySegment removes the last of several segments if nothing was written to
+// it. It may be left of a rotation that failed for lack of space, after which the
+// one before it was used on.
+func (l *Log) dropEmptySegment() error {
+	k := len(l.segments) - 1
+	if k < 1 {
+		return nil
+	}
+	p := filepath.Join(l.folder, l.segments[k].name())
+	f, err := l.fs.Open(p)
+	if err != nil {
+		return diskError(err, "open %s", p)
+	}
+	n, err := f.Size()
+	f.Close()
+	if err != nil || n > 0 {
+		return errors.Wrapf(err, "size of %s", p)
+	}
+	l.segments = l.segments[:k]
+	if err := l.fs.Remove(p); err != nil {
+		return diskError(err, "remove %s", p)
+	}
+	return nil
+}
+
+func zero(b []byte) bool { return len(bytes.TrimLeft(b, "\x00")) == 0 }
+
 // place adds e behind es, or in the place of an entry with the same index.
 func place(es []wire.RaftEntry, e wire.RaftEntry) ([]wire.RaftEntry, bool) {
 	if len(es) == 0 || e.Index <= es[0].Index {
@@ -138,6 +175,9 @@
 		}
 		l.segments = l.segments[1:]
 		if err := l.fs.SyncFolder(l.folder); err != nil {
+			if full(err) {
+				return diskError(err, "sync folder %s", l.folder)
+			}
 			return l.fail(err, "sync folder "+l.folder)
 		}
 	}
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -22,13 +22,13 @@
 //	l.UseSnapshot(meta)
 //	err = l.Compact()
 //
-// An error of kind DiskFull leaves the log as it was before the call. After any
-// other error of Append or Sync the log refuses further writes, because the
-// content of the disk is not known; open it again.
+// An error of kind DiskFull from Append or Sync drops the entries that were not
+// synced; the log can be used on. After any other error the log refuses further
+// writes, because the content of the disk is not known; open it again.
 //
-// A torn last record is truncated at Open. A damaged record that had been synced
-// before is an error of kind Corrupt. The damage of the very last record cannot
-// be told from a torn write.
+// Torn records at the end are truncated at Open. A damaged record that had been
+// synced before is an error of kind Corrupt. Damage of the records written with
+// the last sync cannot be told from a torn write.
 package wal
 
 import (
@@ -51,6 +51,8 @@
 	// defaultSegmentBytes bounds what Open reads at once and how much space
 	// stays in use after a compaction.
 	defaultSegmentBytes = 8 << 20
+	// reserveBytes is the space that a segment takes from the disk at once.
+	reserveBytes = 1 << 20
 )
 
 // Options tell Open where and how to keep the log.
@@ -95,6 +97,7 @@
 	segments     []segment // in order; the last one is open for writing
 	active       File
 	end, synced  int64 // offsets in the active segment
+	reserved     int64 // size of the active segment; zeros follow end
 	failed       error
 }
 
@@ -172,24 +175,56 @@
 	for _, e := range es {
 		b = appendRecord(b, a.number, l.end+int64(len(b)), l.synced, e)
 	}
+	if err := l.reserve(int64(len(b))); err != nil {
+		return err
+	}
 	if _, err := l.active.WriteAt(b, l.end); err != nil {
-		return l.undo(err, a.name())
+		return l.undo(err, "write")
 	}
 	l.end += int64(len(b))
 	a.highest = max(a.highest, es[len(es)-1].Index)
 	return nil
 }
 
-// undo removes the bytes of a failed Append.
-func (l *Log) undo(cause error, name string) error {
-	p := filepath.Join(l.folder, name)
-	if err := l.active.Truncate(l.end); err != nil {
+// reserve takes space for n bytes and more from the disk, so that it usually is
+// here that a full disk shows, before anybody was told of the entries. Some file
+// systems allocate space only at a sync.
+func (l *Log) reserve(n int64) error {
+	if l.end+n <= l.reserved {
+		return nil
+	}
+	if err := l.Sync(); err != nil {
+		return err
+	}
+	size := max(l.end+n, min(l.reserved+reserveBytes, l.segmentBytes))
+	if _, err := l.active.WriteAt(make([]byte, size-l.reserved), l.reserved); err != nil {
+		return l.undo(err, "write")
+	}
+	if err := l.active.Sync(); err != nil {
+		return l.undo(err, "sync")
+	}
+	l.reserved = size
+	return nil
+}
+
+// undo drops durably what was not synced after a failed write or sync, so that
+// no entry that was refused comes back after a crash. The kernel may drop dirty
+// pages after a failed sync, so that a second sync would succeed without the data
+// being durable. Truncating drops those pages; any other failure than a lack of
+// space ends the use of the log.
+func (l *Log) undo(cause error, what string) error {
+	p := l.activePath()
+	if err := l.active.Truncate(l.synced); err != nil {
 		return l.fail(err, "truncate "+p)
 	}
+	if err := l.active.Sync(); err != nil {
+		return l.fail(err, "sync "+p)
+	}
+	l.end, l.reserved = l.synced, l.synced
 	if !full(cause) {
-		return l.fail(cause, "write "+p)
+		return l.fail(cause, what+" "+p)
 	}
-	return diskError(cause, "write %s", p)
+	return diskError(cause, "%s %s", what, p)
 }
 
 // Sync makes all appended entries durable.
@@ -201,14 +236,16 @@
 		return nil
 	}
 	if err := l.active.Sync(); err != nil {
-		// The kernel may drop dirty pages after a failed sync, so that a second
-		// sync would succeed without the data being durable.
-		return l.fail(err, "sync "+filepath.Join(l.folder, l.segments[len(l.segments)-1].name()))
+		return l.undo(err, "sync")
 	}
 	l.synced = l.end
 	return nil
 }
 
+func (l *Log) activePath() string {
+	return filepath.Join(l.folder, l.segments[len(l.segments)-1].name())
+}
+
 func (l *Log) fail(cause error, what string) error {
 	l.failed = errkind.Wrap(cause, errkind.Internal, "%s", what)
 	return l.failed
@@ -216,7 +253,7 @@
 
 // rotate starts a new segment once the active one is durable.
 func (l *Log) rotate() error {
-	if err := l.Sync(); err != nil {
+	if err := l.finishSegment(); err != nil {
 		return err
 	}
 	next := segment{number: 1}
@@ -230,16 +267,36 @@
 	}
 	if err := l.fs.SyncFolder(l.folder); err != nil {
 		f.Close()
+		if full(err) {
+			_ = l.fs.Remove(p) // an empty last segment is also removed at Open
+			return diskError(err, "create %s", p)
+		}
 		return l.fail(err, "sync folder "+l.folder)
 	}
 	if l.active != nil {
 		l.active.Close()
 	}
-	l.active, l.end, l.synced = f, 0, 0
+	l.active, l.end, l.synced, l.reserved = f, 0, 0, 0
 	l.segments = append(l.segments, next)
 	return nil
 }
 
+// finishSegment cuts what was reserved off the active segment: only the last one
+// may end with anything else than a whole record.
+func (l *Log) finishSegment() error {
+	if err := l.Sync(); err != nil || l.reserved == l.end {
+		return err
+	}
+	if err := l.active.Truncate(l.end); err != nil {
+		return l.fail(err, "truncate "+l.activePath())
+	}
+	if err := l.active.Sync(); err != nil {
+		return l.undo(err, "sync")
+	}
+	l.reserved = l.end
+	return nil
+}
+
 // Close closes the files. It does not sync.
 func (l *Log) Close() error {
 	if l.active != nil {
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"bytes"
 	"encoding/binary"
 	"math"
 
@@ -80,13 +81,15 @@
 // that the bad one was durable once. A torn write leaves no such record, because
 // records behind it were written before the same sync.
 func damagedAfterSync(b []byte, segment uint64, offset int64) bool {
-	for o := offset + 1; o+recordHeader+entryHeader <= int64(len(b)); o++ {
-		if binary.LittleEndian.Uint32(b[o:]) != recordMagic {
-			continue
+	magic := binary.LittleEndian.AppendUint32(nil, recordMagic)
+	for o := offset + 1; ; o++ {
+		i := bytes.Index(b[o:], magic)
+		if i < 0 {
+			return false
 		}
+		o += int64(i)
 		if _, synced, _, ok := readRecord(b, segment, o); ok && synced > offset {
 			return true
 		}
 	}
-	return false
 }
--- a/internal/wal/state.go
+++ b/internal/wal/state.go
@@ -102,11 +102,16 @@
 	copy(b[slotHeader:], h.Vote)
 	binary.LittleEndian.PutUint64(b[:], xxhash.Sum64(b[8:]))
 	at := int64(l.hard.sequence%2) * slotStride
-	if _, err := l.hard.file.WriteAt(b[:], at); err != nil {
-		return l.fail(err, "write "+hardStateName)
+	_, err := l.hard.file.WriteAt(b[:], at)
+	if err == nil {
+		err = l.hard.file.Sync()
 	}
-	if err := l.hard.file.Sync(); err != nil {
-		return l.fail(err, "sync "+hardStateName)
+	switch {
+	case full(err): // some file systems need space even to write in place
+		l.hard.sequence-- // the other slot holds what is durable
+		return diskError(err, "write %s", hardStateName)
+	case err != nil:
+		return l.fail(err, "write "+hardStateName)
 	}
 	l.state.HardState = h
 	return nil
