--- a/internal/idempotency/run.go
+++ b/internal/idempotency/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"time"
-	"unicode/utf8"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -53,8 +52,8 @@
 	switch {
 	case q.Key == "":
 		return errkind.New(errkind.KeyRequired, "the route needs an Idempotency-Key header")
-	case len(q.Key) > maxKeyBytes || !utf8.ValidString(q.Key):
-		return errkind.New(errkind.BadRequest, "Idempotency-Key must be UTF-8 of at most %d bytes", maxKeyBytes)
+	case len(q.Key) > maxKeyBytes:
+		return errkind.New(errkind.BadRequest, "Idempotency-Key has %d bytes; at most %d are taken", len(q.Key), maxKeyBytes)
 	}
 	return nil
 }
@@ -127,7 +126,7 @@
 func answer(a *wire.ClaimResponse) (*Response, error) {
 	switch {
 	case a.State == wire.Recorded && a.Outcome != nil:
-		return replay(a.Outcome), nil
+		return replay(a.Outcome)
 	case a.State == wire.Mismatch:
 		return nil, errkind.New(errkind.KeyReused, "the Idempotency-Key was used for another request")
 	case a.State == wire.InProgress:
