--- a/internal/contract/pages_test.go
+++ b/internal/contract/pages_test.go
@@ -272,3 +272,26 @@
 	}
 	return -1
 }
+
+// tableCells returns the cells of the tables of a page without their heads, and
+// the first cell without its backquotes.
+func tableCells(t *testing.T, name string) [][]string {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join(moduleFolder, "docs", "operations", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows [][]string
+	for _, k := range strings.Split(string(b), "\n") {
+		if !strings.HasPrefix(k, "| `") {
+			continue
+		}
+		c := strings.Split(strings.Trim(k, "| "), "|")
+		for i := range c {
+			c[i] = strings.TrimSpace(c[i])
+		}
+		c[0] = strings.Trim(c[0], "`")
+		rows = append(rows, c)
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/contract/references_test.go
@@ -0,0 +1,119 @@
+package contract_test
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+var kindConstant = regexp.MustCompile(`(?m)^\t\w+ +Kind += "(\w+)"$`)
+
+// A caller that takes a wrong execution from the page runs work twice.
+func TestPageOfErrorKinds(t *testing.T) {
+	b, err := os.ReadFile(filepath.Join(moduleFolder, "pkg", "errkind", "errkind.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []string
+	for _, m := range kindConstant.FindAllStringSubmatch(string(b), -1) {
+		a := errkind.Kind(m[1]).Answer()
+		retry := ""
+		if a.RetryAfter > 0 {
+			retry = fmt.Sprintf("%d s", int(a.RetryAfter.Seconds()))
+		}
+		want = append(want, fmt.Sprintf("%s %d `%s` %s", m[1], a.HTTPStatus, a.Execution, retry))
+	}
+	var got []string
+	for _, c := range tableCells(t, "callers.md") {
+		if len(c) == 5 {
+			got = append(got, strings.Join(c[:4], " "))
+		}
+	}
+	assertSame(t, got, want)
+}
+
+// A key that the page lacks is not found; one that the program lacks is refused.
+func TestPagesOfKeys(t *testing.T) {
+	for name, types := range map[string][]any{
+		"settings.md":      {settings.Node{}, settings.Control{}, settings.Client{}},
+		"customer-file.md": {customer.Service{}, customer.Rank{}, customer.Route{}},
+	} {
+		var want, got []string
+		for _, v := range types {
+			for f := range reflect.TypeOf(v).Fields() {
+				want = append(want, f.Name)
+			}
+		}
+		if name == "customer-file.md" {
+			want = append(want, "Customer", "Parameters", "Services", "Ranks", "Routes", "Type", "Value", "Minimum", "Maximum")
+		}
+		for _, c := range tableCells(t, name) {
+			got = append(got, c[0])
+		}
+		assertSame(t, got, want)
+	}
+}
+
+// An alert on a metric or a log line that does not exist stays silent forever.
+func TestPageOfLogsAndMetrics(t *testing.T) {
+	source := sources(t)
+	n := 0
+	for _, c := range tableCells(t, "logs-and-metrics.md") {
+		n++
+		name, metric := strings.CutPrefix(c[0], "gooseberrypick_")
+		if metric && !strings.Contains(source, `"`+name+`"`) && !strings.Contains(source, `"`+name+"{") ||
+			!metric && !strings.Contains(source, `"`+name+`"`) {
+			t.Errorf("%s is on the page, but not in the program", c[0])
+		}
+	}
+	if n == 0 {
+		t.Error("the page has no tables")
+	}
+}
+
+// sources returns the program without its tests.
+func sources(t *testing.T) string {
+	t.Helper()
+	var s strings.Builder
+	err := filepath.WalkDir(filepath.Join(moduleFolder, "internal"), func(name string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") {
+			return err
+		}
+		b, err := os.ReadFile(name)
+		s.Write(b)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.String()
+}
+
+func assertSame(t *testing.T, got, want []string) {
+	t.Helper()
+	slices.Sort(got)
+	slices.Sort(want)
+	if !slices.Equal(got, want) {
+		for _, k := range got {
+			if !slices.Contains(want, k) {
+				t.Errorf("on the page only: %s", k)
+			}
+		}
+		for _, k := range want {
+			if !slices.Contains(got, k) {
+				t.Errorf("not on the page: %s", k)
+			}
+		}
+		t.Errorf("got %d rows, want %d", len(got), len(want))
+	}
+}
