--- a/internal/contract/process_test.go
+++ b/internal/contract/process_test.go
@@ -35,7 +35,7 @@
 		return f
 	}
 	f := filepath.Join(builds.folder, filepath.Base(pkg)+".bin")
-	c := exec.Command("go", "build", "-o", f, pkg)
+	c := exec.Command("go", "build", "-trimpath", "-o", f, pkg)
 	c.Dir = moduleFolder
 	if out, err := c.CombinedOutput(); err != nil {
 		t.Fatalf("build %s: %v\n%s", pkg, err, out)
@@ -88,14 +88,13 @@
 	t.Cleanup(func() {
 		p.kill()
 		if t.Failed() {
-			t.Logf("log of %s:\n%s", p.name, tail(p.log.String()))
+			t.Logf("log of %s:\n%s", p.name, tail(p.log.String(), 15))
 		}
 	})
 	return p
 }
 
-func tail(s string) string {
-	const lines = 15
+func tail(s string, lines int) string {
 	l := strings.Split(s, "\n")
 	return strings.Join(l[max(0, len(l)-lines):], "\n")
 }
@@ -167,7 +166,7 @@
 
 // reservePorts takes a block of ports. It holds the first one, so that other
 // sites, also those of other test processes, take other blocks.
-func reservePorts(t *testing.T) int {
+func reservePorts(t testing.TB) int {
 	t.Helper()
 	for range 100 {
 		b := firstPort + rand.IntN((lastPort-firstPort)/portBlock)*portBlock
