--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -72,7 +72,8 @@
 
 func newDecoder(e cbor.ExtraDecErrorCond) cbor.DecMode {
 	m, err := cbor.DecOptions{
-		MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
+		ExtraReturnErrors: e,
+		MaxNestedLevels:   16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
 		// Header values of HTTP can hold any bytes.
 		UTF8:              cbor.UTF8DecodeInvalid,
 		ExtraReturnErrors: e,
