--- a/internal/idempotency/property_test.go
+++ b/internal/idempotency/property_test.go
@@ -280,9 +280,11 @@
 	defer w.close(n)
 	for i := range keys {
 		key := fmt.Sprint(i)
-		ran := w.executed[key] != ""
+		w.mu.Lock()
+		ran, tainted := w.executed[key] != "", w.tainted[key]
+		w.mu.Unlock()
 		r, err := w.call(n, key, "d", 5*time.Second)
-		if !ran && !w.tainted[key] && (r == nil || r.Replayed) {
+		if !ran && !tainted && (r == nil || r.Replayed) {
 			w.violate("key %s never ran and is blocked: %v", key, err)
 		}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -75,8 +75,7 @@
 		ExtraReturnErrors: e,
 		MaxNestedLevels:   16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
 		// Header values of HTTP can hold any bytes.
-		UTF8:              cbor.UTF8DecodeInvalid,
-		ExtraReturnErrors: e,
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options above are constant
