queue: follow a new configuration's ranks

Cause: a new version can add, change or remove ranks while requests wait. Change: SetRanks keeps accounts by name and moves work of a rank that is gone to the least urgent one. Result: TestSetRanksKeepsWork fails when moved work stays in its old lane, and TestBooksBalance when it keeps its old rank.

--- a/internal/queue/doc.go
+++ b/internal/queue/doc.go
@@ -44,6 +44,8 @@
 // Headroom may keep a slot free while work waits. Wake says when Next is worth
 // another call if nothing else happens before.
 //
+// SetRanks follows a new configuration, SetLimit the limit of package limit.
+//
 // Every refusal concerns a request that Next and Offer never handed out, so it
 // is provably not run.
 package queue
--- a/internal/queue/policy_test.go
+++ b/internal/queue/policy_test.go
@@ -335,6 +335,9 @@
 				limit = r.IntN(8)
 				q.SetLimit(at(now), limit)
 			}
+			if r.IntN(100) == 0 {
+				q.SetRanks(at(now), ranks()[r.IntN(3):])
+			}
 			before := len(running)
 			for n, ok := q.Next(at(now)); ok; n, ok = q.Next(at(now)) {
 				equal(t, "was waiting", waiting[n.ID], true)
@@ -349,5 +352,13 @@
 			equal(t, "waiting", q.Waiting(), len(waiting))
 			equal(t, "in flight", q.Load(at(now), "").InFlight, len(running))
 		}
+		q.SetLimit(at(now), 1000)
+		for n, ok := q.Next(at(now)); ok; n, ok = q.Next(at(now)) {
+			delete(waiting, n.ID)
+		}
+		for _, f := range q.Refused() {
+			delete(waiting, f.Request.ID)
+		}
+		equal(t, "left over", len(waiting), 0)
 	}
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -136,24 +135,6 @@
 	return q
 }
 
-func (q *Queue) setRanks(l []Rank) {
-	l = slices.Clone(l)
-	slices.SortStableFunc(l, func(a, b Rank) int {
-		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Name, b.Name))
-	})
-	q.ranks = q.ranks[:0]
-	for i, c := range l {
-		r := q.byName[c.Name]
-		if r == nil {
-			r = newRank(c)
-			q.byName[c.Name] = r
-		}
-		r.Rank, r.index = c, i
-		q.ranks = append(q.ranks, r)
-	}
-	q.headroomLimit = -1
-}
-
 // advance accounts the time up to t and returns it in seconds.
 func (q *Queue) advance(t time.Time) float64 {
 	if q.epoch.IsZero() {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -122,3 +122,17 @@
 		t.Errorf("usual behind 50 callers: got %d waiting, want at least 50", got)
 	}
 }
+
+// Guards waiting work of a rank that a new configuration no longer has.
+func TestSetRanksKeepsWork(t *testing.T) {
+	q := queue.New(queue.Config{Ranks: ranks(), Limit: 1})
+	for id, rank := range []string{"urgent", "urgent", "bulk", "usual", "urgent"} {
+		q.Offer(at(0), queue.Request{ID: uint64(id), Rank: rank})
+	}
+	q.SetRanks(at(0), ranks()[1:])
+	for _, want := range []uint64{3, 2, 1, 4} {
+		q.Done(at(0), map[uint64]uint64{3: 0, 2: 3, 1: 2, 4: 1}[want], true)
+		equal(t, "order", fmt.Sprint(next(q, at(0))), fmt.Sprint([]uint64{want}))
+	}
+	equal(t, "waiting", q.Waiting(), 0)
+}
