--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -40,7 +40,8 @@
 
 // Load is what an answer says about the owner node's queue.
 type Load struct {
-	InFlight  int
+	InFlight int
+	// Waiting counts the requests that go before one of the answer's rank.
 	Waiting   int
 	Limit     int
 	QueueWait time.Duration
@@ -66,6 +67,7 @@
 // Outcome describes a finished try.
 type Outcome struct {
 	Result Result
+	Rank   string
 	// Route groups tries of similar latency.
 	Route   string
 	Latency time.Duration
@@ -76,6 +78,7 @@
 // Query describes one choice.
 type Query struct {
 	Zone string
+	Rank string
 	// Exclude names candidates that were already tried.
 	Exclude map[string]bool
 	// NoProbe is set for requests that must not be used to probe a suspect:
@@ -103,46 +106,65 @@
 	config Config
 	random *rand.Rand
 	known  map[string]*estimate
-	usual  map[string]*usual
+	routes map[string]*usual
+	ranks  map[string]*usual
 	sweep  int
 	drawn  [maxDraws]int
-
-	longestUsual time.Duration
-	longestAt    time.Time
 }
 
-// usual is the mean latency of a route over all upstreams.
+// usual is the mean latency of a route or rank over all upstreams.
 type usual struct {
 	seconds float64
 	n       int
 }
 
+func (u *usual) add(seconds float64) {
+	u.n++
+	u.seconds += (seconds - u.seconds) * max(0.01, 1/float64(u.n))
+}
+
+func (u *usual) latency() time.Duration { return time.Duration(u.seconds * float64(time.Second)) }
+
+// maxUsual bounds the remembered routes and ranks.
+const maxUsual = 1024
+
+func usualOf(m map[string]*usual, name string) *usual {
+	u := m[name]
+	if u == nil {
+		if len(m) >= maxUsual {
+			clear(m)
+		}
+		u = &usual{}
+		m[name] = u
+	}
+	return u
+}
+
 // New returns a Balancer without estimates.
 func New(c Config) *Balancer {
 	c.Draws = min(cmp.Or(c.Draws, DefaultDraws), maxDraws)
 	return &Balancer{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)),
-		known: map[string]*estimate{}, usual: map[string]*usual{}, sweep: sweepSize,
+		known: map[string]*estimate{}, routes: map[string]*usual{}, ranks: map[string]*usual{}, sweep: sweepSize,
 	}
 }
 
-// Started notes that a try was sent to the named upstream.
-func (b *Balancer) Started(now time.Time, name string) {
+// Started notes that a try of the given rank was sent to the named upstream.
+func (b *Balancer) Started(now time.Time, name, rank string) {
 	e := b.known[name]
 	if e == nil {
 		b.forgetIdle(now)
 		e = &estimate{slow: 1}
 		b.known[name] = e
 	}
-	if e.inFlight == 0 {
-		e.progress = now
+	v := e.view(rank)
+	if v.inFlight == 0 {
+		v.progress = now
 	}
-	e.inFlight++
+	v.inFlight++
 	e.used = now
-	if e.suspect && !e.probing {
-		e.probing = true
-		// A probe that never comes back must not block the next one.
-		e.probeAt = now.Add(2 * e.interval)
+	if e.suspect {
+		e.probe(now)
 	}
 }
 
@@ -152,25 +174,28 @@
 	if e == nil {
 		return
 	}
-	e.inFlight = max(0, e.inFlight-1)
 	e.used = now
+	v := e.view(o.Rank)
+	v.inFlight = max(0, v.inFlight-1)
 	if o.Load != nil {
 		e.load, e.loadAt = *o.Load, now
+		v.waiting, v.waitingAt = o.Load.Waiting, now
 	}
 	switch o.Result {
 	case OK:
-		e.progress = now
+		v.progress = now
 		e.shed = decay(e.shed, now.Sub(e.shedAt), failHalfLife) * (1 - failWeight)
 		e.shedAt = now
 		e.succeed(now)
 		b.observe(now, e, o)
 	case Shed:
-		e.progress = now
+		// A refusal by the owner node says nothing about the upstream's progress.
+		e.probeFailed(now)
 		e.shed = decay(e.shed, now.Sub(e.shedAt), failHalfLife)
 		e.shed += (1 - e.shed) * failWeight
 		e.shedAt = now
 	case Failed:
-		e.progress = now
+		v.progress = now
 		e.fail(now)
 	case TimedOut:
 		e.fail(now)
@@ -180,17 +205,10 @@
 
 // observe compares the latency with the route's mean over all upstreams.
 func (b *Balancer) observe(now time.Time, e *estimate, o Outcome) {
-	u := b.usual[o.Route]
-	if u == nil {
-		if len(b.usual) >= 1024 {
-			clear(b.usual)
-		}
-		u = &usual{}
-		b.usual[o.Route] = u
-	}
 	s := o.Latency.Seconds()
-	u.n++
-	u.seconds += (s - u.seconds) * max(0.01, 1/float64(u.n))
+	usualOf(b.ranks, o.Rank).add(s)
+	u := usualOf(b.routes, o.Route)
+	u.add(s)
 	if u.seconds <= 0 {
 		return
 	}
@@ -206,7 +224,7 @@
 		return
 	}
 	for n, e := range b.known {
-		if e.inFlight == 0 && now.Sub(e.used) > idleTime {
+		if e.idle() && now.Sub(e.used) > idleTime {
 			delete(b.known, n)
 		}
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -68,7 +68,7 @@
 			}
 			continue
 		}
-		score, load := b.judge(now, e, c)
+		score, load := b.judge(now, e, c, q.Rank)
 		if !best.ok || score < best.score {
 			best = option{index: i, score: score, load: load, ok: true}
 		}
@@ -100,34 +100,17 @@
 	if e == nil {
 		return false
 	}
-	if !e.suspect && e.stalled(now, b.longest(now)) {
+	if !e.suspect && e.stalled(now, b.ranks) {
 		e.suspectNow(now)
 	}
 	return e.suspect
 }
 
-// longestEvery is how often the largest usual latency is looked up; it changes
-// slowly and there may be many routes.
-const longestEvery = 100 * time.Millisecond
-
-// longest is the largest usual latency among the routes.
-func (b *Balancer) longest(now time.Time) time.Duration {
-	if now.Sub(b.longestAt) < longestEvery {
-		return b.longestUsual
-	}
-	s := 0.0
-	for _, u := range b.usual {
-		s = max(s, u.seconds)
-	}
-	b.longestAt, b.longestUsual = now, time.Duration(s*float64(time.Second))
-	return b.longestUsual
-}
-
-func (b *Balancer) judge(now time.Time, e *estimate, c *Candidate) (score, load float64) {
+func (b *Balancer) judge(now time.Time, e *estimate, c *Candidate, rank string) (score, load float64) {
 	if e == nil {
 		e = &estimate{slow: 1}
 	}
-	load = (e.ahead(now) + 1) / e.slots(now, c)
+	load = (e.ahead(now, rank) + 1) / e.slots(now, c)
 	score = load * e.slowness(now)
 	score *= 1 + (shedPenalty-1)*decay(e.shed, now.Sub(e.shedAt), failHalfLife)
 	return score, load
@@ -142,7 +125,7 @@
 		if q.Exclude[c.Name] {
 			continue
 		}
-		score, load := b.judge(now, b.known[c.Name], c)
+		score, load := b.judge(now, b.known[c.Name], c, q.Rank)
 		if !best.ok || score < best.score {
 			best = option{index: i, score: score, load: load, ok: true}
 		}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -24,20 +24,29 @@
 	maxProbe   = 30 * time.Second
 	// stallMin and stallFactor: without any completion for this long, and for
 	// this many usual latencies, an upstream with requests in flight stalls.
-	stallMin    = 500 * time.Millisecond
+	// Shorter pauses are common, such as garbage collection.
+	stallMin    = 250 * time.Millisecond
 	stallFactor = 8
 	// slowWeight is the weight of one latency in the slowness.
 	slowWeight = 0.1
 	maxSlow    = 20
 )
 
-// estimate is what this node knows about one upstream.
-type estimate struct {
-	inFlight int
+// view is what one rank sees of an upstream.
+type view struct {
+	rank      string
+	inFlight  int
+	waiting   int
+	waitingAt time.Time
 	// progress is the last completion, or the start of the first request after
 	// an idle time.
 	progress time.Time
-	used     time.Time
+}
+
+// estimate is what this node knows about one upstream.
+type estimate struct {
+	views []view // few; one per rank
+	used  time.Time
 
 	slow   float64 // latency in comparison with the service, 1 is usual
 	slowAt time.Time
@@ -54,6 +63,7 @@
 	interval time.Duration
 	probeAt  time.Time
 	probing  bool
+	cleared  time.Time
 }
 
 func decay(v float64, age, half time.Duration) float64 {
@@ -68,10 +78,22 @@
 	return 1 + decay(e.slow-1, now.Sub(e.slowAt), slowHalfLife)
 }
 
-// ahead is the expected number of requests before a new one.
-func (e *estimate) ahead(now time.Time) float64 {
-	reported := decay(float64(e.load.InFlight+e.load.Waiting), now.Sub(e.loadAt), loadHalfLife)
-	return max(float64(e.inFlight), reported)
+func (e *estimate) view(rank string) *view {
+	for i := range e.views {
+		if e.views[i].rank == rank {
+			return &e.views[i]
+		}
+	}
+	e.views = append(e.views, view{rank: rank})
+	return &e.views[len(e.views)-1]
+}
+
+// ahead is the expected number of requests before a new one of the rank.
+func (e *estimate) ahead(now time.Time, rank string) float64 {
+	v := e.view(rank)
+	reported := decay(float64(e.load.InFlight), now.Sub(e.loadAt), loadHalfLife) +
+		decay(float64(v.waiting), now.Sub(v.waitingAt), loadHalfLife)
+	return max(float64(v.inFlight), reported)
 }
 
 // slots is the capacity that the upstream is believed to have.
@@ -86,10 +108,27 @@
 	return n
 }
 
-// stalled reports whether the upstream has completed nothing for long although
-// it has work of this node.
-func (e *estimate) stalled(now time.Time, usual time.Duration) bool {
-	return e.inFlight > 0 && now.Sub(e.progress) > max(stallMin, stallFactor*usual)
+// stalled reports whether the upstream has completed nothing of a rank for long
+// although it has such work of this node. Ranks are judged apart: a stall must
+// show in short requests at once, however long others usually take.
+func (e *estimate) stalled(now time.Time, usual map[string]*usual) bool {
+	for _, v := range e.views {
+		u := usual[v.rank]
+		if v.inFlight > 0 && u != nil && now.Sub(v.progress) > max(stallMin, stallFactor*u.latency()) {
+			return true
+		}
+	}
+	return false
+}
+
+// idle reports whether nothing of this node is in flight.
+func (e *estimate) idle() bool {
+	for _, v := range e.views {
+		if v.inFlight > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (e *estimate) fail(now time.Time) {
@@ -101,25 +140,51 @@
 	}
 }
 
-// suspectNow makes e suspect, or doubles the interval of one that is and whose
-// probe failed.
+// suspectNow makes e suspect, or notes that a probe of a suspect failed.
 func (e *estimate) suspectNow(now time.Time) {
-	switch {
-	case !e.suspect:
-		e.suspect, e.interval = true, firstProbe
-	case e.probing:
+	if e.suspect {
+		e.probeFailed(now)
+		return
+	}
+	e.suspect, e.probing = true, false
+	if e.interval == 0 || now.Sub(e.cleared) > maxProbe {
+		e.interval = firstProbe
+	} else {
 		e.interval = min(2*e.interval, maxProbe)
-	default:
-		return // a late failure of work sent before the suspicion
+	}
+	e.probeAt = now.Add(e.interval)
+}
+
+// probe notes that a request was sent to a suspect. The interval grows at once
+// if the probe before has not come back, so that a stalled upstream does not
+// collect probes.
+func (e *estimate) probe(now time.Time) {
+	if e.probing {
+		e.interval = min(2*e.interval, maxProbe)
+	}
+	e.probing = true
+	e.probeAt = now.Add(e.interval)
+}
+
+// probeFailed doubles the interval. Failures of work sent before the suspicion
+// do not count.
+func (e *estimate) probeFailed(now time.Time) {
+	if !e.suspect || !e.probing {
+		return
 	}
 	e.probing = false
+	e.interval = min(2*e.interval, maxProbe)
 	e.probeAt = now.Add(e.interval)
 }
 
 func (e *estimate) succeed(now time.Time) {
 	e.failures = decay(e.failures, now.Sub(e.failuresAt), failHalfLife) * (1 - failWeight)
 	e.failuresAt = now
-	if e.suspect && e.failures < failShare {
-		e.suspect, e.probing, e.interval = false, false, 0
+	if e.suspect {
+		// One success ends the suspicion; the next failures renew it, and then
+		// the interval goes on growing.
+		e.suspect, e.probing = false, false
+		e.failures = min(e.failures, failShare/2)
+		e.cleared = now
 	}
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,8 +13,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -24,6 +26,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
 	"github.com/gooseberrypick/gooseberrypick/internal/claims"
+	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -71,7 +74,7 @@
 	if c.Dial == nil {
 		c.Dial = wire.DialTCP
 	}
-	l, err := listen(c.Settings)
+	l, err := open(&c)
 	if err != nil {
 		return nil, err
 	}
@@ -136,7 +139,7 @@
 
 func (k *Control) openServers() error {
 	s := k.c.Settings
-	b := &backend{config: k.config, reports: k.collect, name: s.Name, clock: time.Now}
+	b := &backend{config: k.config, reports: k.collect, ranks: k.collectRanks, name: s.Name, clock: time.Now}
 	o := make([]operator.Operator, 0, len(s.Operators))
 	for _, e := range s.Operators {
 		o = append(o, operator.Operator{Name: e.Name, TokenHash: e.TokenHash})
@@ -155,6 +158,26 @@
 	return nil
 }
 
+// open opens the listeners. With TLS in the settings it secures them and the
+// Dialer of c.
+func open(c *Config) (listeners, error) {
+	s := c.Settings
+	if !s.TLS.Enabled() {
+		return listen(s)
+	}
+	i, err := mtls.New(mtls.Config{Files: s.TLS, Addresses: []string{s.PeerListen, s.Listen}, Log: c.Log.WithName("tls")})
+	if err != nil {
+		return listeners{}, err
+	}
+	l, err := listen(s)
+	if err != nil {
+		return l, err
+	}
+	c.Dial = i.Dialer(c.Dial)
+	l.peer, l.operator = i.Listener(l.peer), i.ServerListener(l.operator)
+	return l, nil
+}
+
 func listen(s settings.Control) (listeners, error) {
 	var l listeners
 	for _, e := range []struct {
@@ -186,8 +209,13 @@
 
 // ready returns why this control cannot serve, or nil.
 func (k *Control) ready() error {
-	if s := k.config.group.Status(); !s.Current {
-		return errors.Errorf("not in contact with a majority of the members (role %s)", s.Role)
+	if err := k.groups.failure(); err != nil {
+		return err
+	}
+	for _, n := range slices.Sorted(maps.Keys(k.groups)) {
+		if s := k.groups[n].Status(); !s.Current {
+			return errors.Errorf("group %s: not in contact with a majority of the members (role %s)", n, s.Role)
+		}
 	}
 	return nil
 }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -51,9 +51,11 @@
 	controls map[string]*testControl
 	nodes    []*testNode
 	clock    time.Duration // offset of the clocks of nodes
-	mu       sync.Mutex
-	sources  []*source
-	lines    []string
+	// ranks are the counts by rank of each node that is started; may be nil.
+	ranks   func() []wire.RankStats
+	mu      sync.Mutex
+	sources []*source
+	lines   []string
 }
 
 // propose commits a command at all controls that are current.
@@ -192,7 +194,7 @@
 	n := &testNode{name: name, registry: r, done: make(chan struct{})}
 	n.Client = distribution.New(distribution.Config{
 		Node: name, AvailabilityZone: "z", PeerAddress: name, Incarnation: uint64(time.Now().Add(w.clock).UnixNano()),
-		Controls: controls, Dial: w.net.dialer(name), Registry: r, Log: w.log(), Seed: uint64(len(w.nodes)),
+		Controls: controls, Dial: w.net.dialer(name), Registry: r, Log: w.log(), Seed: uint64(len(w.nodes)), Ranks: w.ranks,
 	})
 	ctx, cancel := context.WithCancel(w.Context())
 	n.stop = cancel
--- a/internal/control/names.go
+++ b/internal/control/names.go
@@ -16,7 +16,9 @@
 	// namesBatch bounds the names in one entry of the log.
 	namesBatch = 1000
 	// namesRepair is how often the names of connected nodes are checked. A node
-	// that left and came back at another control can be forgotten late.
+	// that left and came back at another control, or that an operator removed
+	// while it connected, can be forgotten late; one that came with more than
+	// namesBatch others is not stored at first.
 	namesRepair = 5 * time.Second
 	// namesFlushLimit bounds the last proposal of a control that stops.
 	namesFlushLimit = time.Second
@@ -75,17 +77,22 @@
 		case now := <-t.C:
 			if now.Sub(repaired) >= namesRepair {
 				repaired = now
-				for k, z := range n.connected() {
-					if !n.store.Knows(k, z) {
-						n.remember(k, z)
-					}
-				}
+				n.recall()
 			}
 			n.flush(ctx)
 		}
 	}
 }
 
+// recall adds the connected nodes whose names are not stored.
+func (n *names) recall() {
+	for k, z := range n.connected() {
+		if !n.store.Knows(k, z) {
+			n.remember(k, z)
+		}
+	}
+}
+
 // flush proposes what is pending. What fails is tried again, unless the node
 // has changed once more.
 func (n *names) flush(ctx context.Context) {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
@@ -18,6 +19,7 @@
 // nodeStream is the stream of one node.
 type nodeStream struct {
 	name   string
+	zone   string
 	stream drpc.Stream
 	batch  chan wire.Raw
 	// ack holds the newest acknowledgement that serve has not seen.
@@ -29,6 +31,14 @@
 	mu     sync.Mutex
 	report wire.NodeReport
 	heard  time.Time
+	// ranks are the newest counts by rank and those before.
+	ranks, rankedBefore rankSample
+}
+
+// rankSample is what a node sent of its counts. It is empty without at.
+type rankSample struct {
+	at    time.Time
+	ranks []wire.RankStats
 }
 
 // cursor decides what configuration a node gets next. Updates are sent without
@@ -125,6 +135,9 @@
 	defer n.mu.Unlock()
 	n.heard = time.Now()
 	n.report.Version = max(n.report.Version, p.Version)
+	if p.Ranks != nil {
+		n.rankedBefore, n.ranks = n.ranks, rankSample{at: n.heard, ranks: rankstats.Bounded(p.Ranks.Ranks)}
+	}
 }
 
 func (s *Streams) acknowledge(n *nodeStream, a *wire.Ack) {
--- a/internal/queue/headroom.go
+++ b/internal/queue/headroom.go
@@ -11,8 +11,10 @@
 	// a flood may change the urgent rank's service.
 	enoughReleases = 6.0
 	// tailExponent sizes spare slots so that the wait for one of them exceeds
-	// the slack with a chance of exp(-5), 0.7%.
-	tailExponent = 5.0
+	// the slack with a chance of about exp(-3). With 5, surveys and scans lost
+	// service while urgent work gained nothing, as the demand is already the
+	// higher of two windows.
+	tailExponent = 3.0
 	// spareDeviations bounds the spare slots in standard deviations of a
 	// Poisson number of busy slots.
 	spareDeviations = 2.5
@@ -31,9 +33,10 @@
 }
 
 func (q *Queue) headroomFor(now float64, i int) int {
-	hold, floors := 0.0, 0.0
+	// Only the rank's own slot time counts. Short requests need leave no
+	// headroom for urgent ones even where a longer rank below them does.
+	hold, floors := q.ranks[i].service.mean, 0.0
 	for _, v := range q.ranks[i:] {
-		hold = max(hold, v.service.mean)
 		floors += v.Floor
 	}
 	demand, ratio, needed := 0.0, 0.0, false
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -86,12 +86,14 @@
 	RetryAfter time.Duration
 }
 
-// Load describes the queue to entry nodes.
+// Load describes the queue to entry nodes as one rank sees it.
 type Load struct {
 	InFlight int
-	Waiting  int
-	Limit    int
-	// QueueWait is the recent mean wait of the requests that got a slot.
+	// Waiting is the predicted wait of a new caller's request of the rank, as a
+	// number of requests ahead of it.
+	Waiting int
+	Limit   int
+	// QueueWait is the recent mean wait of the rank's requests that got a slot.
 	QueueWait time.Duration
 }
 
@@ -111,7 +113,6 @@
 	seq        uint64
 	epoch      time.Time
 	now        float64 // seconds since epoch
-	waited     estimate
 
 	headroomAt    float64
 	headroomLimit int
@@ -127,15 +128,14 @@
 		maxWaiting: cmp.Or(c.MaxWaiting, DefaultMaxWaiting),
 	}
 	q.maxPerRank = cmp.Or(c.MaxWaitingPerRank, max(1, q.maxWaiting/2))
-	ranks := c.Ranks
-	if len(ranks) == 0 {
-		ranks = []Rank{{Name: "default", Order: 1}}
-	}
-	q.setRanks(ranks)
+	q.setRanks(c.Ranks)
 	return q
 }
 
 func (q *Queue) setRanks(l []Rank) {
+	if len(l) == 0 {
+		l = []Rank{{Name: "default", Order: 1}}
+	}
 	l = slices.Clone(l)
 	slices.SortStableFunc(l, func(a, b Rank) int {
 		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Name, b.Name))
@@ -174,13 +174,29 @@
 	q.limit = max(0, n)
 }
 
-// Load returns the load as entry nodes see it.
-func (q *Queue) Load(now time.Time) Load {
+// Load returns the load as requests of the named rank see it. A flood of a less
+// urgent rank, or of one caller, must not make the upstream look busy to the
+// others, and a rank that is served by its floor does not wait for all the work
+// above it.
+func (q *Queue) Load(now time.Time, rank string) Load {
 	n := q.advance(now)
-	return Load{
-		InFlight: q.running, Waiting: q.waiting, Limit: q.limit,
-		QueueWait: seconds(q.waited.at(n)),
+	r := q.rankOf(rank)
+	l := Load{InFlight: q.running, Limit: q.limit, QueueWait: seconds(r.waited.at(n))}
+	if cost := r.service.at(n); cost > 0 {
+		ahead := q.predict(n, r, "", cost) / cost * float64(q.limit)
+		l.Waiting = int(min(ahead, float64(q.waiting)))
+	}
+	return l
+}
+
+// Waiting returns the number of all waiting requests.
+func (q *Queue) Waiting() int { return q.waiting }
+
+func (q *Queue) rankOf(name string) *rank {
+	if r := q.byName[name]; r != nil {
+		return r
 	}
+	return q.ranks[len(q.ranks)-1]
 }
 
 // Refused returns the waiting requests that were refused since the last call.
--- a/internal/queue/rank.go
+++ b/internal/queue/rank.go
@@ -16,6 +16,7 @@
 	// has had beyond its floor (negative).
 	credit  float64
 	service estimate
+	waited  estimate
 	// demand is the slot time asked for per second, over a short and a long
 	// window: the short one follows the start of a burst, the long one keeps
 	// headroom between bursts.
@@ -34,6 +35,9 @@
 	// maxOwed bounds the credit in seconds of the rank's floor, so that a rank
 	// that could not be served during a stall does not take all slots after it.
 	maxOwed = 2.0
+	// floorMargin makes up for the time until a slot comes free for a rank that
+	// is owed one; without it a rank gets up to 3% less than its floor.
+	floorMargin = 1.02
 )
 
 func newRank(r Rank) *rank {
@@ -52,18 +56,22 @@
 // advance accounts dt seconds of floor and occupancy.
 func (r *rank) advance(dt float64, limit int) {
 	share := r.Floor * float64(limit)
-	r.credit += (share - float64(r.running)) * dt
 	top := 0.0
 	if r.waiting() > 0 {
-		top = share*maxOwed + r.service.mean
+		top = share * maxOwed
 	}
 	// Use beyond the floor is forgiven down to one request: what a rank got
 	// while nobody else wanted it must not starve it later.
+	r.credit += (share*floorMargin - float64(r.running)) * dt
 	r.credit = min(max(r.credit, -r.service.mean), top)
 }
 
-// owed reports whether the rank has had less than its floor.
-func (r *rank) owed() bool { return r.credit > 0 && r.Floor > 0 && r.waiting() > 0 }
+// owed reports whether the rank has had less than its floor of limit slots. It
+// is owed at most one slot more than its share at a time: credit is used up
+// only while requests run, and until then the rank would take every free slot.
+func (r *rank) owed(limit int) bool {
+	return r.credit > 0 && r.Floor > 0 && r.waiting() > 0 && r.running <= int(r.Floor*float64(limit))
+}
 
 // demandAt is the slots that the rank's recent arrivals would keep busy.
 func (r *rank) demandAt(now float64, limit int) float64 {
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -26,6 +26,9 @@
 	DefaultHeartbeatInterval = 100 * time.Millisecond
 	// DefaultSnapshotEntries is the number of applied entries between snapshots.
 	DefaultSnapshotEntries = 4096
+	// DefaultSnapshotBytes is the size of the applied entries between snapshots,
+	// and with it of the log in memory.
+	DefaultSnapshotBytes = 16 << 20
 )
 
 // Member is a configured member of a group.
@@ -34,7 +37,10 @@
 // Machine is the replicated state machine. All methods are called by one
 // goroutine.
 type Machine interface {
-	// Apply executes a committed command and returns its result.
+	// Apply executes a committed command and returns its result. A result that is
+	// an error says that this machine cannot know what the command does on other
+	// members. The member then stops before the command, since its state would
+	// differ from theirs for ever.
 	Apply(index uint64, command []byte) any
 	// Snapshot returns the encoded state.
 	Snapshot() ([]byte, error)
@@ -73,8 +79,11 @@
 	// Zero values of the following fields select the defaults.
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
-	SnapshotEntries   int
-	FS                wal.FS
+	// SnapshotEntries and SnapshotBytes each lead to a snapshot once as much was
+	// applied since the last one.
+	SnapshotEntries int
+	SnapshotBytes   int
+	FS              wal.FS
 	// Rand spreads timeouts and makes identities; the default has a random seed.
 	Rand *mathrand.Rand
 }
@@ -89,6 +98,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.FS == nil {
 		c.FS = wal.OS{}
 	}
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -21,7 +21,10 @@
 			return
 		}
 		for _, c := range r.Committed {
-			e.apply(c)
+			if err := e.apply(c); err != nil {
+				e.fail(err)
+				return
+			}
 		}
 		for _, c := range r.Reads {
 			if q := e.reads[c.ID]; q != nil {
@@ -34,6 +37,7 @@
 		}
 	}
 	e.noteRole(now)
+	e.takeSnapshot(now)
 }
 
 // save makes the state in r durable. Messages that depend on it are sent only
@@ -45,10 +49,17 @@
 			return err
 		}
 	}
-	err := e.log.Append(r.Entries)
+	var err error
+	if r.Snapshot != nil {
+		err = e.installSnapshot(r.Snapshot)
+	}
+	if err == nil {
+		err = e.log.Append(r.Entries)
+	}
 	sent := false
 	if err == nil {
 		e.sendAll(r.Early)
+		e.sendChunks(r.Chunks)
 		sent = len(r.Early) > 0
 		err = e.log.Sync()
 	}
@@ -88,22 +99,32 @@
 	}
 }
 
-func (e *engine) apply(x wire.RaftEntry) {
+// apply applies x, unless the machine cannot.
+func (e *engine) apply(x wire.RaftEntry) error {
 	var v any
-	if x.Kind == wire.EntryCommand {
+	switch x.Kind {
+	case wire.EntryCommand:
 		v = e.machine.Apply(x.Index, x.Data)
+		if err, ok := v.(error); ok {
+			return err
+		}
+	case wire.EntryEmpty, wire.EntryMembership:
+	default:
+		return errkind.New(errkind.Outdated, "entry %d of the log has kind %d of a newer release; upgrade this member", x.Index, x.Kind)
 	}
 	e.applied = x.Index
+	e.appliedBytes += len(x.Data)
 	p := e.pending[x.Index]
 	if p == nil {
-		return
+		return nil
 	}
 	delete(e.pending, x.Index)
 	if p.term != x.Term {
 		p.finish(nil, errkind.New(errkind.NotLeader, "the command was overwritten by another leader").WithExecution(errkind.NotRun))
-		return
+		return nil
 	}
 	p.finish(v, nil)
+	return nil
 }
 
 func (e *engine) finishReads() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,17 +76,19 @@
 // Route sends q to an upstream of the matched service.
 func (r *Router) Route(ctx context.Context, m table.Match, q *call.Request) (*call.Response, error) {
 	s := r.service(m.Route.Service)
-	s.called(time.Now(), m.Rank.Name)
+	s.called(time.Now(), m.Rank.Name, q.Attempt)
 	inbound := q.Attempt
 	admitted := false
 	if q.Stream != nil {
 		q.Admitted = func() error { admitted = true; return nil }
 	}
-	tried := map[string]bool{}
+	var tried map[string]bool
+	last := error(errkind.New(errkind.NoUpstream, "no upstream of service %q is serving", m.Route.Service))
 	for tries := 1; ; tries++ {
 		t, ok := s.choose(r.c, m, tried)
 		if !ok {
-			return nil, errkind.New(errkind.NoUpstream, "no upstream of service %q is serving", m.Route.Service)
+			r.c.Log.Info("no upstream left", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name, "tries", tries-1)
+			return nil, last
 		}
 		q.Attempt = inbound + tries - 1
 		r.logChoice(m, q, t)
@@ -94,20 +96,30 @@
 		if err == nil {
 			return a, nil
 		}
-		tried[t.name] = true
-		if admitted {
-			return nil, err // the body can be read only once
+		last = afterTry(last, err, tries)
+		if tried == nil {
+			tried = map[string]bool{}
 		}
-		d := s.retry(m, q, err, inbound, tries, remaining(ctx))
+		tried[t.name] = true
+		d := s.retry(m, q, err, inbound, tries, remaining(ctx), admitted)
 		r.c.Log.Info("try failed", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
 			"upstream", t.name, "kind", errkind.Of(err), "retry", d.Retry, "reason", d.Reason, "cause", err.Error())
-		if !d.Retry || ctx.Err() != nil {
-			return nil, err
+		if !d.Retry {
+			return nil, last
 		}
 		r.c.Retried(m.Route.Service)
 	}
 }
 
+// afterTry returns the error of a request whose latest try ended in err. Once a
+// try may have run, so may have the request, whatever became of later tries.
+func afterTry(last, err error, tries int) error {
+	if tries > 1 && errkind.From(last).Execution != errkind.NotRun {
+		return errkind.From(err).WithExecution(errkind.Unknown)
+	}
+	return err
+}
+
 func (r *Router) logChoice(m table.Match, q *call.Request, t try) {
 	r.c.Log.Info("choose upstream", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
 		"upstream", t.name, "availabilityZone", t.candidate.AvailabilityZone, "attempt", q.Attempt, "reason", t.reason)
@@ -118,7 +130,7 @@
 	q.Upstream = t.candidate.Upstream.Name
 	q.Remaining = remaining(ctx)
 	if q.Remaining <= 0 {
-		s.finished(t, balance.Outcome{Result: balance.Canceled})
+		s.finished(t, balance.Outcome{Result: balance.Canceled, Rank: m.Rank.Name})
 		return nil, errkind.New(errkind.DeadlineTooShort, "no time is left to call an upstream")
 	}
 	a, err := r.transport(ctx, q, t)
@@ -129,7 +141,7 @@
 	head := time.Since(t.started)
 	b := &body{ReadCloser: a.Body}
 	b.done = func(err error) {
-		o := balance.Outcome{Result: resultOf(a.Head.Status, err), Route: m.Name, Latency: head}
+		o := balance.Outcome{Result: resultOf(a.Head.Status, err), Rank: m.Rank.Name, Route: m.Name, Latency: head}
 		if l := a.Load(); l != nil {
 			o.Load = r.load(l)
 		}
@@ -154,7 +166,7 @@
 
 // outcome turns the error of a try into what the balancer learns from it.
 func (r *Router) outcome(m table.Match, t try, err error) balance.Outcome {
-	o := balance.Outcome{Result: balance.Failed, Route: m.Name, Latency: time.Since(t.started)}
+	o := balance.Outcome{Result: balance.Failed, Rank: m.Rank.Name, Route: m.Name, Latency: time.Since(t.started)}
 	var l *call.LoadError
 	if errors.As(err, &l) && l.Load != nil {
 		o.Load = r.load(l.Load)
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -36,10 +36,10 @@
 	}
 }
 
-func (s *service) called(now time.Time, rank string) {
+func (s *service) called(now time.Time, rank string, inbound int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.Call(now, rank)
+	s.budget.Call(now, rank, inbound)
 }
 
 // choose picks an upstream and counts it as started.
@@ -51,6 +51,7 @@
 	s.refresh(l, m.Service)
 	h, ok := s.balancer.Choose(now, s.set, balance.Query{
 		Zone:    c.Zone,
+		Rank:    m.Rank.Name,
 		Exclude: tried,
 		NoProbe: m.Route.Execution != customer.Idempotent,
 	})
@@ -58,7 +59,7 @@
 		return try{}, false
 	}
 	n := h.Candidate.Name
-	s.balancer.Started(now, n)
+	s.balancer.Started(now, n, m.Rank.Name)
 	return try{candidate: s.byName[n], name: n, reason: h.Reason, started: now}, true
 }
 
@@ -102,8 +103,15 @@
 	return m.Route.Execution == customer.Idempotent && q.WholeBody
 }
 
+// reasonBodySent is the reason of a decision that needs no budget: a streamed
+// body can be read only once.
+const reasonBodySent = "body was sent already"
+
 // retry decides whether a failed try is followed by another one.
-func (s *service) retry(m table.Match, q *call.Request, err error, inbound, tries int, left time.Duration) retry.Decision {
+func (s *service) retry(m table.Match, q *call.Request, err error, inbound, tries int, left time.Duration, admitted bool) retry.Decision {
+	if admitted {
+		return retry.Decision{Reason: reasonBodySent}
+	}
 	e := errkind.From(err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,7 +137,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
-	case err == io.EOF:
+	case call.Ended(err):
 		b.once.Do(func() { b.done(nil) })
 	case err != nil:
 		b.once.Do(func() { b.done(err) })
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -36,10 +36,17 @@
 	SinceHeard       time.Duration `cbor:"7,keyasint"`
 }
 
+// NodeReportsRequest asks a control for its nodes.
+type NodeReportsRequest struct {
+	// Ranks asks for RankTotals instead of the reports.
+	Ranks bool `cbor:"1,keyasint,omitempty"`
+}
+
 // NodeReports answers MethodNodeReports.
 type NodeReports struct {
 	Reports []NodeReport `cbor:"1,keyasint"`
 	Member  MemberReport `cbor:"2,keyasint"`
+	Ranks   *RankTotals  `cbor:"3,keyasint,omitempty"`
 }
 
 // MemberReport is a control's view of itself.
@@ -49,4 +56,6 @@
 	Role             string `cbor:"3,keyasint"`
 	Current          bool   `cbor:"4,keyasint"`
 	Version          uint64 `cbor:"5,keyasint"`
+	// Reason is why a group of the control stopped.
+	Reason string `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -56,19 +56,27 @@
 
 var (
 	encoder = newEncoder()
-	decoder = newDecoder()
+	decoder = newDecoder(cbor.ExtraDecErrorNone)
+	strict  = newDecoder(cbor.ExtraDecErrorUnknownField)
 )
 
 func newEncoder() cbor.EncMode {
-	m, err := cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+	// The default encoding of times drops the fraction of a second. As seconds in
+	// a float64 a time takes 9 bytes and keeps microseconds; as text, 32 bytes.
+	m, err := cbor.EncOptions{Sort: cbor.SortNone, Time: cbor.TimeUnixMicro}.EncMode()
 	if err != nil {
 		panic(err) // the options above are constant
 	}
 	return m
 }
 
-func newDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16}.DecMode()
+func newDecoder(e cbor.ExtraDecErrorCond) cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
+		// Header values of HTTP can hold any bytes.
+		UTF8:              cbor.UTF8DecodeInvalid,
+		ExtraReturnErrors: e,
+	}.DecMode()
 	if err != nil {
 		panic(err) // the options above are constant
 	}
@@ -104,6 +112,20 @@
 	return errors.Wrap(decoder.Unmarshal(b, m), "decode message")
 }
 
+// UnmarshalStrict decodes b into m like Unmarshal, but refuses fields that m
+// lacks with kind Outdated. It is for what is replicated: a member that left
+// them out would reach another state than the release that wrote them.
+func UnmarshalStrict(b []byte, m any) error {
+	if len(b) > MaxMessageBytes {
+		return errors.Errorf("message of %d bytes exceeds %d", len(b), MaxMessageBytes)
+	}
+	err := strict.Unmarshal(b, m)
+	if u := (*cbor.UnknownFieldError)(nil); errors.As(err, &u) {
+		return errkind.Wrap(err, errkind.Outdated, "message of a newer release")
+	}
+	return errors.Wrap(err, "decode message")
+}
+
 // UnmarshalLarge decodes b, which was assembled from several messages.
 func UnmarshalLarge(b []byte, m any) error {
 	return errors.Wrap(decoder.Unmarshal(b, m), "decode update")
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -52,6 +53,38 @@
 	}
 }
 
+// A time without its fraction starts the warm-up ramp of an upstream up to a
+// second early, which is all of a short ramp. The zero time means no ramp.
+func TestTimeKeepsFraction(t *testing.T) {
+	for _, want := range []time.Time{{}, time.Unix(1772366400, 0), time.Unix(1772366400, 987654321), time.Unix(4102444799, 999999000)} {
+		b, err := wire.Marshal(&wire.Upstream{Since: want})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var u wire.Upstream
+		if err := wire.Unmarshal(b, &u); err != nil {
+			t.Fatal(err)
+		}
+		if got := u.Since; got.Sub(want).Abs() > time.Microsecond || got.IsZero() != want.IsZero() {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
+
+// A header in Latin-1 that cannot be decoded would lose the recorded outcome of
+// a request that ran, and break the connection that carries it.
+func TestHeaderKeepsAnyBytes(t *testing.T) {
+	want := "filename=\xe4.pdf"
+	b, err := wire.Marshal(&wire.Outcome{Header: map[string][]string{"Content-Disposition": {want}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got wire.Outcome
+	if err := wire.Unmarshal(b, &got); err != nil || got.Header["Content-Disposition"][0] != want {
+		t.Errorf("got %q and %v, want %q", got.Header, err, want)
+	}
+}
+
 // FuzzUnmarshal guards against messages of a broken or hostile peer that crash
 // the process.
 func FuzzUnmarshal(f *testing.F) {
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -38,6 +38,7 @@
 	KeyReused        Kind = "KeyReused"
 	InProgress       Kind = "InProgress"
 	OutcomeUnknown   Kind = "OutcomeUnknown"
+	AnswerNotKept    Kind = "AnswerNotKept"
 	QueueFull        Kind = "QueueFull"
 	DeadlineTooShort Kind = "DeadlineTooShort"
 	DeadlineExceeded Kind = "DeadlineExceeded"
@@ -54,6 +55,7 @@
 	InvalidFile      Kind = "InvalidFile"
 	DiskFull         Kind = "DiskFull"
 	Corrupt          Kind = "Corrupt"
+	Outdated         Kind = "Outdated"
 	Usage            Kind = "Usage"
 	Unreachable      Kind = "Unreachable"
 	Internal         Kind = "Internal"
@@ -76,6 +78,26 @@
 	ExitUnknown = 3
 )
 
+// Group is the coarse cause of a kind, for counters of which few are kept.
+type Group string
+
+// Groups of kinds.
+const (
+	// GroupOverload lacks capacity or time.
+	GroupOverload Group = "Overload"
+	// GroupCaller is a fault of the request itself, or the caller gave up.
+	GroupCaller Group = "Caller"
+	// GroupUnavailable is everything else: a part of the system does not work.
+	GroupUnavailable Group = "Unavailable"
+)
+
+var groups = map[Kind]Group{
+	QueueFull: GroupOverload, DeadlineTooShort: GroupOverload, DeadlineExceeded: GroupOverload,
+	BadRequest: GroupCaller, Unauthorized: GroupCaller, NotFound: GroupCaller, TooLarge: GroupCaller,
+	NoRoute: GroupCaller, KeyRequired: GroupCaller, KeyReused: GroupCaller, InProgress: GroupCaller,
+	Canceled: GroupCaller, Conflict: GroupCaller, InvalidFile: GroupCaller, Usage: GroupCaller,
+}
+
 // Answer is what the edge of the process makes of a kind.
 type Answer struct {
 	HTTPStatus int
@@ -103,6 +125,7 @@
 	KeyReused:        {http.StatusUnprocessableEntity, NotRun, ExitRefused, 0},
 	InProgress:       {http.StatusConflict, Unknown, ExitUnknown, shortRetry},
 	OutcomeUnknown:   {http.StatusConflict, Unknown, ExitUnknown, 0},
+	AnswerNotKept:    {http.StatusConflict, Unknown, ExitUnknown, 0},
 	QueueFull:        {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
 	DeadlineTooShort: {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
 	DeadlineExceeded: {http.StatusGatewayTimeout, Unknown, ExitUnknown, 0},
@@ -119,6 +142,7 @@
 	InvalidFile:      {http.StatusUnprocessableEntity, NotRun, ExitRefused, 0},
 	DiskFull:         {http.StatusInsufficientStorage, NotRun, ExitRefused, longRetry},
 	Corrupt:          {http.StatusInternalServerError, Unknown, ExitRefused, 0},
+	Outdated:         {http.StatusServiceUnavailable, NotRun, ExitRefused, 0},
 	Usage:            {http.StatusBadRequest, NotRun, ExitUsage, 0},
 	Unreachable:      {http.StatusBadGateway, Unknown, ExitUnknown, 0},
 	Internal:         {http.StatusInternalServerError, Unknown, ExitUnknown, 0},
@@ -132,6 +156,14 @@
 	return answers[Internal]
 }
 
+// Group returns the group of k.
+func (k Kind) Group() Group {
+	if g, ok := groups[k]; ok {
+		return g
+	}
+	return GroupUnavailable
+}
+
 // Error is an error with a kind and a statement about execution.
 type Error struct {
 	Kind      Kind
