--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -50,9 +50,9 @@
 	members  []settings.Member
 	controls map[string]*testControl
 	nodes    []*testNode
+	clock    time.Duration // offset of the clocks of nodes
 	// ranks are the counts by rank of each node that is started; may be nil.
 	ranks   func() []wire.RankStats
-	clock   time.Duration // offset of the clocks of nodes
 	mu      sync.Mutex
 	sources []*source
 	lines   []string
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -180,22 +180,11 @@
 	r := s.client.currentRecord()
 	err := s.send(&wire.NodeMessage{Report: &r})
 	if err == nil && r.Gone {
-		err = s.ping()
+		err = s.ping(time.Now())
 	}
 	return err
 }
 
-func (s *session) ping() error {
-	n, now := s.client, time.Now()
-	p := &wire.Ping{Version: n.Table().Version()}
-	// Half an interval of pings, because a tick may come a little early.
-	if n.c.Ranks != nil && now.Sub(s.rankedAt) >= RankInterval-PingInterval/2 {
-		s.rankedAt = now
-		p.Ranks = &wire.RankSample{Ranks: n.c.Ranks()}
-	}
-	return s.send(&wire.NodeMessage{Ping: p})
-}
-
 func (s *session) handle(m *wire.ControlMessage) error {
 	n := s.client
 	switch {
@@ -251,7 +240,18 @@
 	} else {
 		s.probeOthers(ctx, now)
 	}
-	return s.ping()
+	return s.ping(now)
+}
+
+func (s *session) ping(now time.Time) error {
+	n := s.client
+	p := &wire.Ping{Version: n.Table().Version()}
+	// Half an interval of pings, because a tick may come a little early.
+	if n.c.Ranks != nil && now.Sub(s.rankedAt) >= RankInterval-PingInterval/2 {
+		s.rankedAt = now
+		p.Ranks = &wire.RankSample{Ranks: n.c.Ranks()}
+	}
+	return s.send(&wire.NodeMessage{Ping: p})
 }
 
 // applyEndpoints stores changed records. Nothing removes this node's own
