Answer not-run at the limit of an accept without a leader

An accept at a control without a majority could end, at its limit, with the kind DeadlineExceeded: exit code 3 although nothing was sent, no hint, and no try at the next control. It now ends with NoQuorum. status names no nodes in its hint about forget, and gives none without a majority, because a zone that is cut off has many silent nodes that all still exist.

Also removes a field that a merge had left twice in internal/wire.

--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -162,31 +162,24 @@
 	if err := table(w, []string{"NODE", "ZONE", "HEARD", "VERSION", "BEHIND", "LAST HEARD", "CONTROL", "LAST REFUSAL"}, rows); err != nil {
 		return err
 	}
-	writeSilent(w, o, s.Nodes)
+	writeSilent(w, o, s)
 	return nil
 }
 
-// writeSilent says how to remove nodes that no control has heard from.
-func writeSilent(w io.Writer, o *operation, nodes []operator.Node) {
-	words := []string{"forget"}
+// writeSilent says how to remove nodes that no control has heard from. It names
+// none: a zone that is cut off has many such nodes, all of which still exist.
+func writeSilent(w io.Writer, o *operation, s operator.Status) {
 	silent := 0
-	for _, n := range nodes {
-		if n.Heard {
-			continue
-		}
-		if silent++; silent <= namedLaggards {
-			words = append(words, printable(n.Name))
+	for _, n := range s.Nodes {
+		if !n.Heard {
+			silent++
 		}
 	}
-	if silent == 0 {
+	if silent == 0 || !s.Current {
 		return
 	}
-	named := ""
-	if silent > namedLaggards {
-		named = fmt.Sprintf(" (the first %d are named)", namedLaggards)
-	}
-	fmt.Fprintf(w, "\nNodes not heard from: %d. Remove those that no longer exist from this list%s:\n  %s\n",
-		silent, named, commandLine(append(words, o.arguments()...)...))
+	fmt.Fprintf(w, "\nNodes not heard from: %d. One that no longer exists can be removed from this list:\n  %s\n",
+		silent, commandLine(append([]string{"forget", "NODE"}, o.arguments()...)...))
 }
 
 func nodeRow(n operator.Node) []string {
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -54,9 +54,11 @@
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			return r, errkind.Wrap(err, errkind.NoQuorum, "no leader within %s", proposeLimit).WithExecution(errkind.NotRun)
 		case <-t.C:
 		}
+		if ctx.Err() != nil {
+			return r, errkind.Wrap(err, errkind.NoQuorum, "no leader within %s", proposeLimit).WithExecution(errkind.NotRun)
+		}
 	}
 }
 
@@ -64,7 +66,8 @@
 // that another try can reach one.
 func awaitsLeader(err error) bool {
 	switch errkind.Of(err) {
-	case errkind.NotLeader, errkind.NotReady, errkind.ConnectFailed:
+	case errkind.NotLeader, errkind.NotReady, errkind.ConnectFailed,
+		errkind.DeadlineExceeded: // the limit passed before the command was handed over
 		return errkind.From(err).Execution == errkind.NotRun
 	}
 	return false
--- a/internal/control/propose_test.go
+++ b/internal/control/propose_test.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/replica"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
@@ -130,6 +131,28 @@
 	}
 }
 
+// An accept that found no leader in time is not-run, or at worst unknown. Any
+// other kind at the limit would keep the client from asking the next control,
+// and exit as unknown without saying how to resend.
+func TestProposeWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, nil)
+		defer g.close()
+		g.leader()
+		c := g.configs[three[0]]
+		for _, n := range three[1:] {
+			g.stops[n]()
+		}
+		time.Sleep(proposeLimit) // the member that is left stops leading
+		for range 20 {           // at the limit, what comes first is random
+			_, err := c.propose(t.Context(), nil)
+			if k := errkind.Of(err); k != errkind.NoQuorum && k != errkind.OutcomeUnknown {
+				t.Fatalf("got kind %s (%v), want NoQuorum", k, err)
+			}
+		}
+	})
+}
+
 // A node that is forgotten while it connects would be missing from the status
 // once all controls restarted.
 func TestForgottenNodeIsStoredAgain(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -72,8 +72,7 @@
 
 func newDecoder(e cbor.ExtraDecErrorCond) cbor.DecMode {
 	m, err := cbor.DecOptions{
-		ExtraReturnErrors: e,
-		MaxNestedLevels:   16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
+		MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
 		// Header values of HTTP can hold any bytes.
 		UTF8:              cbor.UTF8DecodeInvalid,
 		ExtraReturnErrors: e,
