--- a/internal/control/names.go
+++ b/internal/control/names.go
@@ -16,7 +16,9 @@
 	// namesBatch bounds the names in one entry of the log.
 	namesBatch = 1000
 	// namesRepair is how often the names of connected nodes are checked. A node
-	// that left and came back at another control can be forgotten late.
+	// that left and came back at another control, or that an operator removed
+	// while it connected, can be forgotten late; one that came with more than
+	// namesBatch others is not stored at first.
 	namesRepair = 5 * time.Second
 	// namesFlushLimit bounds the last proposal of a control that stops.
 	namesFlushLimit = time.Second
--- a/internal/control/propose_test.go
+++ b/internal/control/propose_test.go
@@ -160,6 +160,7 @@
 		w.startNode("n", "a")
 		a := w.controls["a"]
 		w.within(5*time.Second, "connected", func() bool { return a.streams.Len() == 1 })
+		k := &names{store: a.source, connected: a.streams.connected, pending: map[string]nameChange{}}
 		for _, c := range []struct {
 			name    string
 			command interface{ Encode() ([]byte, error) }
@@ -173,12 +174,9 @@
 				t.Fatal(err)
 			}
 			a.source.Apply(1, b)
-			a.names.mu.Lock()
-			a.names.pending = map[string]nameChange{}
-			a.names.mu.Unlock()
-			a.names.recall()
-			if got := len(a.names.pending); got != c.want {
-				t.Errorf("%s: got %d names to store, want %d", c.name, got, c.want)
+			k.recall()
+			if got := k.pending; len(got) != c.want {
+				t.Errorf("%s: got names to store %v, want %d", c.name, got, c.want)
 			}
 		}
 	})
