--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -96,7 +96,7 @@
 	s.mu.Lock()
 	for _, n := range s.nodes {
 		if n.snapshot(now).SinceHeard > NodeLease {
-			n.cancel()
+			n.abort()
 		}
 	}
 	maps.DeleteFunc(s.turned, func(_ string, t turnedNode) bool { return now.Sub(t.since) > NodeLease })
--- a/internal/control/network_test.go
+++ b/internal/control/network_test.go
@@ -152,7 +152,7 @@
 
 // pump moves bytes one way, with the delay of the network and some buffering.
 func (n *network) pump(from, to string, src, dst net.Conn) {
-	q := make(chan packet, 64)
+	q := make(chan packet, 4)
 	go func() {
 		defer close(q)
 		for {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -7,14 +7,19 @@
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
-	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
-// helloTimeout bounds the wait for a node's first message.
-const helloTimeout = 5 * time.Second
+const (
+	// helloTimeout bounds the wait for a node's first message.
+	helloTimeout = 5 * time.Second
+	// fewBuckets is the number of differing buckets up to which a node gets
+	// them at once; more count as a snapshot.
+	fewBuckets = 8
+)
 
 // nodeStream is the stream of one node.
 type nodeStream struct {
@@ -27,6 +32,9 @@
 	// compare holds the digests of a node that asked for what differs.
 	compare chan []uint64
 	cancel  context.CancelFunc
+	// abort closes the connection, also when a send is blocked on it: a node
+	// that stops reading must not keep its place among the snapshots.
+	abort func()
 
 	mu     sync.Mutex
 	report wire.NodeReport
@@ -78,9 +86,19 @@
 	return c
 }
 
+// abortOf returns a function that closes the connection of d. Closing or
+// canceling the stream instead would wait for a blocked send.
+func abortOf(d drpc.Stream) func() {
+	t, ok := drpcctx.Transport(d.Context())
+	return func() {
+		if ok {
+			go t.Close() // TLS may wait for the peer
+		}
+	}
+}
+
 func receiveHello(d drpc.Stream) (*wire.Hello, error) {
-	t := time.AfterFunc(helloTimeout, func() { d.Close() })
-	defer t.Stop()
+	defer time.AfterFunc(helloTimeout, abortOf(d)).Stop()
 	var m wire.NodeMessage
 	if err := d.MsgRecv(&m, wire.Encoding{}); err != nil {
 		return nil, err
@@ -91,6 +109,8 @@
 	return m.Hello, nil
 }
 
+func (n *nodeStream) send(m any) error { return n.stream.MsgSend(m, wire.Encoding{}) }
+
 // receive handles what the node sends until the stream ends.
 func (s *Streams) receive(ctx context.Context, n *nodeStream) {
 	for ctx.Err() == nil {
@@ -106,7 +126,7 @@
 			s.acknowledge(n, m.Ack)
 		case m.Ping != nil:
 			n.pinged(m.Ping)
-			if sendControl(n.stream, &wire.ControlMessage{Pong: s.pong(n)}) != nil {
+			if n.send(&wire.ControlMessage{Pong: s.pong(n)}) != nil {
 				return
 			}
 		case m.Compare != nil:
@@ -167,10 +187,10 @@
 // serve sends welcome, endpoints and configuration until the stream ends.
 func (s *Streams) serve(ctx context.Context, n *nodeStream, h *wire.Hello) error {
 	w := &wire.Welcome{Lineage: s.source.Lineage(), Control: s.control, Lease: NodeLease}
-	if err := sendControl(n.stream, &wire.ControlMessage{Welcome: w}); err != nil {
+	if err := n.send(&wire.ControlMessage{Welcome: w}); err != nil {
 		return err
 	}
-	if err := s.sendDiffering(n, h.Buckets); err != nil {
+	if err := s.sendDiffering(ctx, n, h.Buckets); err != nil {
 		return err
 	}
 	c := cursor{sent: h.Version, from: h.Version}
@@ -181,26 +201,26 @@
 		if c.due(v.Version()) {
 			if c.sent == 0 && !confirmed {
 				if err := s.confirm(ctx); err != nil {
-					return sendControl(n.stream, &wire.ControlMessage{Fault: wire.NewFault(err)})
+					return n.send(&wire.ControlMessage{Fault: wire.NewFault(err)})
 				}
-				v = s.source.Current()
 			}
-			full, err := s.sendConfig(ctx, n, v, c.from)
+			to, full, err := s.sendConfig(ctx, n, c.from)
 			if err != nil {
 				return err
 			}
-			c = c.advanced(v.Version(), full)
+			c = c.advanced(to, full)
+			continue
 		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-v.Superseded():
 		case b := <-n.batch:
-			if err := n.stream.MsgSend(b, wire.Encoding{}); err != nil {
+			if err := n.send(b); err != nil {
 				return err
 			}
 		case b := <-n.compare:
-			if err := s.sendDiffering(n, b); err != nil {
+			if err := s.sendDiffering(ctx, n, b); err != nil {
 				return err
 			}
 		case a := <-n.ack:
@@ -209,15 +229,39 @@
 	}
 }
 
+// acquire waits for a place among the snapshots. Endpoint changes still pass
+// meanwhile.
+func (s *Streams) acquire(ctx context.Context, n *nodeStream) (release func(), err error) {
+	for {
+		select {
+		case s.slots <- struct{}{}:
+			return func() { <-s.slots }, nil
+		case b := <-n.batch:
+			if err := n.send(b); err != nil {
+				return nil, err
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // sendDiffering sends the buckets that the node does not hold, whole buckets in
 // each message. It always sends at least one message, which tells the node that
 // it is in step.
-func (s *Streams) sendDiffering(n *nodeStream, digests []uint64) error {
+func (s *Streams) sendDiffering(ctx context.Context, n *nodeStream, digests []uint64) error {
+	if s.registry.CountDiffering(digests) > fewBuckets {
+		release, err := s.acquire(ctx, n)
+		if err != nil {
+			return err
+		}
+		defer release()
+	}
 	authoritative := s.settled(time.Now())
 	e := &wire.Endpoints{Authoritative: authoritative}
 	for _, b := range s.registry.Differing(digests) {
 		if len(e.Records) > 0 && len(e.Records)+len(b.Records) > endpointChunk {
-			if err := sendControl(n.stream, &wire.ControlMessage{Endpoints: e}); err != nil {
+			if err := n.send(&wire.ControlMessage{Endpoints: e}); err != nil {
 				return err
 			}
 			e = &wire.Endpoints{Authoritative: authoritative}
@@ -225,30 +269,34 @@
 		e.Buckets = append(e.Buckets, b.Number)
 		e.Records = append(e.Records, b.Records...)
 	}
-	return sendControl(n.stream, &wire.ControlMessage{Endpoints: e})
+	e.Complete = true
+	return n.send(&wire.ControlMessage{Endpoints: e})
 }
 
-// sendConfig brings the node from a version to v. It reports whether that took
-// a snapshot.
-func (s *Streams) sendConfig(ctx context.Context, n *nodeStream, v *versions.View, from uint64) (bool, error) {
+// sendConfig brings the node from a version to the newest one. It reports which
+// that is, and whether it took a snapshot.
+func (s *Streams) sendConfig(ctx context.Context, n *nodeStream, from uint64) (to uint64, full bool, err error) {
+	v := s.source.Current()
 	u, err := s.updates.get(v, s.source.Lineage(), from)
 	if err != nil {
-		return false, err
+		return 0, false, err
 	}
 	if u.full {
-		select {
-		case s.slots <- struct{}{}:
-			defer func() { <-s.slots }()
-		case <-ctx.Done():
-			return false, ctx.Err()
+		release, err := s.acquire(ctx, n)
+		if err != nil {
+			return 0, false, err
+		}
+		defer release()
+		// Newer versions may have come while the node waited.
+		v = s.source.Current()
+		if u, err = s.updates.get(v, s.source.Lineage(), from); err != nil {
+			return 0, false, err
 		}
 	}
 	for _, m := range u.messages {
-		if err := n.stream.MsgSend(m, wire.Encoding{}); err != nil {
-			return false, err
+		if err := n.send(m); err != nil {
+			return 0, false, err
 		}
 	}
-	return u.full, nil
+	return v.Version(), u.full, nil
 }
-
-func sendControl(d drpc.Stream, m *wire.ControlMessage) error { return d.MsgSend(m, wire.Encoding{}) }
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -103,7 +103,7 @@
 	}
 	if err := s.admit(ctx, h); err != nil {
 		s.log.Info("node refused", "node", h.Record.Node, "reason", err.Error())
-		return sendControl(d, &wire.ControlMessage{Fault: wire.NewFault(err)})
+		return d.MsgSend(&wire.ControlMessage{Fault: wire.NewFault(err)}, wire.Encoding{})
 	}
 	n := &nodeStream{
 		name:    h.Record.Node,
@@ -113,6 +113,7 @@
 		ack:     make(chan wire.Ack, 1),
 		compare: make(chan []uint64, 1),
 		cancel:  cancel,
+		abort:   sync.OnceFunc(abortOf(d)),
 		heard:   time.Now(),
 		report:  wire.NodeReport{Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control},
 	}
@@ -255,7 +256,7 @@
 		case n.batch <- b:
 		default:
 			s.log.Info("node is too slow for endpoint changes; it will resume", "node", n.name)
-			n.cancel()
+			n.abort()
 		}
 	}
 }
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -270,8 +270,9 @@
 	if e.Authoritative {
 		n.c.Registry.Retain(e.Buckets, append(l, n.currentRecord()))
 	}
-	// The first message of every stream lists the buckets that differ, or none.
-	n.synced.Store(true)
+	if e.Complete {
+		n.synced.Store(true)
+	}
 }
 
 // refute raises the own record above r, which says that this node is gone or
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -221,6 +221,19 @@
 	Records []wire.NodeRecord
 }
 
+// CountDiffering returns the number of buckets whose digests differ from b.
+func (r *Registry) CountDiffering(b []uint64) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	n := 0
+	for i := range r.buckets {
+		if i >= len(b) || b[i] != r.buckets[i] {
+			n++
+		}
+	}
+	return n
+}
+
 // Differing returns the buckets whose digests differ from b.
 func (r *Registry) Differing(b []uint64) []Bucket {
 	r.mu.RLock()
