--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -86,9 +86,12 @@
 }
 
 // closeUnlessRead tells an HTTP/1.1 caller whose body was not read to its end
-// that the connection ends with this answer.
+// that the connection ends with this answer. It also keeps net/http from reading
+// parts of the body that belong to the upstream. An upload that was closed just
+// before its end was found has ended the reading from the connection, which
+// would cancel the next request on it.
 func (x *exchange) closeUnlessRead() {
-	if u := x.upload; u != nil && !u.ended.Load() && x.r.ProtoMajor == 1 {
+	if u := x.upload; u != nil && (!u.ended.Load() || u.closed.Load()) && x.r.ProtoMajor == 1 {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -183,3 +183,6 @@
 	}
 	return x.c.Once.Run(ctx, x.match, x.r.Header.Get(HeaderIdempotencyKey), q)
 }
+
+// Requests returns the number of requests under way.
+func (h *Handler) Requests() int64 { return h.requests.Load() }
--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,172 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/standin"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// router answers each request with its ID once it may.
+type router chan struct{}
+
+func (r router) Route(_ context.Context, _ table.Match, q *call.Request) (*call.Response, error) {
+	<-r
+	return &call.Response{
+		Head:    wire.ResponseHead{RequestID: q.RequestID, Status: 200, ContentLength: 5},
+		Body:    io.NopCloser(strings.NewReader("hello")),
+		Trailer: func() map[string][]string { return nil },
+	}, nil
+}
+
+func (r router) Run(ctx context.Context, m table.Match, _ string, q *call.Request) (*call.Response, error) {
+	return r.Route(ctx, m, q)
+}
+
+// serve runs a handler on l and returns what ends it.
+func serve(t *testing.T, l net.Listener, limit int, c Config) {
+	k := customer.NewConfig("pichler").
+		WithService(customer.Service{Name: "levels", Slots: 1, Connections: 1}).
+		WithRank(customer.Rank{Name: "urgent", Order: 1, Target: time.Second})
+	for path, x := range map[string]customer.Execution{"/": customer.Once, "/keyed": customer.AtMostOnce} {
+		k = k.WithRoute(customer.Route{Host: "h", Method: "POST", Path: path, Service: "levels", Rank: "urgent", Deadline: time.Minute, Execution: x})
+	}
+	b, err := table.New(1, map[string]*customer.Config{"pichler": k})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Table, c.Log = func() *table.Table { return b }, logr.Discard()
+	s := NewServer(New(c))
+	done := make(chan error)
+	go func() { done <- s.Serve(Listen(l, limit)) }()
+	t.Cleanup(func() { s.Close(); <-done })
+}
+
+// Guards what is refused before anything is sent: each refusal says not-run and
+// none waits for a body that does not come.
+func TestRefusals(t *testing.T) {
+	for _, tt := range []struct {
+		name, request string
+		want          errkind.Kind
+	}{
+		{"no route", "POST / HTTP/1.1\r\nHost: other\r\nContent-Length: 9\r\n\r\n", errkind.NoRoute},
+		{"no key", "POST /keyed HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n", errkind.KeyRequired},
+		{"HTTP/1.0", "POST / HTTP/1.0\r\nHost: h\r\nContent-Length: 9\r\n\r\n", errkind.BadRequest},
+		{"dot segments", "POST /x/../keyed HTTP/1.1\r\nHost: h\r\n\r\n", errkind.BadRequest},
+		{"encoded dot segments", "POST /x/%2e%2e/keyed HTTP/1.1\r\nHost: h\r\n\r\n", errkind.BadRequest},
+		{"deadline that is none", "POST / HTTP/1.1\r\nHost: h\r\nGooseberrypick-Deadline: soon\r\n\r\n", errkind.BadRequest},
+		{"deadline in the past", "POST / HTTP/1.1\r\nHost: h\r\nGooseberrypick-Deadline: -1s\r\n\r\n", errkind.DeadlineTooShort},
+		{"stalled body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\nGooseberrypick-Deadline: 1s\r\n\r\nhello", errkind.DeadlineExceeded},
+		{"keyed body above 1 MiB", "POST /keyed HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nContent-Length: 1048577\r\n\r\n", errkind.TooLarge},
+		{"body above the memory", "POST /keyed HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nContent-Length: 20000\r\n\r\n", errkind.QueueFull},
+		{"body of unknown length above the memory", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", errkind.QueueFull},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := standin.NewNetwork()
+				l, _ := n.Listen("node:1")
+				serve(t, l, 1, Config{MaxBodyBytes: 10000})
+				c, err := n.Dial(t.Context(), "node:1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				start := time.Now()
+				io.WriteString(c, tt.request)
+				a, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				var p Problem
+				err = json.NewDecoder(a.Body).Decode(&p)
+				if err != nil || p.Kind != tt.want || p.Execution != errkind.NotRun || a.Header.Get(HeaderExecution) != string(errkind.NotRun) {
+					t.Errorf("got %v, %v, want %s and not-run", p, err, tt.want)
+				}
+				if took := time.Since(start); took > time.Second {
+					t.Errorf("took %s", took)
+				}
+				time.Sleep(2 * lingerTime)
+			})
+		})
+	}
+}
+
+// Guards the bounds on connections, on the requests under way and on headers.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := standin.NewNetwork(), make(router)
+		l, _ := n.Listen("node:1")
+		serve(t, l, 3, Config{Router: r, MaxRequests: 2})
+		var conns []net.Conn
+		for range 4 {
+			c, err := n.Dial(t.Context(), "node:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			go fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\n\r\n")
+			synctest.Wait()
+			conns = append(conns, c)
+		}
+		if _, err := conns[3].Read(make([]byte, 1)); err == nil {
+			t.Error("fourth connection: got an answer, want it closed")
+		}
+		a, err := http.ReadResponse(bufio.NewReader(conns[2]), nil)
+		if err != nil || a.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("third request: got %v, %v, want 503", a, err)
+		}
+		close(r)
+		for _, c := range conns[:2] {
+			if a, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || a.StatusCode != http.StatusOK {
+				t.Errorf("earlier request: got %v, %v, want 200", a, err)
+			}
+		}
+		go fmt.Fprintf(conns[2], "POST / HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", strings.Repeat("x", 2*maxHeaderBytes))
+		io.Copy(io.Discard, a.Body)
+		if a, err := http.ReadResponse(bufio.NewReader(conns[2]), nil); err != nil || a.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("large header: got %v, %v, want 431", a, err)
+		}
+		time.Sleep(2 * lingerTime)
+	})
+}
+
+// Guards that a caller which sends its whole upload before it reads gets an
+// answer that came early. A connection that is closed with unread bytes is
+// reset, which ends the sending and may discard the answer.
+func TestAnswerToSender(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := make(router)
+	close(r)
+	serve(t, l, 1, Config{Router: r})
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	const size = 8 << 20
+	if _, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)); err != nil {
+		t.Errorf("send: %v", err)
+	}
+	if a, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || a.StatusCode != http.StatusOK {
+		t.Errorf("got %v, %v, want 200", a, err)
+	}
+}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -135,9 +135,6 @@
 	if once {
 		return errkind.New(errkind.TooLarge, "the body exceeds %d bytes, the limit on routes that run at most once", AtMostOnceBodyBytes)
 	}
-	// Without this an early answer would make net/http read parts of the body
-	// that belong to the upstream.
-	_ = http.NewResponseController(x.w).EnableFullDuplex() // HTTP/2 always is
 	q.WholeBody, q.Stream, q.ContentLength = false, u, size
 	return nil
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -71,23 +71,14 @@
 // connKey finds the conn of a request in its context.
 type connKey struct{}
 
-// conn is a caller's connection that can stop reading, for good, while the
+// conn is a caller's connection whose reading can end, for good, while the
 // answer is still being written.
 type conn struct {
 	net.Conn
 	stopped atomic.Bool
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.stopped.Load() {
-		return 0, io.EOF
-	}
-	return c.Conn.Read(p)
-}
-
-// stopReading ends a Read under way and all later ones. The rest of a body that
-// was not read must never be taken for the next request.
+// stopReading ends a Read that is under way.
 func (c *conn) stopReading() {
 	c.stopped.Store(true)
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
--- a/internal/caller/upload.go
+++ b/internal/caller/upload.go
@@ -22,6 +22,7 @@
 	// interrupt ends a Read that is under way.
 	interrupt func()
 	reading   sync.Mutex
+	closing   sync.Mutex
 	ended     atomic.Bool // read to its end
 	closed    atomic.Bool
 }
@@ -51,16 +52,19 @@
 	return n, err
 }
 
-// Close implements io.Closer. It may be called during a Read.
+// Close implements io.Closer. It may be called during a Read, and returns once
+// the Read has been told to end.
 func (u *upload) Close() error {
+	u.closing.Lock()
+	defer u.closing.Unlock()
 	if !u.ended.Load() && u.closed.CompareAndSwap(false, true) {
 		u.interrupt()
 	}
 	return nil
 }
 
-// finish closes u and waits until no Read is under way, since net/http allows
-// none after the handler returned.
+// finish closes u and waits until neither Read nor Close is under way, since
+// net/http allows none after the handler returned.
 func (u *upload) finish() {
 	_ = u.Close() // never fails
 	u.reading.Lock()
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -42,9 +43,11 @@
 	if l == nil {
 		return nil, errors.Wrap(syscall.ECONNREFUSED, address)
 	}
-	a, b := net.Pipe()
+	toA, fromB := net.Pipe()
+	toB, fromA := net.Pipe()
+	a := net.Conn(&conn{toA, fromA})
 	select {
-	case l.conns <- b:
+	case l.conns <- &conn{toB, fromB}:
 	case <-l.closed:
 		return nil, errors.Wrap(syscall.ECONNREFUSED, address)
 	case <-ctx.Done():
@@ -56,6 +59,35 @@
 	return a, nil
 }
 
+// conn is one side of a connection whose directions can be closed one by one.
+type conn struct {
+	net.Conn // the reading side
+	w        net.Conn
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) { return c.w.Write(p) }
+
+// CloseWrite closes the sending side.
+func (c *conn) CloseWrite() error { return c.w.Close() }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.w.Close()
+	return c.Conn.Close()
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.w.SetDeadline(t); err != nil {
+		return err
+	}
+	return c.Conn.SetDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error { return c.w.SetWriteDeadline(t) }
+
 type listener struct {
 	network *Network
 	address string
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,9 +63,9 @@
 		case err == nil:
 			return x.response(r), nil
 		case k.sent:
-			return nil, errkind.Wrap(err, call.EndKind(ctx, errkind.UpstreamFailed), "request to upstream").WithExecution(errkind.Unknown)
+			return nil, errkind.From(err).WithExecution(errkind.Unknown)
 		case !k.reused || r.Stream != nil || ctx.Err() != nil:
-			return nil, errkind.Wrap(err, call.EndKind(ctx, errkind.ConnectFailed), "request to upstream").WithExecution(errkind.NotRun)
+			return nil, errkind.From(err).WithExecution(errkind.NotRun)
 		}
 		// The upstream closed an idle connection; another one may work.
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -28,13 +29,18 @@
 	// the writing and set before that.
 	written chan struct{}
 	failed  error
+	// bodyBroke is set where the request's body broke off, and not the network,
+	// before the connection is closed for that reason.
+	bodyBroke atomic.Bool
 	// stop ends the watch over ctx.
 	stop   func() bool
 	answer *http.Response
 	once   sync.Once
 }
 
-// start sends q and returns once the head of the answer arrived.
+// start sends q and returns once the head of the answer arrived. The kind of an
+// error is found before the exchange is ended, since this also ends the reading
+// from a caller, which net/http takes for the caller going away.
 func (x *exchange) start(q *http.Request) error {
 	x.sent, x.broken = false, false
 	// Closing the connection is also how the upstream learns of the end.
@@ -42,8 +48,9 @@
 	if x.stream == nil {
 		x.send(q)
 		if x.failed != nil && !x.sent {
+			err := errkind.Wrap(x.failed, call.EndKind(x.ctx, errkind.ConnectFailed), "send request to upstream")
 			x.end(false)
-			return x.failed
+			return err
 		}
 	} else {
 		q.Body = io.NopCloser(x.stream)
@@ -57,14 +64,16 @@
 	if err == nil {
 		return nil
 	}
+	k := call.EndKind(x.ctx, errkind.UpstreamFailed)
+	if x.bodyBroke.Load() {
+		k = call.EndKind(x.ctx, errkind.Canceled)
+		err = errors.Wrap(err, "request body broke off")
+	}
 	x.end(false)
 	if x.written != nil {
 		<-x.written
 	}
-	if x.failed != nil {
-		return x.failed
-	}
-	return err
+	return errkind.Wrap(err, k, "request to upstream")
 }
 
 // send writes q. Where the network refuses a part, an early answer may still be
@@ -75,6 +84,7 @@
 		x.failed = x.w.Flush()
 	}
 	if x.failed != nil && !x.broken {
+		x.bodyBroke.Store(true)
 		x.conn.Close()
 	}
 }
@@ -105,10 +115,11 @@
 	if err == nil {
 		return n, nil
 	}
-	x.end(call.Ended(err))
-	if !call.Ended(err) {
+	whole := call.Ended(err)
+	if !whole {
 		err = errkind.Wrap(err, call.EndKind(x.ctx, errkind.AnswerIncomplete), "answer of the upstream broke off").WithExecution(errkind.Unknown)
 	}
+	x.end(whole)
 	return n, err
 }
 
