--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -14,6 +14,10 @@
 const (
 	// proposeLimit bounds one proposal. It exceeds an election.
 	proposeLimit = 5 * time.Second
+	// forgetAfter is how long a node must be silent before it can be forgotten.
+	// It is longer than the lease, so that no control lists the node any more and
+	// the status after it is right at once.
+	forgetAfter = NodeLease + 2*time.Second
 	// leaderPause spaces the tries while no leader is known.
 	leaderPause = 50 * time.Millisecond
 	// leaderConnectLimit bounds connecting to the leader. Connecting to one that
@@ -181,7 +185,7 @@
 		return operator.Forgotten{}, err
 	}
 	n, m := b.reports(ctx)
-	f, err := operator.NewForgotten(r, b.config.Nodes(), n, m, b.clock().Add(-NodeLease))
+	f, err := operator.NewForgotten(r, b.config.Nodes(), n, m, b.clock().Add(-forgetAfter))
 	if err != nil || len(f.Removed) == 0 {
 		return f, err
 	}
