--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -74,7 +74,8 @@
 	m, err := cbor.DecOptions{
 		MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
 		// Header values of HTTP can hold any bytes.
-		UTF8: cbor.UTF8DecodeInvalid,
+		UTF8:              cbor.UTF8DecodeInvalid,
+		ExtraReturnErrors: e,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options above are constant
