Spread the return of a herd over half a second

Cause: all nodes of a control that failed came to the next one between 50 and 150 ms later, and a control that failed soon after its welcome was tried again every 100 ms. Change: the first pause is drawn evenly from half a second and doubles up to 5 s until a session has lasted that long.

--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -50,7 +50,7 @@
 	leaveLimit = 6 * time.Second
 	// leaveLimitAlone is the bound for a node without a control.
 	leaveLimitAlone = time.Second
-	minBackoff      = 100 * time.Millisecond
+	minBackoff      = 500 * time.Millisecond
 	maxBackoff      = 5 * time.Second
 )
 
@@ -186,16 +186,19 @@
 		} else {
 			address, order = order[0], order[1:]
 		}
-		welcomed, err := n.session(ctx, address)
+		start := time.Now()
+		err := n.session(ctx, address)
 		n.control.Store("")
 		if ctx.Err() != nil {
 			return
 		}
 		n.c.Log.Info("stream to control ended", "control", address, "reason", err.Error())
-		if welcomed {
+		// A control that welcomes nodes and fails soon after is no better than
+		// one that refuses them.
+		if time.Since(start) > maxBackoff {
 			backoff = minBackoff
 		}
-		n.sleep(ctx, backoff)
+		n.sleep(ctx, n.spread(backoff))
 		backoff = min(backoff*2, maxBackoff)
 	}
 }
@@ -215,8 +218,16 @@
 	return time.Duration((0.5 + n.random.Float64()) * float64(d))
 }
 
+// spread returns up to d, evenly, so that the nodes of a control that failed do
+// not arrive at the next one together.
+func (n *Client) spread(d time.Duration) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration((1 - n.random.Float64()) * float64(d))
+}
+
 func (n *Client) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(n.jitter(d))
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -33,9 +33,8 @@
 	rankedAt time.Time
 }
 
-// session runs one stream until it fails. It reports whether the control
-// accepted the node.
-func (n *Client) session(ctx context.Context, address string) (bool, error) {
+// session runs one stream until it fails.
+func (n *Client) session(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &session{
@@ -44,11 +43,11 @@
 	}
 	w, err := s.open(ctx)
 	if err != nil {
-		return false, cause(ctx, err)
+		return cause(ctx, err)
 	}
 	defer s.stream.Close()
 	if err := n.acceptLineage(w.Lineage); err != nil {
-		return false, err
+		return err
 	}
 	n.c.Log.Info("connected to control", "control", w.Control, "address", address, "version", n.Table().Version())
 	n.control.Store(address)
@@ -66,7 +65,7 @@
 			}
 		}
 	}()
-	return true, cause(ctx, s.loop(ctx))
+	return cause(ctx, s.loop(ctx))
 }
 
 // cause returns why ctx was canceled, or err.
