--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -14,6 +14,10 @@
 const (
 	// proposeLimit bounds one proposal. It exceeds an election.
 	proposeLimit = 5 * time.Second
+	// forgetAfter is how long a node must be silent before it can be forgotten.
+	// It is longer than the lease, so that no control lists the node any more and
+	// the status after it is right at once.
+	forgetAfter = NodeLease + 2*time.Second
 	// leaderPause spaces the tries while no leader is known.
 	leaderPause = 50 * time.Millisecond
 	// leaderConnectLimit bounds connecting to the leader. Connecting to one that
@@ -54,9 +58,11 @@
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			return r, errkind.Wrap(err, errkind.NoQuorum, "no leader within %s", proposeLimit).WithExecution(errkind.NotRun)
 		case <-t.C:
 		}
+		if ctx.Err() != nil {
+			return r, errkind.Wrap(err, errkind.NoQuorum, "no leader within %s", proposeLimit).WithExecution(errkind.NotRun)
+		}
 	}
 }
 
@@ -64,7 +70,8 @@
 // that another try can reach one.
 func awaitsLeader(err error) bool {
 	switch errkind.Of(err) {
-	case errkind.NotLeader, errkind.NotReady, errkind.ConnectFailed:
+	case errkind.NotLeader, errkind.NotReady, errkind.ConnectFailed,
+		errkind.DeadlineExceeded: // the limit passed before the command was handed over
 		return errkind.From(err).Execution == errkind.NotRun
 	}
 	return false
@@ -178,7 +185,7 @@
 		return operator.Forgotten{}, err
 	}
 	n, m := b.reports(ctx)
-	f, err := operator.NewForgotten(r, b.config.Nodes(), n, m, b.clock().Add(-NodeLease))
+	f, err := operator.NewForgotten(r, b.config.Nodes(), n, m, b.clock().Add(-forgetAfter))
 	if err != nil || len(f.Removed) == 0 {
 		return f, err
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -128,29 +127,12 @@
 		maxWaiting: cmp.Or(c.MaxWaiting, DefaultMaxWaiting),
 	}
 	q.maxPerRank = cmp.Or(c.MaxWaitingPerRank, max(1, q.maxWaiting/2))
-	q.setRanks(c.Ranks)
-	return q
-}
-
-func (q *Queue) setRanks(l []Rank) {
-	if len(l) == 0 {
-		l = []Rank{{Name: "default", Order: 1}}
+	ranks := c.Ranks
+	if len(ranks) == 0 {
+		ranks = []Rank{{Name: "default", Order: 1}}
 	}
-	l = slices.Clone(l)
-	slices.SortStableFunc(l, func(a, b Rank) int {
-		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Name, b.Name))
-	})
-	q.ranks = q.ranks[:0]
-	for i, c := range l {
-		r := q.byName[c.Name]
-		if r == nil {
-			r = newRank(c)
-			q.byName[c.Name] = r
-		}
-		r.Rank, r.index = c, i
-		q.ranks = append(q.ranks, r)
-	}
-	q.headroomLimit = -1
+	q.setRanks(ranks)
+	return q
 }
 
 // advance accounts the time up to t and returns it in seconds.
