Observe the end of an answer in one place

Cause: router and owner node each wrapped answer bodies with the same code. Change: call.ObserveBody serves both.

--- /dev/null
+++ b/internal/call/body.go
@@ -0,0 +1,41 @@
+package call
+
+import (
+	"io"
+	"sync"
+
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// observedBody reports once how an answer ended.
+type observedBody struct {
+	io.ReadCloser
+	once  sync.Once
+	ended func(err error)
+}
+
+// ObserveBody returns b with ended called once: with nil after the whole answer,
+// with the error that broke it off, or with an error of kind Canceled when it is
+// closed before its end, which says nothing about the upstream.
+func ObserveBody(b io.ReadCloser, ended func(err error)) io.ReadCloser {
+	return &observedBody{ReadCloser: b, ended: ended}
+}
+
+// Read implements io.Reader.
+func (b *observedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case Ended(err):
+		b.once.Do(func() { b.ended(nil) })
+	case err != nil:
+		b.once.Do(func() { b.ended(err) })
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *observedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(func() { b.ended(errkind.New(errkind.Canceled, "answer not read to its end")) })
+	return err
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -139,16 +139,14 @@
 		return nil, err
 	}
 	head := time.Since(t.started)
-	b := &body{ReadCloser: a.Body}
-	b.done = func(err error) {
+	n := *a
+	n.Body = call.ObserveBody(a.Body, func(err error) {
 		o := balance.Outcome{Result: resultOf(a.Head.Status, err), Rank: m.Rank.Name, Route: m.Name, Latency: head}
 		if l := a.Load(); l != nil {
 			o.Load = r.load(l)
 		}
 		s.finished(t, o)
-	}
-	n := *a
-	n.Body = b
+	})
 	return &n, nil
 }
 
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"io"
 	"sync"
 	"time"
 
@@ -125,30 +124,3 @@
 		Rank:       m.Rank.Name,
 	})
 }
-
-// body reports once how the answer ended.
-type body struct {
-	io.ReadCloser
-	once sync.Once
-	done func(err error)
-}
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case call.Ended(err):
-		b.once.Do(func() { b.done(nil) })
-	case err != nil:
-		b.once.Do(func() { b.done(err) })
-	}
-	return n, err
-}
-
-// Close implements io.Closer. An answer that was not read to its end says
-// nothing about the upstream.
-func (b *body) Close() error {
-	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.done(errkind.New(errkind.Canceled, "answer not read to its end")) })
-	return err
-}
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/limit"
 	"github.com/gooseberrypick/gooseberrypick/internal/queue"
@@ -151,10 +148,8 @@
 		w.release(id, s, outcomeOf(0, err))
 		return nil, err
 	}
-	b := &answerBody{ReadCloser: a.Body}
-	b.done = func(err error) { w.release(id, s, outcomeOf(a.Head.Status, err)) }
 	n := *a
-	n.Body = b
+	n.Body = call.ObserveBody(a.Body, func(err error) { w.release(id, s, outcomeOf(a.Head.Status, err)) })
 	n.Load = func() *wire.Load { return w.load(time.Now(), r.Rank) }
 	return &n, nil
 }
@@ -260,31 +255,3 @@
 	}
 	return limit.OK
 }
-
-var errNotRead = errors.New("answer not read to its end")
-
-// answerBody frees the slot when the answer ends.
-type answerBody struct {
-	io.ReadCloser
-	once sync.Once
-	done func(err error)
-}
-
-// Read implements io.Reader.
-func (b *answerBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case call.Ended(err):
-		b.once.Do(func() { b.done(nil) })
-	case err != nil:
-		b.once.Do(func() { b.done(err) })
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (b *answerBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.done(errkind.Wrap(errNotRead, errkind.Canceled, "caller went away")) })
-	return err
-}
