Make the queue's book-keeping test follow the protocol and its seed

The owner node takes refusals under the same lock as the Offer, so the queue was right. Change: the test settles after each Offer, cancels and ends requests in order, and makes the same checks twice as often.

--- a/internal/queue/policy_test.go
+++ b/internal/queue/policy_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -307,6 +309,23 @@
 		r := rand.New(rand.NewPCG(seed, 0))
 		q := queue.New(queue.Config{Ranks: ranks(), Limit: 4, MaxWaiting: 30})
 		waiting, running, limit, now := map[uint64]bool{}, map[uint64]bool{}, 4, time.Duration(0)
+		// settle takes what the last calls led to, as every caller must before
+		// the next Cancel.
+		settle := func() {
+			before := len(running)
+			for n, ok := q.Next(at(now)); ok; n, ok = q.Next(at(now)) {
+				equal(t, "was waiting", waiting[n.ID], true)
+				delete(waiting, n.ID)
+				running[n.ID] = true
+			}
+			equal(t, "slots exceeded", len(running) > max(limit, before), false)
+			for _, f := range q.Refused() {
+				equal(t, "refused was waiting", waiting[f.Request.ID], true)
+				delete(waiting, f.Request.ID)
+			}
+			equal(t, "waiting", q.Waiting(), len(waiting))
+			equal(t, "in flight", q.Load(at(now), "").InFlight, len(running))
+		}
 		for id := uint64(1); id < 3000; id++ {
 			now += time.Duration(r.IntN(5)) * time.Millisecond
 			v := q.Offer(at(now), queue.Request{
@@ -319,13 +338,14 @@
 			case queue.Waiting:
 				waiting[id] = true
 			}
-			for o := range waiting {
+			settle()
+			for _, o := range slices.Sorted(maps.Keys(waiting)) { // in order, so that a seed gives one run
 				if r.IntN(20) == 0 {
 					equal(t, "cancel", q.Cancel(at(now), o), true)
 					delete(waiting, o)
 				}
 			}
-			for o := range running {
+			for _, o := range slices.Sorted(maps.Keys(running)) {
 				if r.IntN(6) == 0 {
 					q.Done(at(now), o, r.IntN(9) > 0)
 					delete(running, o)
@@ -338,19 +358,7 @@
 			if r.IntN(100) == 0 {
 				q.SetRanks(at(now), ranks()[r.IntN(3):])
 			}
-			before := len(running)
-			for n, ok := q.Next(at(now)); ok; n, ok = q.Next(at(now)) {
-				equal(t, "was waiting", waiting[n.ID], true)
-				delete(waiting, n.ID)
-				running[n.ID] = true
-			}
-			equal(t, "slots exceeded", len(running) > max(limit, before), false)
-			for _, f := range q.Refused() {
-				equal(t, "refused was waiting", waiting[f.Request.ID], true)
-				delete(waiting, f.Request.ID)
-			}
-			equal(t, "waiting", q.Waiting(), len(waiting))
-			equal(t, "in flight", q.Load(at(now), "").InFlight, len(running))
+			settle()
 		}
 		q.SetLimit(at(now), 1000)
 		for n, ok := q.Next(at(now)); ok; n, ok = q.Next(at(now)) {
