--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -12,8 +12,12 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 )
 
-// lease is told to nodes; a stand-in control removes no node.
-const lease = 10 * time.Second
+const (
+	// lease is told to nodes; a stand-in control removes no node.
+	lease = 10 * time.Second
+	// backlog bounds the messages that wait for one node.
+	backlog = 1 << 16
+)
 
 // Control is a control without disk and without other members: it gives nodes
 // one customer's configuration, passes their records on and grants claims.
@@ -22,7 +26,7 @@
 	version uint64
 	config  *customer.Config
 	records map[string]wire.NodeRecord
-	streams map[drpc.Stream]bool
+	streams map[drpc.Stream]chan *wire.ControlMessage
 	claims  map[string]*claim
 }
 
@@ -37,7 +41,7 @@
 func NewControl(c *customer.Config) *Control {
 	return &Control{
 		version: 1, config: c,
-		records: map[string]wire.NodeRecord{}, streams: map[drpc.Stream]bool{}, claims: map[string]*claim{},
+		records: map[string]wire.NodeRecord{}, streams: map[drpc.Stream]chan *wire.ControlMessage{}, claims: map[string]*claim{},
 	}
 }
 
@@ -55,29 +59,33 @@
 	defer c.mu.Unlock()
 	c.version++
 	c.config = n
-	for s := range c.streams {
-		if err := c.sendConfig(s); err != nil {
-			return err
-		}
+	m, err := c.snapshot()
+	for _, s := range c.streams {
+		s <- m
 	}
-	return nil
+	return err
 }
 
-func send(s drpc.Stream, m *wire.ControlMessage) error { return s.MsgSend(m, wire.Encoding{}) }
-
 func (c *Control) subscribe(s drpc.Stream) error {
 	var q wire.NodeMessage
 	if err := s.MsgRecv(&q, wire.Encoding{}); err != nil {
 		return err
 	}
-	if err := c.welcome(s, q.Hello.Record); err != nil {
-		return err
-	}
+	m := make(chan *wire.ControlMessage, backlog)
+	go func() {
+		for n := range m {
+			_ = s.MsgSend(n, wire.Encoding{}) // MsgRecv sees the failure
+		}
+	}()
 	defer func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.streams, s)
+		close(m)
 	}()
+	if err := c.welcome(s, m, q.Hello.Record); err != nil {
+		return err
+	}
 	for {
 		var q wire.NodeMessage
 		if err := s.MsgRecv(&q, wire.Encoding{}); err != nil {
@@ -87,9 +95,7 @@
 		case q.Report != nil:
 			c.report(*q.Report)
 		case q.Ping != nil:
-			if err := send(s, &wire.ControlMessage{Pong: &wire.Pong{Committed: c.current(), Current: true}}); err != nil {
-				return err
-			}
+			m <- &wire.ControlMessage{Pong: &wire.Pong{Committed: c.current(), Current: true}}
 		}
 	}
 }
@@ -100,34 +106,28 @@
 	return c.version
 }
 
-func (c *Control) welcome(s drpc.Stream, r wire.NodeRecord) error {
-	if err := send(s, &wire.ControlMessage{Welcome: &wire.Welcome{Lineage: "standin", Control: "standin", Lease: lease}}); err != nil {
-		return err
-	}
+func (c *Control) welcome(s drpc.Stream, m chan *wire.ControlMessage, r wire.NodeRecord) error {
 	c.mu.Lock()
-	err := c.sendConfig(s)
-	if err == nil {
-		err = send(s, &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: c.list()}})
-	}
-	c.streams[s] = true
+	m <- &wire.ControlMessage{Welcome: &wire.Welcome{Lineage: "standin", Control: "standin", Lease: lease}}
+	k, err := c.snapshot()
+	m <- k
+	m <- &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: c.list()}}
+	c.streams[s] = m
 	c.mu.Unlock()
 	c.report(r)
 	return err
 }
 
-// sendConfig sends the whole configuration. The caller holds the lock.
-func (c *Control) sendConfig(s drpc.Stream) error {
+// snapshot returns the whole configuration. The caller holds the lock.
+func (c *Control) snapshot() (*wire.ControlMessage, error) {
 	t, err := table.New(c.version, map[string]*customer.Config{c.config.Customer(): c.config})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	b, err := wire.Marshal(&wire.ConfigUpdate{
 		To: c.version, Changes: []customer.Change{customer.Diff(nil, c.config)}, Digest: t.Digest(),
 	})
-	if err != nil {
-		return err
-	}
-	return send(s, &wire.ControlMessage{Config: &wire.ConfigChunk{To: c.version, Data: b, Last: true}})
+	return &wire.ControlMessage{Config: &wire.ConfigChunk{To: c.version, Data: b, Last: true}}, err
 }
 
 func (c *Control) list() []wire.NodeRecord {
@@ -143,8 +143,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.records[r.Node] = r
-	for s := range c.streams {
-		_ = send(s, &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: []wire.NodeRecord{r}}}) // the stream's own goroutine sees the failure
+	for _, s := range c.streams {
+		s <- &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: []wire.NodeRecord{r}}}
 	}
 }
 
