Bound what nodes and controls accept from each other

Cause: names, upstreams and digests of a peer had no bounds, so that one record could make messages that every receiver refuses; a malformed message ended its stream without a line in the log at the default level; messages were cut by count and could exceed the limit on messages. Change: records, digests and the number of nodes are checked where they arrive; a node leaves out upstreams that controls would refuse; messages are cut by size; broken peers are logged; a node counts silence also while a send blocks.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -26,7 +26,7 @@
 	// node plus its lease.
 	homeLimit = 30 * time.Second
 	// maxPending bounds the records that wait for one control.
-	maxPending = 8 * endpointChunk
+	maxPending = 16_000
 )
 
 // exchange spreads node records between controls: changes at once, and a
@@ -86,6 +86,10 @@
 	if !ok {
 		return nil, errkind.New(errkind.BadRequest, "control %q is not a member", q.Control)
 	}
+	if err := wire.CheckRecords(q.Records); err != nil {
+		e.log.Info("records of a control refused", "control", q.Control, "cause", err.Error())
+		return nil, err
+	}
 	e.exchanged(p, q.Heard)
 	e.take(q.Records)
 	a := &wire.RegistrySyncResponse{Heard: e.heard()}
@@ -99,14 +103,17 @@
 // bucket to continue with, or zero.
 func (e *exchange) differing(digests []uint64, first int) ([]wire.NodeRecord, int) {
 	var l []wire.NodeRecord
+	size := 0
 	for _, b := range e.registry.Differing(digests) {
 		if b.Number < first {
 			continue
 		}
-		if len(l) > 0 && len(l)+len(b.Records) > endpointChunk {
+		n := encodedBytes(b.Records)
+		if len(l) > 0 && size+n > endpointBytes {
 			return l, b.Number
 		}
 		l = append(l, b.Records...)
+		size += n
 	}
 	return l, 0
 }
@@ -195,7 +202,7 @@
 func (e *exchange) takePending(p *peer) []wire.NodeRecord {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	n := min(len(p.pending), endpointChunk)
+	n := oneMessage(p.pending)
 	l := p.pending[:n]
 	p.pending = p.pending[n:]
 	return l
@@ -215,6 +222,10 @@
 		if err != nil {
 			return err
 		}
+		if err := wire.CheckRecords(a.Records); err != nil {
+			e.log.Info("records of a control refused", "control", p.member.Name, "cause", err.Error())
+			return err
+		}
 		e.exchanged(p, a.Heard)
 		e.take(a.Records)
 		if a.Next <= q.First {
--- /dev/null
+++ b/internal/control/frames_test.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+// A broken or hostile peer must lose its stream, with a log line, and nothing
+// else.
+func TestFramesFromNodes(t *testing.T) {
+	long := strings.Repeat("x", wire.MaxNameBytes+1)
+	hello := func(r wire.NodeRecord, digests int) *wire.NodeMessage {
+		return &wire.NodeMessage{Hello: &wire.Hello{Record: r, Buckets: make([]uint64, digests)}}
+	}
+	good := hello(wire.NodeRecord{Node: "raw", Incarnation: 1}, 0)
+	report := func(r wire.NodeRecord) []any { return []any{good, &wire.NodeMessage{Report: &r}} }
+	truncated, err := wire.Marshal(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		send []any // messages, or bytes that are no message
+		line string
+	}{
+		{"no protocol", []any{[]byte(strings.Repeat("\xff", 100))}, "inner connection ended"},
+		{"no encoding", []any{wire.Raw("\xff\xff\xff")}, "decode message"},
+		{"truncated", []any{wire.Raw(truncated[:len(truncated)/2])}, "decode message"},
+		{"no hello", []any{&wire.NodeMessage{Ping: &wire.Ping{}}}, "the first message is no hello"},
+		{"no name", []any{hello(wire.NodeRecord{}, 0)}, "a record without a node"},
+		{"long name", []any{hello(wire.NodeRecord{Node: long}, 0)}, "a name of 257 bytes"},
+		{"too many digests", []any{hello(wire.NodeRecord{Node: "raw"}, 257)}, "257 digests"},
+		{"other node", report(wire.NodeRecord{Node: "n"}), "a record of node"},
+		{"too many upstreams", report(wire.NodeRecord{Node: "raw", Upstreams: make([]wire.Upstream, wire.MaxUpstreams+1)}), "65 upstreams"},
+		{"large record", report(wire.NodeRecord{Node: "raw", Upstreams: slices.Repeat([]wire.Upstream{{Name: long}}, 40)}), "a record of 12"},
+		{"empty message", []any{good, &wire.NodeMessage{}}, "an empty message"},
+		{"compare with one digest", []any{good, &wire.NodeMessage{Compare: &wire.Compare{Buckets: []uint64{1}}}}, "1 digests"},
+		{"large message", []any{good, wire.Raw(make([]byte, wire.MaxMessageBytes+1<<20))}, "inner connection ended"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, []string{"a"}, func(w *world) {
+				w.accept(newCustomer("x", 1))
+				n := w.startAt("a")
+				conn, err := w.net.dialer("raw")(w.Context(), "a")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				if b, ok := c.send[0].([]byte); ok {
+					conn.Write(b)
+				} else {
+					s, err := wire.NewConn(conn).NewStream(w.Context(), wire.MethodSubscribe, wire.Encoding{})
+					if err != nil {
+						t.Fatal(err)
+					}
+					for _, m := range c.send {
+						s.MsgSend(m, wire.Encoding{})
+					}
+				}
+				w.within(time.Second, "logged", func() bool { return w.logged(c.line) == 1 })
+				w.within(time.Second, "closed", func() bool { return w.controls["a"].streams.Len() == 1 })
+				v := w.accept(newCustomer("x", 2))
+				w.within(time.Second, "in force", func() bool { return n.Table().Version() == v })
+				if w.logged("stream to control ended") > 0 {
+					t.Error("the stream of another node ended")
+				}
+			})
+		})
+	}
+}
+
+// A broken control must lose its nodes to another one, and must not fill their
+// memory.
+func TestFramesFromControls(t *testing.T) {
+	welcome := &wire.ControlMessage{Welcome: &wire.Welcome{Lineage: "L"}}
+	records := func(r wire.NodeRecord) *wire.ControlMessage {
+		return &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: []wire.NodeRecord{r}}}
+	}
+	for _, c := range []struct {
+		name string
+		send []any
+		line string
+	}{
+		{"no welcome", []any{&wire.ControlMessage{Pong: &wire.Pong{}}}, "no welcome"},
+		{"no encoding", []any{welcome, wire.Raw("\xff\xff")}, "decode message"},
+		{"empty message", []any{welcome, &wire.ControlMessage{}}, "empty message"},
+		{"record without a node", []any{welcome, records(wire.NodeRecord{})}, "a record without a node"},
+		{"large message", []any{welcome, wire.Raw(make([]byte, wire.MaxMessageBytes+1<<20))}, "manager closed"},
+		{"silence", []any{welcome}, "control was silent"},
+		{"silence at once", nil, "control was silent"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, []string{"a"}, func(w *world) {
+				v := w.accept(newCustomer("x", 1))
+				m := wire.NewMux()
+				m.HandleStream(wire.MethodSubscribe, func(s drpc.Stream) error {
+					for _, m := range c.send {
+						s.MsgSend(m, wire.Encoding{})
+					}
+					<-s.Context().Done() // reads nothing
+					return nil
+				})
+				done := make(chan struct{})
+				l := w.net.listen("z")
+				go func() {
+					defer close(done)
+					wire.Serve(w.Context(), l, m, wire.ServeOptions{Log: w.log()})
+				}()
+				defer func() { w.net.close(); <-done }()
+				for range 3 { // some of them try the broken control first
+					w.startNode("n"+string(rune('a'+len(w.nodes))), "z", "a")
+				}
+				w.within(15*time.Second, "in force", func() bool {
+					return !slices.ContainsFunc(w.nodes, func(n *testNode) bool { return n.Table().Version() != v })
+				})
+				if w.logged("stream to control ended", c.line) == 0 {
+					t.Errorf("no line with %q", c.line)
+				}
+			})
+		})
+	}
+}
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -265,7 +265,7 @@
 func TestExchange(t *testing.T) {
 	run(t, []string{"a", "b"}, func(w *world) {
 		var l []wire.NodeRecord
-		for i := range 3*endpointChunk + 1 {
+		for i := range 20_000 {
 			l = append(l, wire.NodeRecord{Node: fmt.Sprint("m", i), Incarnation: 1, Home: "b"})
 		}
 		w.controls["b"].registry.Put(time.Now(), l)
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -5,12 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcctx"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// fewBuckets is the number of differing buckets up to which a node gets
 	// them at once; more count as a snapshot.
 	fewBuckets = 8
+	// maxReasonBytes bounds the reason of a refusal in reports.
+	maxReasonBytes = 1 << 10
 )
 
 // nodeStream is the stream of one node.
@@ -103,10 +106,20 @@
 	if err := d.MsgRecv(&m, wire.Encoding{}); err != nil {
 		return nil, err
 	}
-	if m.Hello == nil || m.Hello.Record.Node == "" {
-		return nil, errors.New("node sent no hello")
+	if m.Hello == nil {
+		return nil, errkind.New(errkind.BadRequest, "the first message is no hello")
 	}
-	return m.Hello, nil
+	if err := checkDigests(m.Hello.Buckets); err != nil {
+		return nil, err
+	}
+	return m.Hello, m.Hello.Record.Check()
+}
+
+func checkDigests(l []uint64) error {
+	if n := len(l); n != 0 && n != registry.BucketCount {
+		return errkind.New(errkind.BadRequest, "%d digests, expected %d", n, registry.BucketCount)
+	}
+	return nil
 }
 
 func (n *nodeStream) send(m any) error { return n.stream.MsgSend(m, wire.Encoding{}) }
@@ -115,32 +128,55 @@
 func (s *Streams) receive(ctx context.Context, n *nodeStream) {
 	for ctx.Err() == nil {
 		var m wire.NodeMessage
-		if err := n.stream.MsgRecv(&m, wire.Encoding{}); err != nil {
-			s.log.V(1).Info("node stream ended", "node", n.name, "cause", err.Error())
-			return
+		err := n.stream.MsgRecv(&m, wire.Encoding{})
+		if err == nil {
+			err = s.handle(n, &m)
 		}
-		switch {
-		case m.Report != nil && m.Report.Node == n.name:
-			s.store(*m.Report)
-		case m.Ack != nil:
-			s.acknowledge(n, m.Ack)
-		case m.Ping != nil:
-			n.pinged(m.Ping)
-			if n.send(&wire.ControlMessage{Pong: s.pong(n)}) != nil {
-				return
-			}
-		case m.Compare != nil:
-			select {
-			case n.compare <- m.Compare.Buckets:
-			default: // the last comparison is still under way
-			}
-		default:
-			s.log.Info("node sent an unexpected message", "node", n.name)
+		if err != nil {
+			s.logEnd(n.name, err)
 			return
 		}
 	}
 }
 
+// logEnd logs why a stream ended, loudly if the node broke the protocol.
+func (s *Streams) logEnd(node string, err error) {
+	l := s.log.V(1)
+	if wire.IsMalformed(err) || errkind.Of(err) == errkind.BadRequest {
+		l = s.log
+	}
+	l.Info("node stream ended", "node", node, "cause", err.Error())
+}
+
+func (s *Streams) handle(n *nodeStream, m *wire.NodeMessage) error {
+	switch {
+	case m.Report != nil:
+		if m.Report.Node != n.name {
+			return errkind.New(errkind.BadRequest, "a record of node %q", m.Report.Node)
+		}
+		if err := m.Report.Check(); err != nil {
+			return err
+		}
+		s.store(*m.Report)
+	case m.Ack != nil:
+		s.acknowledge(n, m.Ack)
+	case m.Ping != nil:
+		n.pinged(m.Ping)
+		return n.send(&wire.ControlMessage{Pong: s.pong(n)})
+	case m.Compare != nil:
+		if err := checkDigests(m.Compare.Buckets); err != nil {
+			return err
+		}
+		select {
+		case n.compare <- m.Compare.Buckets:
+		default: // the last comparison is still under way
+		}
+	default:
+		return errkind.New(errkind.BadRequest, "an empty message")
+	}
+	return nil
+}
+
 func (s *Streams) pong(n *nodeStream) *wire.Pong {
 	r, _ := s.registry.Record(n.name)
 	p := &wire.Pong{Committed: s.source.Current().Version(), Current: s.source.IsCurrent(), Left: r.Gone}
@@ -164,7 +200,7 @@
 	n.mu.Lock()
 	n.heard = time.Now()
 	n.report.Version = max(n.report.Version, a.Version)
-	n.report.Refused, n.report.Reason = a.Refused, a.Reason
+	n.report.Refused, n.report.Reason = a.Refused, a.Reason[:min(len(a.Reason), maxReasonBytes)]
 	n.mu.Unlock()
 	if a.Refused != 0 {
 		s.log.Info("node refused a version", "node", n.name, "refused", a.Refused, "version", a.Version, "reason", a.Reason)
@@ -259,13 +295,16 @@
 	}
 	authoritative := s.settled(time.Now())
 	e := &wire.Endpoints{Authoritative: authoritative}
+	size := 0
 	for _, b := range s.registry.Differing(digests) {
-		if len(e.Records) > 0 && len(e.Records)+len(b.Records) > endpointChunk {
+		k := encodedBytes(b.Records)
+		if len(e.Records) > 0 && size+k > endpointBytes {
 			if err := n.send(&wire.ControlMessage{Endpoints: e}); err != nil {
 				return err
 			}
-			e = &wire.Endpoints{Authoritative: authoritative}
+			e, size = &wire.Endpoints{Authoritative: authoritative}, 0
 		}
+		size += k
 		e.Buckets = append(e.Buckets, b.Number)
 		e.Records = append(e.Records, b.Records...)
 	}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -29,8 +29,9 @@
 	// streamBuffer is how many encoded batches may wait for one slow node. A
 	// node that falls further behind is disconnected and resumes by digests.
 	streamBuffer = 64
-	// endpointChunk bounds the records of one message.
-	endpointChunk = 2000
+	// endpointBytes bounds the records of one message, which leaves room for
+	// one bucket within MaxMessageBytes.
+	endpointBytes = 512 << 10
 	barrierLimit  = 2 * time.Second
 	// maxTurnedAway bounds the reports of nodes that were turned away.
 	maxTurnedAway = 1000
@@ -99,6 +100,7 @@
 	defer cancel()
 	h, err := receiveHello(d)
 	if err != nil {
+		s.logEnd("", err)
 		return err
 	}
 	if err := s.admit(ctx, h); err != nil {
@@ -236,7 +238,7 @@
 	s.pending = nil
 	s.mu.Unlock()
 	for rest := l; len(rest) > 0; {
-		k := min(len(rest), endpointChunk)
+		k := oneMessage(rest)
 		b, err := wire.Marshal(&wire.ControlMessage{Endpoints: &wire.Endpoints{Records: rest[:k]}})
 		if err != nil {
 			s.log.Error(err, "encode endpoints")
@@ -248,6 +250,25 @@
 	return l
 }
 
+// oneMessage returns how many of the first records of l fit into one message.
+func oneMessage(l []wire.NodeRecord) int {
+	size := 0
+	for i, r := range l {
+		if size += r.EncodedBytes(); size > endpointBytes {
+			return max(1, i)
+		}
+	}
+	return len(l)
+}
+
+func encodedBytes(l []wire.NodeRecord) int {
+	n := 0
+	for _, r := range l {
+		n += r.EncodedBytes()
+	}
+	return n
+}
+
 func (s *Streams) broadcast(b wire.Raw) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -72,7 +72,9 @@
 		return nil
 	}
 	if err == nil {
+		s.silence.Stop() // applying a large update takes a while
 		err = n.applyUpdate(c.To, d)
+		s.silence.Reset(silenceLimit)
 	}
 	ack := &wire.Ack{}
 	if err != nil {
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -140,7 +140,17 @@
 // SetUpstreams publishes the node's own upstreams. The node itself uses them at
 // once, the rest of the fleet as soon as a control passes them on.
 func (n *Client) SetUpstreams(l []wire.Upstream) {
-	n.publish(func(r *wire.NodeRecord) { r.Upstreams = slices.Clone(l) })
+	n.publish(func(r *wire.NodeRecord) {
+		r.Upstreams = nil
+		for _, u := range l {
+			o := r.Upstreams
+			r.Upstreams = append(slices.Clone(o), u)
+			if err := r.Check(); err != nil { // controls would refuse the record
+				n.c.Log.Error(err, "upstream left out", "service", u.Service[:min(len(u.Service), wire.MaxNameBytes)])
+				r.Upstreams = o
+			}
+		}
+	})
 }
 
 // publish changes the own record and has it sent.
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -23,6 +23,8 @@
 	assembly assembly
 	current  bool
 	probe    *probe
+	// silence ends the session when nothing arrives, also while a send blocks.
+	silence *time.Timer
 	// differed counts successive answers with another digest than this node's;
 	// compared is when the node last asked what differs.
 	differed int
@@ -141,15 +143,14 @@
 }
 
 func (s *session) send(m *wire.NodeMessage) error {
-	defer s.watch(silenceLimit).Stop()
 	return s.stream.MsgSend(m, wire.Encoding{})
 }
 
 func (s *session) loop(ctx context.Context) error {
 	ping := time.NewTicker(PingInterval)
 	defer ping.Stop()
-	silence := s.watch(silenceLimit)
-	defer silence.Stop()
+	s.silence = s.watch(silenceLimit)
+	defer s.silence.Stop()
 	for {
 		var err error
 		select {
@@ -157,9 +158,8 @@
 			return ctx.Err()
 		case err = <-s.failed:
 		case m := <-s.received:
-			silence.Stop() // applying a large update is no silence
+			s.silence.Reset(silenceLimit)
 			err = s.handle(m)
-			silence.Reset(silenceLimit)
 		case <-s.client.changed:
 			err = s.report()
 		case a := <-s.found:
@@ -190,13 +190,13 @@
 	case m.Config != nil:
 		return s.config(m.Config)
 	case m.Endpoints != nil:
-		n.applyEndpoints(m.Endpoints)
+		return n.applyEndpoints(m.Endpoints)
 	case m.Pong != nil:
 		return s.pong(m.Pong)
 	case m.Fault != nil:
 		return m.Fault.Err()
 	}
-	return nil
+	return errkind.New(errkind.BadRequest, "control sent an empty message")
 }
 
 func (s *session) pong(p *wire.Pong) error {
@@ -255,7 +255,10 @@
 
 // applyEndpoints stores changed records. Nothing removes this node's own
 // record, which only the node itself writes.
-func (n *Client) applyEndpoints(e *wire.Endpoints) {
+func (n *Client) applyEndpoints(e *wire.Endpoints) error {
+	if err := wire.CheckRecords(e.Records); err != nil {
+		return err
+	}
 	now := time.Now()
 	l := e.Records[:0:0]
 	for _, r := range e.Records {
@@ -272,6 +275,7 @@
 	if e.Complete {
 		n.synced.Store(true)
 	}
+	return nil
 }
 
 // refute raises the own record above r, which says that this node is gone or
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -35,6 +35,9 @@
 	// TombstoneAge is how long the removal of a node is remembered. It must
 	// exceed the time that a delayed record can live.
 	TombstoneAge = time.Hour
+	// MaxNodes is about three times the target fleet, so that a node that
+	// invents names cannot fill the memory of the others.
+	MaxNodes = 120_000
 )
 
 // Candidate is an upstream with the node that owns it.
@@ -72,7 +75,7 @@
 		if o, ok := r.records[n.Node]; ok && !n.Newer(o) {
 			continue
 		}
-		if _, ok := r.records[n.Node]; !ok && n.Gone {
+		if _, ok := r.records[n.Node]; !ok && (n.Gone || len(r.records) >= MaxNodes) {
 			continue // the removal of an unknown node changes nothing
 		}
 		r.replace(now, n)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -107,3 +107,18 @@
 	r.Put(start, []wire.NodeRecord{record("n", 1, 1, wire.Serving)})
 	checkStates(t, r, wire.Serving)
 }
+
+// A node that invents names must not fill the memory of the fleet, nor keep
+// known nodes from changing.
+func TestPutIsBounded(t *testing.T) {
+	r := registry.New()
+	l := make([]wire.NodeRecord, registry.MaxNodes+1)
+	for i := range l {
+		l[i] = record(fmt.Sprint(i), 1, 1, wire.Starting)
+	}
+	r.Put(start, l)
+	r.Put(start, []wire.NodeRecord{record("0", 1, 2, wire.Leaving)})
+	if n, _ := r.Record("0"); r.Len() != registry.MaxNodes || n.Sequence != 2 {
+		t.Errorf("got %d nodes, sequence %d; want %d, 2", r.Len(), n.Sequence, registry.MaxNodes)
+	}
+}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 // UpstreamState is the state that an upstream announces.
@@ -41,6 +42,58 @@
 	Home string `cbor:"8,keyasint,omitempty"`
 }
 
+// Bounds of a node's record. 37,000 records of this size would not fit into a
+// node; real ones have one upstream and take about 150 bytes.
+const (
+	MaxNameBytes   = 256
+	MaxUpstreams   = 64
+	MaxRecordBytes = 8 << 10
+)
+
+// overhead of one encoded record or upstream, its strings left out.
+const (
+	recordOverhead   = 40
+	upstreamOverhead = 48
+)
+
+// EncodedBytes returns an upper bound of the encoded size of r.
+func (r NodeRecord) EncodedBytes() int {
+	n := recordOverhead + len(r.Node) + len(r.AvailabilityZone) + len(r.PeerAddress) + len(r.Home)
+	for _, u := range r.Upstreams {
+		n += upstreamOverhead + len(u.Name) + len(u.Service) + len(u.State)
+	}
+	return n
+}
+
+// Check returns why a peer must not have sent r, or nil.
+func (r NodeRecord) Check() error {
+	if r.Node == "" {
+		return errkind.New(errkind.BadRequest, "a record without a node")
+	}
+	for _, s := range []string{r.Node, r.AvailabilityZone, r.PeerAddress, r.Home} {
+		if len(s) > MaxNameBytes {
+			return errkind.New(errkind.BadRequest, "a name of %d bytes in the record of a node, at most %d are allowed", len(s), MaxNameBytes)
+		}
+	}
+	if n := len(r.Upstreams); n > MaxUpstreams {
+		return errkind.New(errkind.BadRequest, "%d upstreams in the record of node %s, at most %d are allowed", n, r.Node, MaxUpstreams)
+	}
+	if n := r.EncodedBytes(); n > MaxRecordBytes {
+		return errkind.New(errkind.BadRequest, "a record of %d bytes of node %s, at most %d are allowed", n, r.Node, MaxRecordBytes)
+	}
+	return nil
+}
+
+// CheckRecords returns the first fault of l.
+func CheckRecords(l []NodeRecord) error {
+	for _, r := range l {
+		if err := r.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Newer reports whether r replaces o.
 func (r NodeRecord) Newer(o NodeRecord) bool {
 	if r.Incarnation != o.Incarnation {
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -102,8 +102,12 @@
 	s := drpcserver.NewWithOptions(m, drpcserver.Options{
 		Manager: managerOptions(),
 		Log: func(err error) {
+			l := o.Log.V(1)
+			if drpc.ProtocolError.Has(err) {
+				l = o.Log // a broken peer, or none of ours
+			}
 			if ctx.Err() == nil {
-				o.Log.V(1).Info("inner connection ended", "cause", err.Error())
+				l.Info("inner connection ended", "cause", err.Error())
 			}
 		},
 	})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -106,9 +106,25 @@
 // Unmarshal decodes b into m.
 func Unmarshal(b []byte, m any) error {
 	if len(b) > MaxMessageBytes {
-		return errors.Errorf("message of %d bytes exceeds %d", len(b), MaxMessageBytes)
+		return malformed{errors.Errorf("message of %d bytes exceeds %d", len(b), MaxMessageBytes)}
+	}
+	if err := decoder.Unmarshal(b, m); err != nil {
+		return malformed{errors.Wrap(err, "decode message")}
 	}
-	return errors.Wrap(decoder.Unmarshal(b, m), "decode message")
+	return nil
+}
+
+// malformed marks the error of a message that a peer must not have sent.
+type malformed struct{ error }
+
+// Unwrap returns the cause.
+func (m malformed) Unwrap() error { return m.error }
+
+// IsMalformed reports whether err comes from a message that could not be
+// decoded.
+func IsMalformed(err error) bool {
+	var m malformed
+	return errors.As(err, &m)
 }
 
 // UnmarshalStrict decodes b into m like Unmarshal, but refuses fields that m
