--- a/internal/commands/root.go
+++ b/internal/commands/root.go
@@ -77,8 +77,12 @@
 
 func newRoot(d dialer) *cobra.Command {
 	c := &cobra.Command{
-		Use:           "gooseberrypick",
-		Short:         "Configuration distribution for a service mesh",
+		Use:   "gooseberrypick",
+		Short: "Configuration distribution for a service mesh",
+		Long: `Configuration distribution for a service mesh.
+
+Exit codes: 0 done; 1 refused and nothing was changed, or nodes lag (status
+--wait); 2 wrong usage; 3 outcome unknown or no control reachable.`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
--- a/internal/contract/references_test.go
+++ b/internal/contract/references_test.go
@@ -64,6 +64,27 @@
 	}
 }
 
+// A command that does not know all controls fails with the ones it knows.
+func TestOperatorSettings(t *testing.T) {
+	for _, example := range []string{"pichler", "vineta-norte"} {
+		folder := filepath.Join(moduleFolder, "examples", example)
+		c, err := settings.ReadClient(filepath.Join(folder, "operator.jsonc"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var want []string
+		l, _ := filepath.Glob(filepath.Join(folder, "vms", "control-*.jsonc")) // the pattern is valid
+		for _, f := range l {
+			k, err := settings.ReadControl(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want = append(want, k.Listen)
+		}
+		assertSame(t, c.Control, want)
+	}
+}
+
 // An alert on a metric or a log line that does not exist stays silent forever.
 func TestPageOfLogsAndMetrics(t *testing.T) {
 	source := sources(t)
@@ -106,14 +127,14 @@
 	if !slices.Equal(got, want) {
 		for _, k := range got {
 			if !slices.Contains(want, k) {
-				t.Errorf("on the page only: %s", k)
+				t.Errorf("surplus: %s", k)
 			}
 		}
 		for _, k := range want {
 			if !slices.Contains(got, k) {
-				t.Errorf("not on the page: %s", k)
+				t.Errorf("missing: %s", k)
 			}
 		}
-		t.Errorf("got %d rows, want %d", len(got), len(want))
+		t.Errorf("got %d, want %d", len(got), len(want))
 	}
 }
