Test the fault table of consensus groups, and keep reads going on full disks

Cause: the single faults that the design names need tests with their exact outcome. They showed that two followers with full disks cost the leader its lease and all reads, as they answered nothing while they could not write, and that commands then ended with an unknown outcome; and that a crash in the middle of a bootstrap left a member in term 0 with an entry of term 1. Change: a member that cannot write entries rejects them and says that it is full, a leader whose majority is full refuses commands as not-run, and the same entries are offered again at the next heartbeat only. A bootstrap that a crash interrupted is completed. A proposal whose place in the log is taken is answered as unknown, and the timer after a lost leadership spares newer ones. The fault schedules now include the bootstrap and check that every call gets an answer.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -17,6 +17,7 @@
 	// probing is set until an answer shows where the logs agree; only one
 	// append is under way meanwhile.
 	probing, probed bool
+	full            bool // rejected entries for lack of space and took none since
 	// contact is the leader's own clock at the newest message that was answered.
 	contact time.Duration
 	round   uint64
@@ -89,10 +90,23 @@
 	if err := n.checkLeader(now); err != nil {
 		return 0, 0, err
 	}
+	if n.votersWithSpace() < n.quorum() {
+		return 0, 0, errkind.New(errkind.DiskFull, "no space on the disks of most members")
+	}
 	index, term = n.add(wire.EntryCommand, data)
 	return index, term, nil
 }
 
+func (n *Node) votersWithSpace() int {
+	k := 0
+	for _, m := range n.membership().Members {
+		if p := n.peers[m.Identity]; m.Voter && (p == nil || !p.full) {
+			k++
+		}
+	}
+	return k
+}
+
 func (n *Node) checkLeader(now time.Duration) error {
 	switch {
 	case n.role != Leader:
@@ -212,11 +226,15 @@
 	case m.Reject && m.Index <= p.match:
 		return // an old answer
 	case m.Reject:
-		p.next = max(p.match+1, min(m.Index, m.Hint+1))
-		p.probing, p.probed = true, false
+		next := max(p.match+1, min(m.Index, m.Hint+1))
+		// The same entries would be rejected again at once; the next heartbeat
+		// tries again.
+		p.probed = p.probing && next == p.next
+		p.next, p.probing, p.full = next, true, p.full || m.Full
 	case m.Index > n.log.last():
 		return // not possible for a correct member
 	default:
+		p.full = p.full && m.Index <= p.match
 		p.match = max(p.match, m.Index)
 		p.next = max(p.next, p.match+1)
 		p.probing = false
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -22,7 +22,7 @@
 //
 // Messages may be lost, delayed, duplicated and reordered, so the driver may drop
 // any of them. When entries cannot be written, the driver drops the Ready and
-// calls Discard instead of Saved.
+// calls Discard instead of Saved, without HardState if that was not saved either.
 //
 // Times are durations on the member's own monotonic clock. Only rates of clocks
 // are compared between members, and reads do not depend on clocks at all.
@@ -353,6 +353,21 @@
 	if r.Snapshot != nil {
 		n.incoming = &incoming{Snapshot: *r.Snapshot, term: n.hard.Term, retryAt: now + n.c.ElectionTimeout}
 	}
+	n.discardEntries(now, r, sent)
+	if n.hard != n.saved {
+		return
+	}
+	// A leader needs answers for its lease and its reads even from members that
+	// cannot write.
+	for _, m := range r.Messages {
+		if m.Type == wire.RaftAppendResponse && !m.Reject && m.Index > n.log.last() {
+			m.Reject, m.Full, m.Hint = true, true, n.log.last()
+		}
+		n.messages = append(n.messages, m)
+	}
+}
+
+func (n *Node) discardEntries(now time.Duration, r Ready, sent bool) {
 	if len(r.Entries) == 0 {
 		return
 	}
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -124,7 +124,7 @@
 // initialEntry appends the first membership to the log of a member that
 // bootstrapped. It is the same on all of them, so it counts as committed.
 func (e *engine) initialEntry(s *wal.State) error {
-	if len(s.Identity.Initial) == 0 || s.Snapshot.Index > 0 || len(s.Entries) > 0 {
+	if len(s.Identity.Initial) == 0 || s.Snapshot.Index > 0 || len(s.Entries) > 0 && s.HardState.Term > 0 {
 		return nil
 	}
 	if s.HardState.Term > 1 {
@@ -208,6 +208,15 @@
 		p.finish(nil, e.explain(err))
 		return
 	}
+	e.track(p, index, term)
+}
+
+// track keeps a proposal until its entry is applied.
+func (e *engine) track(p *proposal, index, term uint64) {
+	if old := e.pending[index]; old != nil {
+		// Its entry left this log, but another member may still hold it.
+		old.finish(nil, errkind.New(errkind.OutcomeUnknown, "another entry took the place of the command in the log"))
+	}
 	p.term = term
 	e.pending[index] = p
 }
@@ -283,7 +292,11 @@
 		e.retryReads(now)
 	}
 	if e.lostAt != 0 && now >= e.lostAt+2*e.c.ElectionTimeout {
-		e.failPending(errkind.New(errkind.OutcomeUnknown, "leadership was lost; the command may still be committed"))
+		before := uint64(math.MaxUint64)
+		if e.leading {
+			before = e.node.Status(now).Term // keeps those since it leads again
+		}
+		e.failPending(before, errkind.New(errkind.OutcomeUnknown, "leadership was lost; the command may still be committed"))
 	}
 }
 
@@ -304,10 +317,13 @@
 	}
 }
 
-func (e *engine) failPending(err error) {
+// failPending answers the proposals of terms before the given one.
+func (e *engine) failPending(before uint64, err error) {
 	for i, p := range e.pending {
-		p.finish(nil, err)
-		delete(e.pending, i)
+		if p.term < before {
+			p.finish(nil, err)
+			delete(e.pending, i)
+		}
 	}
 	e.lostAt = 0
 }
@@ -328,7 +344,7 @@
 func (e *engine) fail(err error) {
 	e.failure = err
 	e.c.Log.Error(err, "group member stopped", "group", e.c.Group)
-	e.failPending(errkind.Wrap(err, errkind.OutcomeUnknown, "the command may still be committed"))
+	e.failPending(math.MaxUint64, errkind.Wrap(err, errkind.OutcomeUnknown, "the command may still be committed"))
 	e.failReads(err)
 }
 
@@ -342,7 +358,7 @@
 func (e *engine) close() {
 	err := errClosed()
 	e.closeReaders()
-	e.failPending(errkind.Wrap(err, errkind.OutcomeUnknown, "the command may still be committed"))
+	e.failPending(math.MaxUint64, errkind.Wrap(err, errkind.OutcomeUnknown, "the command may still be committed"))
 	e.failReads(err)
 	if err := e.log.Close(); err != nil {
 		e.c.Log.Error(err, "log not closed", "group", e.c.Group)
--- /dev/null
+++ b/internal/replica/faults_test.go
@@ -0,0 +1,295 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/raft"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// noAnswer is the kind of a call that got no answer.
+const noAnswer errkind.Kind = "no answer"
+
+// answer runs until call, which starts a call, got its answer, for at most 3 s.
+func (s *sim) answer(call func(then func(error))) *errkind.Error {
+	e := errkind.New(noAnswer, "no answer")
+	done := false
+	call(func(err error) { done, e = true, errkind.From(err) })
+	s.run(s.now+3*time.Second, func() bool { return done })
+	return e
+}
+
+func (s *sim) tryPropose(v *vm, command string) *errkind.Error {
+	return s.answer(func(then func(error)) { v.propose(command, then) })
+}
+
+func (s *sim) tryRead(v *vm) *errkind.Error { return s.answer(v.read) }
+
+// leader waits for a leader.
+func (s *sim) leader() *vm {
+	s.t.Helper()
+	var l *vm
+	s.until("leader", func() bool {
+		for _, v := range s.vms {
+			if v.e != nil && v.e.node != nil && v.e.node.Status(0).Role == raft.Leader &&
+				v.e.node.Status(v.clock()).CurrentUntil > v.clock() {
+				l = v
+			}
+		}
+		return l != nil
+	})
+	return l
+}
+
+// commit proposes until each command is committed.
+func (s *sim) commit(from, to int) {
+	s.t.Helper()
+	for i := from; i < to; i++ {
+		for s.now < 5*time.Minute && s.tryPropose(s.leader(), fmt.Sprint("command ", i)) != nil {
+		}
+	}
+}
+
+// check waits until all members hold every command that was answered.
+func (s *sim) check(commands int) {
+	s.t.Helper()
+	for _, v := range s.vms {
+		v.fs.crashAt = 0
+	}
+	s.until("agreement", s.settled)
+	have := map[string]bool{}
+	for _, a := range s.order {
+		have[a.command] = true
+	}
+	for i := range commands {
+		if c := fmt.Sprint("command ", i); !have[c] {
+			s.t.Errorf("%s is lost", c)
+		}
+	}
+	for _, v := range s.vms {
+		if err := s.tryRead(v); err != nil {
+			s.t.Errorf("%s: %v", v.name, err)
+		}
+	}
+}
+
+// A crash between any two steps on the disk, from the first start on, must leave a
+// member that starts again and holds what it confirmed. The runs include segments
+// that end, snapshots taken and, where c loses its disk, one that is installed.
+func TestCrashAtEverySyncPoint(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		n, crashes int
+		loseDisk   bool
+	}{{"only member", 1, 0, false}, {"first of three", 3, 0, false}, {"replaced member", 3, 2, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			for at := 1; ; at++ {
+				s := newSim(t, uint64(at), c.n, func(s *sim) {
+					if !c.loseDisk {
+						s.vms[c.crashes].fs.crashAt = at
+					}
+				})
+				s.faultsEnd = time.Minute
+				s.commit(0, 15)
+				v := s.vms[c.crashes]
+				if c.loseDisk {
+					s.replaceDisk(v)
+					v.fs.crashAt = at
+					s.until("replacement", s.allVote)
+				}
+				s.commit(15, 30)
+				syncs := v.fs.syncs
+				s.check(30)
+				if t.Failed() {
+					t.Fatalf("crash at sync point %d", at)
+				}
+				if at > syncs {
+					t.Logf("%d sync points", syncs)
+					break
+				}
+			}
+		})
+	}
+}
+
+// replaceDisk gives v an empty disk.
+func (s *sim) replaceDisk(v *vm) {
+	s.t.Helper()
+	s.until("complete group", s.allVote)
+	v.fs.crashed = true
+	v.e, v.ops, v.inbox, v.fs = nil, nil, nil, newMemFS(s.rand)
+	v.start()
+}
+
+// A learner that became a voter before it held everything would make the next lost
+// disk a loss of data. Each disk is lost as soon as the one before is replaced.
+func TestDisksLostOneAfterTheOther(t *testing.T) {
+	s := newSim(t, 1, 3, nil)
+	s.commit(0, 100)
+	s.setLinks(link{delay: 150 * time.Millisecond}) // a snapshot takes several seconds
+	for _, v := range s.vms {
+		s.replaceDisk(v)
+		s.until("replacement", s.allVote)
+		if got, want := v.e.node.Status(0).LastLog, lastIndex(s.order); got < want {
+			t.Errorf("%s votes and holds %d of %d entries", v.name, got, want)
+		}
+	}
+	s.commit(100, 101)
+	s.check(101)
+}
+
+// A full disk must refuse commands truthfully, leave reads alone and need no
+// restart, whichever call of the file system reports it.
+func TestFullDisk(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		n    int
+		a    allocation
+		full []int // members, counted from the leader on
+	}{
+		{"only member, write fails", 1, byWrite, []int{0}},
+		{"only member, sync fails", 1, bySync, []int{0}},
+		{"only member, every sync fails", 1, copyOnWrite, []int{0}},
+		{"leader, write fails", 3, byWrite, []int{0}},
+		{"leader, sync fails", 3, bySync, []int{0}},
+		{"followers, write fails", 3, byWrite, []int{1, 2}},
+		{"followers, sync fails", 3, bySync, []int{1, 2}},
+		{"all members, write fails", 3, byWrite, []int{0, 1, 2}},
+		{"all members, sync fails", 3, bySync, []int{0, 1, 2}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(t, 1, c.n, nil)
+			s.commit(0, 30)
+			l := s.leader()
+			for _, i := range c.full {
+				v := s.vms[(l.number+i)%c.n]
+				v.fs.allocation, v.fs.limit = c.a, 0
+			}
+			refused, unknown := 0, 0
+			for i := range 30 { // the space that was taken before is used up first
+				err := s.tryPropose(l, fmt.Sprintf("full %d %0200d", i, 0))
+				switch {
+				case err == nil:
+					continue
+				case err.Kind == errkind.DiskFull && err.Execution == errkind.NotRun:
+					refused++
+				default: // the first one that the followers could not write
+					unknown++
+				}
+				for _, v := range s.vms {
+					if err := s.tryRead(v); err != nil {
+						t.Fatalf("read on %s: %v", v.name, err)
+					}
+				}
+			}
+			if refused < 10 || unknown > 1 || unknown > 0 && len(c.full) == 1 {
+				t.Errorf("%d commands refused and %d of unknown outcome", refused, unknown)
+			}
+			for _, v := range s.vms { // a crash must not bring back what was refused
+				v.crash(10 * time.Millisecond)
+			}
+			if c.n == 1 {
+				s.until("restart", s.allVote)
+				if err := s.tryRead(l); err != nil {
+					t.Errorf("read after a restart: %v", err)
+				}
+			}
+			s.heal()
+			s.commit(30, 40)
+			s.check(40)
+			s.checkNotRun()
+		})
+	}
+}
+
+// A leader that a silent partition cuts off must stop counting as current. Reads
+// must not depend on clocks: one whose clock is slow may believe in its lease.
+func TestPartitionedLeader(t *testing.T) {
+	for _, rate := range []float64{1, 0.05} {
+		t.Run(fmt.Sprint("clock at rate ", rate), func(t *testing.T) {
+			s := newSim(t, 2, 3, nil)
+			s.commit(0, 5)
+			l := s.leader()
+			s.drift = 2
+			l.offset += time.Duration(float64(s.now) * (l.rate - rate))
+			l.rate = rate
+			for _, v := range s.vms {
+				s.links[l.number][v.number].blocked, s.links[v.number][l.number].blocked = true, true
+			}
+			s.run(s.now+3*time.Second, nil)
+			if rate == 1 {
+				if st := l.e.node.Status(l.clock()); st.CurrentUntil > l.clock() || st.Role == raft.Leader {
+					t.Error("the partitioned leader counts as current or as leader")
+				}
+				if err := s.tryPropose(l, "late"); err == nil || err.Execution != errkind.NotRun {
+					t.Errorf("propose: got %v, want a refusal as not-run", err)
+				}
+			}
+			s.until("command elsewhere", func() bool {
+				for _, v := range s.vms {
+					if v != l && v.e.node.Status(0).Role == raft.Leader {
+						return s.tryPropose(v, "command 5") == nil
+					}
+				}
+				return false
+			})
+			if err := s.tryRead(l); err == nil || err.Kind != noAnswer {
+				t.Errorf("read: got %v, want no answer", err)
+			}
+			s.heal()
+			l.rate = 1
+			s.check(6)
+			s.checkNotRun()
+		})
+	}
+}
+
+// A long log must come back whole, with and without snapshots.
+func TestRestartAfterManyEntries(t *testing.T) {
+	for _, entries := range []int{64, 1 << 20} {
+		t.Run(fmt.Sprint("snapshot after ", entries), func(t *testing.T) {
+			s := newSim(t, 3, 3, func(s *sim) { s.c.SnapshotEntries, s.c.SnapshotBytes = entries, 1<<20 })
+			s.commit(0, 1000)
+			for _, v := range s.vms {
+				v.crash(time.Second)
+			}
+			s.until("restart", s.allVote)
+			for _, v := range s.vms {
+				if got, want := v.e.newest > 500, entries == 64; got != want {
+					t.Errorf("%s: started from a snapshot of %d", v.name, v.e.newest)
+				}
+			}
+			s.check(1000)
+		})
+	}
+}
+
+// A member that forgets its vote in a crash could elect two leaders in one term.
+func TestNoSecondVoteAfterCrash(t *testing.T) {
+	for at := 1; at <= 4; at++ {
+		s := newSim(t, uint64(2*at+1), 3, nil) // clocks of similar rates
+		s.setLinks(link{blocked: true})
+		s.run(s.now+time.Second, nil)
+		b := s.vms[1]
+		term := b.e.node.Status(0).Term + 5
+		for i, from := range []*vm{s.vms[0], s.vms[2]} {
+			if i == 0 {
+				b.fs.crashAt = b.fs.syncs + at
+			}
+			m := wire.RaftMessage{
+				Type: wire.RaftVote, Group: "g", Lineage: "lineage", From: from.e.self.Identity, FromName: from.name,
+				To: b.e.self.Identity, Term: term, Index: 99, LogTerm: term - 1,
+			}
+			b.post(func(e *engine, now time.Duration) { e.step(now, m) })
+			s.run(s.now+100*time.Millisecond, nil)
+			if b.e != nil {
+				b.crash(0)
+			}
+			s.until("restart", func() bool { return b.e != nil })
+			s.run(s.now+540*time.Millisecond, nil) // before it campaigns itself
+		}
+	}
+}
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -11,7 +11,8 @@
 
 // flush does the work that the events so far led to.
 func (e *engine) flush(now time.Duration) {
-	for e.node != nil && e.failure == nil && e.node.HasReady() {
+	full := 0
+	for e.node != nil && e.failure == nil && full < 2 && e.node.HasReady() {
 		r := e.node.Ready(now)
 		err := e.save(now, r)
 		if err == nil {
@@ -30,7 +31,7 @@
 		}
 		e.finishReads()
 		if err != nil {
-			break // without space, trying again at once would not help
+			full++ // once more for what needs no space
 		}
 	}
 	e.noteRole(now)
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -155,6 +155,5 @@
 		p.finish(nil, e.explain(err))
 		return
 	}
-	p.term = term
-	e.pending[index] = p
+	e.track(p, index, term)
 }
--- a/internal/wire/raft.go
+++ b/internal/wire/raft.go
@@ -97,6 +97,8 @@
 	Size       uint64          `cbor:"21,keyasint,omitempty"`
 	Membership *RaftMembership `cbor:"22,keyasint,omitempty"`
 	Sum        uint64          `cbor:"23,keyasint,omitempty"`
+	// Full is set in a rejection for lack of space on the disk.
+	Full bool `cbor:"24,keyasint,omitempty"`
 }
 
 // ProposeRequest forwards a command to the leader of a group.
