--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -37,8 +37,10 @@
 	pending map[uint64]*proposal
 	reads   map[uint64]*read
 	nextID  uint64
-	// retryAt is when reads that are not confirmed are asked again.
+	// retryAt is when reads that are not confirmed are asked again; asked is the
+	// leader that was asked.
 	retryAt time.Duration
+	asked   string
 	// lostAt is when leadership was lost with proposals pending.
 	lostAt  time.Duration
 	leading bool
@@ -288,6 +290,13 @@
 		return
 	}
 	e.node.Tick(now)
+	if l := e.node.Leader(); l != e.asked {
+		e.asked = l
+		for _, r := range e.reads { // those under way were asked of another or of nobody
+			r.askedAt = now - readRetry
+		}
+		e.retryAt = now
+	}
 	if now >= e.retryAt {
 		e.retryReads(now)
 	}
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -93,6 +93,7 @@
 	segmentBytes int64
 	lock         io.Closer
 	state        State
+	loaded       []byte // data of the snapshot, from Open until ReadSnapshot
 	hard         hardFile
 	segments     []segment // in order; the last one is open for writing
 	active       File
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -51,7 +51,7 @@
 	old := l.state.Snapshot.Index
 	newer := m.Index > old
 	if newer {
-		l.state.Snapshot = m
+		l.state.Snapshot, l.loaded = m, nil
 	} else {
 		old = m.Index
 	}
@@ -109,8 +109,13 @@
 // Close closes the file.
 func (r *SnapshotReader) Close() error { return r.file.Close() }
 
-// ReadSnapshot returns the data of the newest snapshot.
+// ReadSnapshot returns the data of the newest snapshot. The log keeps no reference
+// to it.
 func (l *Log) ReadSnapshot() ([]byte, error) {
+	if d := l.loaded; d != nil {
+		l.loaded = nil
+		return d, nil
+	}
 	_, d, err := l.readSnapshot(snapshotName(l.state.Snapshot.Index))
 	return d, err
 }
@@ -171,7 +176,7 @@
 	if newest == "" {
 		return nil
 	}
-	m, _, err := l.readSnapshot(newest)
-	l.state.Snapshot = m
+	var err error
+	l.state.Snapshot, l.loaded, err = l.readSnapshot(newest)
 	return err
 }
