Let the customer file bound slots, and choose again when an upstream leaves

Change: an upstream gets at most the smallest of its announced and the configured slots and connections; a choice that met a leaving upstream, to which nothing was sent, is repeated up to three times outside the budget. Result: both new tests pass; without the first change two slots let four requests run, without the second a caller got the refusal (three checks failed).

--- /dev/null
+++ b/internal/node/choice_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+)
+
+// Guards that the slots of the customer file bound what an upstream gets at the
+// same time, so that an operator can lower them while it runs.
+func TestConfiguredSlotsBoundAnUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "entry", "owner")
+		var running, most atomic.Int64
+		m.serve("owner", "u", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			most.Store(max(most.Load(), running.Add(1)))
+			time.Sleep(50 * time.Millisecond)
+			running.Add(-1)
+			io.WriteString(w, "level")
+		}))
+		for _, c := range []struct{ slots, want int64 }{{4, 4}, {2, 2}, {9, 4}} { // 4 are announced
+			err := m.control.Set(config().WithService(customer.Service{Name: "levels", Slots: int(c.slots), Connections: 9}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+			most.Store(0)
+			var g sync.WaitGroup
+			for range 8 {
+				g.Go(func() { m.do("HTTP/1.1", "entry", "GET", "/levels", nil) })
+			}
+			g.Wait()
+			if got := most.Load(); got != c.want {
+				t.Errorf("with %d slots in the file: got %d requests at once, want %d", c.slots, got, c.want)
+			}
+		}
+	})
+}
+
+// Guards that callers do not notice an upstream that leaves while an entry node
+// has not heard of it, however empty the retry budget is.
+func TestLeavingUpstreamIsNotNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "entry", "a", "b")
+		level := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "level") })
+		m.serve("a", "ua", level)
+		m.serve("b", "ub", level)
+		// Only the owner node knows; nothing is passed on.
+		m.nodes["a"].local.Set([]upstream.Announced{{Name: "ua", Announcement: upstream.Announcement{
+			Service: "levels", Address: "ua:80", Slots: 4, Connections: 8, State: wire.Leaving,
+		}}})
+		for i := range 20 {
+			for _, path := range []string{"/levels", "/once"} {
+				if got := m.do("HTTP/1.1", "entry", "GET", path, nil); got.body != "level" {
+					t.Errorf("request %d to %s: got %d %+v %v, want the answer of the other upstream", i, path, got.status, got.problem, got.err)
+				}
+			}
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,6 +83,7 @@
 		q.Admitted = func() error { admitted = true; return nil }
 	}
 	var tried map[string]bool
+	redirects := 0
 	last := error(errkind.New(errkind.NoUpstream, "no upstream of service %q is serving", m.Route.Service))
 	for tries := 1; ; tries++ {
 		t, ok := s.choose(r.c, m, tried)
@@ -101,6 +102,13 @@
 			tried = map[string]bool{}
 		}
 		tried[t.name] = true
+		if redirects < maxRedirects && !admitted && isRedirect(err) {
+			redirects++
+			tries--
+			r.c.Log.Info("choose again", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
+				"upstream", t.name, "reason", err.Error())
+			continue
+		}
 		d := s.retry(m, q, err, inbound, tries, remaining(ctx), admitted)
 		r.c.Log.Info("try failed", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
 			"upstream", t.name, "kind", errkind.Of(err), "retry", d.Retry, "reason", d.Reason, "cause", err.Error())
@@ -111,6 +119,18 @@
 	}
 }
 
+// maxRedirects bounds the choices that met an upstream which has just left.
+const maxRedirects = 3
+
+// isRedirect reports whether err only says that the choice was out of date: the
+// upstream leaves, and nothing was sent to it. Such a choice takes nothing out of
+// the retry budget, since it put no load on any upstream and callers must not
+// notice when upstreams come and go.
+func isRedirect(err error) bool {
+	e := errkind.From(err)
+	return e.Kind == errkind.Leaving && e.Execution == errkind.NotRun
+}
+
 // afterTry returns the error of a request whose latest try ended in err. Once a
 // try may have run, so may have the request, whatever became of later tries.
 func afterTry(last, err error, tries int) error {
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -20,10 +20,10 @@
 	balancer *balance.Balancer
 	budget   *retry.Budget
 	// source is the list that set and byName were made from.
-	source    []registry.Candidate
-	coldStart time.Duration
-	set       *balance.Set
-	byName    map[string]registry.Candidate
+	source  []registry.Candidate
+	service customer.Service
+	set     *balance.Set
+	byName  map[string]registry.Candidate
 }
 
 func newService(name string, seed uint64) *service {
@@ -65,10 +65,10 @@
 // refresh rebuilds the set when the registry's list is another one. The
 // registry replaces a list instead of changing it.
 func (s *service) refresh(l []registry.Candidate, v customer.Service) {
-	if sameList(l, s.source) && s.coldStart == v.ColdStart {
+	if sameList(l, s.source) && s.service == v {
 		return
 	}
-	s.source, s.coldStart = l, v.ColdStart
+	s.source, s.service = l, v
 	s.byName = make(map[string]registry.Candidate, len(l))
 	k := make([]balance.Candidate, 0, len(l))
 	for _, c := range l {
@@ -78,7 +78,7 @@
 			Name:      n,
 			Node:      c.Node,
 			Zone:      c.AvailabilityZone,
-			Slots:     c.Upstream.Slots,
+			Slots:     usableSlots(c.Upstream.Slots, v),
 			State:     c.Upstream.State,
 			Since:     c.Upstream.Since,
 			ColdStart: v.ColdStart,
@@ -87,6 +87,14 @@
 	s.set = balance.NewSet(k)
 }
 
+// usableSlots bounds the announced slots by those of the customer file.
+func usableSlots(announced int, v customer.Service) int {
+	if v.Slots > 0 {
+		return min(announced, v.Slots)
+	}
+	return announced
+}
+
 func sameList(a, b []registry.Candidate) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/queue"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -51,7 +52,6 @@
 	defer w.mu.Unlock()
 	w.announced = n
 	w.table = nil // configure anew
-	w.limiter.SetSlots(n.Slots)
 	if n.State != wire.Serving {
 		w.refuseWaiting(now)
 		w.client.CloseIdle()
@@ -81,6 +81,18 @@
 	w.queue.SetRanks(now, l)
 	s, _ := t.Service(w.service)
 	w.limiter.SetRamp(s.ColdStart, w.announced.Since)
+	w.limiter.SetSlots(usableSlots(w.announced, s))
+}
+
+// usableSlots returns the requests that an upstream may get at the same time:
+// its announcement bounds it, and so do the slots and connections that the
+// customer file gives the service. Each request takes one connection.
+func usableSlots(n Announced, s customer.Service) int {
+	slots := min(n.Slots, n.Connections)
+	if s.Slots > 0 {
+		slots = min(slots, s.Slots, s.Connections)
+	}
+	return slots
 }
 
 // wake follows the configuration, the warm-up ramp and stalls.
