Index the registry by bucket and by service on demand

Cause: each change copied the list of its service, once for each record of a batch, and each comparison went through all records; every node kept lists of candidates of services that it never calls, and its own copy of shared names. Change: records are kept by bucket; a service keeps its nodes, and its list is made when it is asked for; names of zones, services, states and controls are stored once.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -104,15 +104,16 @@
 func (e *exchange) differing(digests []uint64, first int) ([]wire.NodeRecord, int) {
 	var l []wire.NodeRecord
 	size := 0
-	for _, b := range e.registry.Differing(digests) {
-		if b.Number < first {
+	for _, k := range e.registry.Differing(digests) {
+		if k < first {
 			continue
 		}
-		n := encodedBytes(b.Records)
+		r, _ := e.registry.Bucket(k)
+		n := encodedBytes(r)
 		if len(l) > 0 && size+n > endpointBytes {
-			return l, b.Number
+			return l, k
 		}
-		l = append(l, b.Records...)
+		l = append(l, r...)
 		size += n
 	}
 	return l, 0
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -286,7 +286,8 @@
 // each message. It always sends at least one message, which tells the node that
 // it is in step.
 func (s *Streams) sendDiffering(ctx context.Context, n *nodeStream, digests []uint64) error {
-	if s.registry.CountDiffering(digests) > fewBuckets {
+	differing := s.registry.Differing(digests)
+	if len(differing) > fewBuckets {
 		release, err := s.acquire(ctx, n)
 		if err != nil {
 			return err
@@ -296,8 +297,9 @@
 	authoritative := s.settled(time.Now())
 	e := &wire.Endpoints{Authoritative: authoritative}
 	size := 0
-	for _, b := range s.registry.Differing(digests) {
-		k := encodedBytes(b.Records)
+	for _, i := range differing {
+		l, _ := s.registry.Bucket(i)
+		k := encodedBytes(l)
 		if len(e.Records) > 0 && size+k > endpointBytes {
 			if err := n.send(&wire.ControlMessage{Endpoints: e}); err != nil {
 				return err
@@ -305,8 +307,8 @@
 			e, size = &wire.Endpoints{Authoritative: authoritative}, 0
 		}
 		size += k
-		e.Buckets = append(e.Buckets, b.Number)
-		e.Records = append(e.Records, b.Records...)
+		e.Buckets = append(e.Buckets, i)
+		e.Records = append(e.Records, l...)
 	}
 	e.Complete = true
 	return n.send(&wire.ControlMessage{Endpoints: e})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,21 +10,18 @@
 //
 //	r := registry.New()
 //	changed := r.Put(now, records)
-//	buckets := r.Differing(peerBuckets)
+//	numbers := r.Differing(peerDigests)
 //	for _, c := range r.Candidates("level-display") {
 //		fmt.Println(c.Node, c.Upstream.State)
 //	}
 package registry
 
 import (
-	"fmt"
-	"maps"
+	"cmp"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
@@ -38,6 +35,8 @@
 	// MaxNodes is about three times the target fleet, so that a node that
 	// invents names cannot fill the memory of the others.
 	MaxNodes = 120_000
+	// maxInterned bounds the names that are stored once for all records.
+	maxInterned = 10_000
 )
 
 // Candidate is an upstream with the node that owns it.
@@ -48,22 +47,36 @@
 	Upstream         wire.Upstream
 }
 
-// Registry is safe for concurrent use.
+// Registry is safe for concurrent use. Records that it returns must not be
+// changed.
 type Registry struct {
-	mu       sync.RWMutex
-	records  map[string]wire.NodeRecord
-	gone     map[string]time.Time
-	buckets  [BucketCount]uint64
-	services map[string][]Candidate
+	mu      sync.RWMutex
+	buckets [BucketCount]records
+	count   int
+	gone    map[string]time.Time
+	// services lists the upstreams of each service.
+	services map[string]*service
+	// interned holds names that many records share.
+	interned map[string]string
+}
+
+// records are the records of one bucket.
+type records struct {
+	byNode   map[string]*wire.NodeRecord
+	digest   uint64
+	revision uint64
+}
+
+// service is the index of one service. Its list is made when it is asked for,
+// since a node calls few of all services.
+type service struct {
+	nodes map[string]*wire.NodeRecord
+	list  []Candidate
 }
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{
-		records:  map[string]wire.NodeRecord{},
-		gone:     map[string]time.Time{},
-		services: map[string][]Candidate{},
-	}
+	return &Registry{gone: map[string]time.Time{}, services: map[string]*service{}, interned: map[string]string{}}
 }
 
 // Put stores the records that are newer than those held and returns them.
@@ -72,110 +85,159 @@
 	defer r.mu.Unlock()
 	var changed []wire.NodeRecord
 	for _, n := range l {
-		if o, ok := r.records[n.Node]; ok && !n.Newer(o) {
+		b := &r.buckets[bucket(n.Node)]
+		o := b.byNode[n.Node]
+		if o != nil && !n.Newer(*o) {
 			continue
 		}
-		if _, ok := r.records[n.Node]; !ok && (n.Gone || len(r.records) >= MaxNodes) {
+		if o == nil && (n.Gone || r.count >= MaxNodes) {
 			continue // the removal of an unknown node changes nothing
 		}
-		r.replace(now, n)
-		changed = append(changed, n)
+		r.drop(b, o)
+		changed = append(changed, r.add(now, b, n))
 	}
-	r.reindex(changed)
 	return changed
 }
 
-func (r *Registry) replace(now time.Time, n wire.NodeRecord) {
-	o := r.records[n.Node]
-	r.toggle(o)
+// add stores n, which replaces a record that was dropped.
+func (r *Registry) add(now time.Time, b *records, n wire.NodeRecord) wire.NodeRecord {
+	p := r.compact(n)
+	if b.byNode == nil {
+		b.byNode = map[string]*wire.NodeRecord{}
+	}
+	b.byNode[p.Node] = p
+	b.revision++
+	r.count++
+	if p.Gone {
+		r.gone[p.Node] = now
+		return *p
+	}
+	b.digest ^= digest(p)
+	for _, u := range p.Upstreams {
+		s := r.services[u.Service]
+		if s == nil {
+			s = &service{nodes: map[string]*wire.NodeRecord{}}
+			r.services[u.Service] = s
+		}
+		s.nodes[p.Node], s.list = p, nil
+	}
+	return *p
+}
+
+// drop forgets o, which may be nil.
+func (r *Registry) drop(b *records, o *wire.NodeRecord) {
+	if o == nil {
+		return
+	}
+	delete(b.byNode, o.Node)
+	b.revision++
+	r.count--
+	if o.Gone {
+		delete(r.gone, o.Node)
+		return
+	}
+	b.digest ^= digest(o)
+	for _, u := range o.Upstreams {
+		s := r.services[u.Service]
+		if s == nil {
+			continue // dropped with an earlier upstream of the same service
+		}
+		delete(s.nodes, o.Node)
+		if s.list = nil; len(s.nodes) == 0 {
+			delete(r.services, u.Service)
+		}
+	}
+}
+
+// compact returns a copy of n that shares its names with other records.
+func (r *Registry) compact(n wire.NodeRecord) *wire.NodeRecord {
+	n.AvailabilityZone, n.Home = r.intern(n.AvailabilityZone), r.intern(n.Home)
 	if n.Gone {
 		n.Upstreams = nil
-		r.gone[n.Node] = now
-	} else {
-		delete(r.gone, n.Node)
 	}
-	r.records[n.Node] = n
-	r.toggle(n)
-	r.drop(o)
+	l := make([]wire.Upstream, len(n.Upstreams))
+	for i, u := range n.Upstreams {
+		if u.Name == n.Node {
+			u.Name = n.Node
+		}
+		u.Service, u.State = r.intern(u.Service), wire.UpstreamState(r.intern(string(u.State)))
+		l[i] = u
+	}
+	n.Upstreams = l
+	return &n
 }
 
-// toggle adds n to the digest of its bucket, or removes it.
-func (r *Registry) toggle(n wire.NodeRecord) {
-	if n.Node != "" && !n.Gone {
-		r.buckets[bucket(n.Node)] ^= digest(n)
+func (r *Registry) intern(s string) string {
+	if t, ok := r.interned[s]; ok {
+		return t
 	}
+	if len(r.interned) >= maxInterned {
+		clear(r.interned)
+	}
+	r.interned[s] = s
+	return s
 }
 
-// drop removes the candidates of n's node from the index. It copies each list,
-// since readers may hold the old one.
-func (r *Registry) drop(n wire.NodeRecord) {
-	for _, s := range servicesOf(n) {
-		l := slices.DeleteFunc(slices.Clone(r.services[s]), func(c Candidate) bool { return c.Node == n.Node })
-		if len(l) == 0 {
-			delete(r.services, s)
-			continue
+// Candidates returns the upstreams of a service. The caller must not change the
+// list, which is replaced when it changes.
+func (r *Registry) Candidates(name string) []Candidate {
+	r.mu.RLock()
+	s := r.services[name]
+	if s == nil || s.list != nil {
+		defer r.mu.RUnlock()
+		if s == nil {
+			return nil
 		}
-		r.services[s] = l
+		return s.list
 	}
+	r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s = r.services[name]; s == nil {
+		return nil
+	}
+	if s.list == nil {
+		s.list = s.candidates(name)
+	}
+	return s.list
 }
 
-// reindex adds the candidates of the changed nodes. A node may be listed more
-// than once; its last record counts.
-func (r *Registry) reindex(changed []wire.NodeRecord) {
-	seen := map[string]bool{}
-	fresh := map[string]bool{}
-	for _, c := range changed {
-		if seen[c.Node] {
-			continue
-		}
-		seen[c.Node] = true
-		n := r.records[c.Node]
+func (s *service) candidates(name string) []Candidate {
+	l := make([]Candidate, 0, len(s.nodes))
+	for _, n := range s.nodes {
 		for _, u := range n.Upstreams {
-			if !fresh[u.Service] {
-				r.services[u.Service] = slices.Clone(r.services[u.Service])
-				fresh[u.Service] = true
+			if u.Service == name {
+				l = append(l, Candidate{Node: n.Node, AvailabilityZone: n.AvailabilityZone, PeerAddress: n.PeerAddress, Upstream: u})
 			}
-			r.services[u.Service] = append(r.services[u.Service], Candidate{
-				Node: n.Node, AvailabilityZone: n.AvailabilityZone, PeerAddress: n.PeerAddress, Upstream: u,
-			})
 		}
 	}
+	return l
 }
 
-func servicesOf(n wire.NodeRecord) []string {
-	m := map[string]bool{}
-	for _, u := range n.Upstreams {
-		m[u.Service] = true
-	}
-	return slices.Sorted(maps.Keys(m))
-}
-
-// Candidates returns the upstreams of a service. The caller must not change the
-// list.
-func (r *Registry) Candidates(service string) []Candidate {
+// Count returns the number of nodes with an upstream of a service.
+func (r *Registry) Count(name string) int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.services[service]
+	if s := r.services[name]; s != nil {
+		return len(s.nodes)
+	}
+	return 0
 }
 
 // Record returns the record of a node, which may be marked Gone.
 func (r *Registry) Record(node string) (wire.NodeRecord, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	n, ok := r.records[node]
-	return n, ok
+	if n := r.buckets[bucket(node)].byNode[node]; n != nil {
+		return *n, true
+	}
+	return wire.NodeRecord{}, false
 }
 
 // Records returns all records that are not marked Gone, by name.
 func (r *Registry) Records() []wire.NodeRecord {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	var l []wire.NodeRecord
-	for _, k := range slices.Sorted(maps.Keys(r.records)) {
-		if n := r.records[k]; !n.Gone {
-			l = append(l, n)
-		}
-	}
+	l := r.Select(func(wire.NodeRecord) bool { return true })
+	slices.SortFunc(l, func(a, b wire.NodeRecord) int { return cmp.Compare(a.Node, b.Node) })
 	return l
 }
 
@@ -185,9 +247,11 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var l []wire.NodeRecord
-	for _, n := range r.records {
-		if !n.Gone && f(n) {
-			l = append(l, n)
+	for i := range r.buckets {
+		for _, n := range r.buckets[i].byNode {
+			if !n.Gone && f(*n) {
+				l = append(l, *n)
+			}
 		}
 	}
 	return l
@@ -197,67 +261,7 @@
 func (r *Registry) Len() int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return len(r.records) - len(r.gone)
-}
-
-// Buckets returns the digest of each bucket.
-func (r *Registry) Buckets() []uint64 {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return slices.Clone(r.buckets[:])
-}
-
-// Digest returns the digest over all records.
-func (r *Registry) Digest() uint64 {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	var d uint64
-	for _, b := range r.buckets {
-		d ^= b
-	}
-	return d
-}
-
-// Bucket is one bucket with all its records, removals included.
-type Bucket struct {
-	Number  int
-	Records []wire.NodeRecord
-}
-
-// CountDiffering returns the number of buckets whose digests differ from b.
-func (r *Registry) CountDiffering(b []uint64) int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	n := 0
-	for i := range r.buckets {
-		if i >= len(b) || b[i] != r.buckets[i] {
-			n++
-		}
-	}
-	return n
-}
-
-// Differing returns the buckets whose digests differ from b.
-func (r *Registry) Differing(b []uint64) []Bucket {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	var l []Bucket
-	place := map[int]int{}
-	for i := range r.buckets {
-		if i >= len(b) || b[i] != r.buckets[i] {
-			place[i] = len(l)
-			l = append(l, Bucket{Number: i})
-		}
-	}
-	if len(l) == 0 {
-		return nil
-	}
-	for k, n := range r.records {
-		if i, ok := place[bucket(k)]; ok {
-			l[i].Records = append(l[i].Records, n)
-		}
-	}
-	return l
+	return r.count - len(r.gone)
 }
 
 // Retain forgets the records of the listed buckets that are not in l. Use it
@@ -268,18 +272,17 @@
 	for _, n := range l {
 		keep[n.Node] = true
 	}
-	covered := map[int]bool{}
-	for _, b := range buckets {
-		covered[b] = true
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for k, n := range r.records {
-		if covered[bucket(k)] && !keep[k] {
-			r.toggle(n)
-			r.drop(n)
-			delete(r.records, k)
-			delete(r.gone, k)
+	for _, i := range buckets {
+		if i < 0 || i >= BucketCount {
+			continue
+		}
+		b := &r.buckets[i]
+		for k, n := range b.byNode {
+			if !keep[k] {
+				r.drop(b, n)
+			}
 		}
 	}
 }
@@ -290,14 +293,8 @@
 	defer r.mu.Unlock()
 	for k, t := range r.gone {
 		if now.Sub(t) > TombstoneAge {
-			delete(r.gone, k)
-			delete(r.records, k)
+			b := &r.buckets[bucket(k)]
+			r.drop(b, b.byNode[k])
 		}
 	}
 }
-
-func bucket(node string) int { return int(xxhash.Sum64String(node) % BucketCount) }
-
-func digest(n wire.NodeRecord) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%d", n.Node, n.Incarnation, n.Sequence))
-}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -77,7 +77,8 @@
 		}
 	}
 	for _, k := range a.Differing(b.Buckets()) {
-		b.Put(start, k.Records)
+		l, _ := a.Bucket(k)
+		b.Put(start, l)
 	}
 	if got := a.Differing(b.Buckets()); len(got) != 0 {
 		t.Errorf("got %d differing buckets, want none", len(got))
@@ -97,11 +98,7 @@
 	r.Put(start, []wire.NodeRecord{record("n", 1, 1, wire.Serving)})
 	r.Retain(nil, nil)
 	checkStates(t, r, wire.Serving)
-	var all []int
-	for _, k := range r.Differing(nil) {
-		all = append(all, k.Number)
-	}
-	r.Retain(all, nil)
+	r.Retain(r.Differing(nil), nil)
 	checkStates(t, r)
 	// The control had not received this record yet when it sent its list.
 	r.Put(start, []wire.NodeRecord{record("n", 1, 1, wire.Serving)})
