Test the graceful stop of nodes and upstreams and changes of ranks

They found that a connection whose request ended after Leaving was kept idle, so that the upstream's shutdown could close it under a request.

--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -170,6 +170,7 @@
 	trailer http.Header
 	body    string
 	problem caller.Problem
+	last    bool // the connection ends with the answer
 	err     error
 }
 
@@ -196,7 +197,7 @@
 	}
 	defer a.Body.Close()
 	b, err := io.ReadAll(a.Body)
-	r := result{status: a.StatusCode, header: a.Header, trailer: a.Trailer, body: string(b), err: err}
+	r := result{status: a.StatusCode, header: a.Header, trailer: a.Trailer, body: string(b), last: a.Close, err: err}
 	if a.Header.Get(caller.HeaderExecution) != "" {
 		if e := json.Unmarshal(b, &r.problem); e != nil && err == nil {
 			r.err = errors.Join(errors.New("problem "+string(b)), e)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -33,14 +33,13 @@
 
 // NewClient returns a Client for the upstream at address that connects with d.
 func NewClient(address string, d wire.Dialer) *Client {
-	return &Client{connections{address: address, dial: d}}
+	return &Client{connections{address: address, dial: d, keep: true}}
 }
 
-// Close closes the idle connections, and each other one after its request.
-func (c *Client) Close() { c.pool.close() }
-
-// CloseIdle closes the idle connections.
-func (c *Client) CloseIdle() { c.pool.expire(time.Time{}, true) }
+// SetKeep says whether connections are kept for further requests. Those that
+// are not are closed: a server that shuts down closes idle connections itself,
+// also when a request is just arriving.
+func (c *Client) SetKeep(keep bool) { c.pool.setKeep(keep) }
 
 // Expire closes the connections that were idle for long.
 func (c *Client) Expire(now time.Time) { c.pool.expire(now, false) }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -101,7 +101,7 @@
 	dial    wire.Dialer
 	mu      sync.Mutex
 	idle    []*connection
-	closed  bool
+	keep    bool
 }
 
 // get returns an idle connection, or opens one when none is usable.
@@ -135,12 +135,12 @@
 	return k
 }
 
-// put keeps k for another request.
+// put keeps k for another request, or closes it.
 func (p *connections) put(k *connection) {
 	k.since = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if !p.keep {
 		k.conn.Close()
 		return
 	}
@@ -158,9 +158,12 @@
 	p.idle = slices.Delete(p.idle, 0, n)
 }
 
-func (p *connections) close() {
+// setKeep says whether connections are kept from now on.
+func (p *connections) setKeep(keep bool) {
 	p.mu.Lock()
-	p.closed = true
+	p.keep = keep
 	p.mu.Unlock()
-	p.expire(time.Time{}, true)
+	if !keep {
+		p.expire(time.Time{}, true)
+	}
 }
--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -40,7 +40,7 @@
 				}
 			}()
 			k := NewClient(l.Addr().String(), wire.DialTCP)
-			defer k.Close()
+			defer k.SetKeep(false)
 			do := func() string {
 				r := &call.Request{RequestHead: wire.RequestHead{Method: "POST", Path: "/", Execution: string(customer.Once), WholeBody: true}}
 				a, err := k.Do(t.Context(), r)
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -55,9 +55,9 @@
 	w.announced = n
 	w.table = nil // configure anew
 	w.limiter.SetSlots(n.Slots)
+	w.client.SetKeep(n.State == wire.Serving)
 	if n.State != wire.Serving {
 		w.refuseWaiting(now)
-		w.client.CloseIdle()
 	}
 	w.dispatch(now)
 }
@@ -124,7 +124,7 @@
 	w.announced.State = wire.Leaving
 	w.refuseWaiting(time.Now())
 	w.timer.Stop()
-	w.client.Close()
+	w.client.SetKeep(false)
 }
 
 // call waits for a slot and sends r.
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -8,7 +8,8 @@
 //	})
 //	go a.Run(ctx) // announces Serving and renews until ctx ends
 //	…
-//	a.Leave(ctx) // before a planned stop: no new work from now on
+//	err := a.Leave(ctx) // before a planned stop: no new work from now on
+//	err = server.Shutdown(ctx)
 package announce
 
 import (
@@ -43,14 +44,15 @@
 	Connections int
 	// Failed is called when an announcement fails; it may be nil.
 	Failed func(error)
+	// Client calls the node; nil means one with a time limit.
+	Client *http.Client
 }
 
 // Announcer keeps an upstream announced.
 type Announcer struct {
-	c      Config
-	client *http.Client
-	mu     sync.Mutex
-	state  string
+	c     Config
+	mu    sync.Mutex
+	state string
 }
 
 // New returns an Announcer in state Serving.
@@ -58,7 +60,10 @@
 	if c.Failed == nil {
 		c.Failed = func(error) {}
 	}
-	return &Announcer{c: c, client: &http.Client{Timeout: callTimeout}, state: "Serving"}
+	if c.Client == nil {
+		c.Client = &http.Client{Timeout: callTimeout}
+	}
+	return &Announcer{c: c, state: "Serving"}
 }
 
 type announcement struct {
@@ -109,8 +114,10 @@
 	return d, nil
 }
 
-// Leave announces that the upstream stops. Its node gives it no new work from
-// then on; the rest of the fleet follows within 3 s.
+// Leave announces that the upstream stops. Its node sends it no new work from
+// then on, and work that waits is moved elsewhere. Leave returns once the work
+// already sent has ended or the upstream has surely begun it, so that a graceful
+// shutdown of its server cuts nothing off.
 func (a *Announcer) Leave(ctx context.Context) error {
 	a.mu.Lock()
 	a.state = "Leaving"
@@ -131,7 +138,7 @@
 		return errors.Wrap(err, "announce")
 	}
 	q.Header.Set("Content-Type", "application/json")
-	r, err := a.client.Do(q)
+	r, err := a.c.Client.Do(q)
 	if err != nil {
 		return errors.Wrap(err, "announce")
 	}
