Test log lines, metrics and malformed messages of other nodes

A malformed message ends its stream only, and a hostile head writes no lines of its own to an upstream. Mended: header names that are not canonical passed to the upstream, so that a peer could send transfer-encoding; net/http logged past the log buffer, where a stuck terminal would hold it. The check of the path is not needed for this; net/http has one.

--- a/internal/commands/process.go
+++ b/internal/commands/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -25,6 +26,8 @@
 		return err
 	}
 	defer w.Close()
+	// net/http writes to the standard logger, which would wait for the terminal.
+	slog.SetDefault(slog.New(logr.ToSlogHandler(l)))
 	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	p, err := start(l)
--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -58,6 +58,7 @@
 // mesh is a fleet of node processes on a network in memory.
 type mesh struct {
 	t       *testing.T
+	log     logr.Logger
 	net     *standin.Network
 	control *standin.Control
 	nodes   map[string]*Node
@@ -67,7 +68,7 @@
 
 func newMesh(t *testing.T, nodes ...string) *mesh {
 	m := &mesh{
-		t: t, net: standin.NewNetwork(), control: standin.NewControl(config()),
+		t: t, log: logr.Discard(), net: standin.NewNetwork(), control: standin.NewControl(config()),
 		nodes: map[string]*Node{}, stops: map[string]func() error{}, client: map[string]*http.Client{},
 	}
 	x := wire.NewMux()
@@ -103,7 +104,7 @@
 			Name: name, AvailabilityZone: "kufstein", Control: []string{"control:3"}, StopLimit: 20 * time.Second,
 			Listen: name + ":1", UpstreamListen: name + ":2", PeerListen: name + ":3", AdminListen: name + ":4",
 		},
-		Log: logr.Discard(), Dial: m.net.Dial, Listen: m.net.Listen,
+		Log: m.log, Dial: m.net.Dial, Listen: m.net.Listen,
 	})
 	if err != nil {
 		m.t.Fatal(err)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -36,8 +37,9 @@
 }
 
 // start serves f and returns a client of it.
-func start(t *testing.T, f transport) (*Client, *Server) {
-	n := standin.NewNetwork()
+func start(t *testing.T, f transport) (*Client, *Server) { return startOn(t, standin.NewNetwork(), f) }
+
+func startOn(t *testing.T, n *standin.Network, f transport) (*Client, *Server) {
 	l, err := n.Listen("owner:3")
 	if err != nil {
 		t.Fatal(err)
@@ -216,3 +218,65 @@
 		}
 	})
 }
+
+// Guards that a message which is no request, of any shape, ends its stream only:
+// a request under way on another connection and later ones are answered.
+func TestMalformedMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := standin.NewNetwork()
+		free := make(chan struct{})
+		c, _ := startOn(t, n, func(_ context.Context, r *call.Request) (*call.Response, error) {
+			if r.RequestID == "long" {
+				<-free
+			}
+			if r.Stream != nil {
+				return nil, errkind.New(errkind.QueueFull, "no uploads here")
+			}
+			return answer(r.RequestID, -1, strings.NewReader(r.RequestID)), nil
+		})
+		long := make(chan string)
+		go func() {
+			b, err := do(c, "long", nil)
+			long <- fmt.Sprint(b, err)
+		}()
+		valid, err := wire.Marshal(&wire.ForwardRequest{Head: &wire.RequestHead{RequestID: "id", Method: "POST", Path: "/", Remaining: time.Second, WholeBody: true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		known := [][]byte{{}, {0xa0}, {0xa1, 0x03, 0xf5}, {0x80}, {0xff}} // among them the end of a body, and an empty message
+		for i := range 500 {
+			m := bytes.Clone(valid)
+			for range 1 + random.IntN(4) {
+				m[random.IntN(len(m))] = byte(random.Uint32())
+			}
+			if i < 2*len(known) {
+				m = append(known[i/2], 0)[:len(known[i/2])]
+			}
+			k, err := n.Dial(t.Context(), "owner:3")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if i%2 == 0 { // no stream at all
+				k.Write(m[:random.IntN(len(m)+1)])
+				k.Close()
+				continue
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			conn := wire.NewConn(k)
+			if s, err := conn.NewStream(ctx, wire.MethodForward, wire.Encoding{}); err == nil {
+				s.MsgSend(wire.Raw(m), wire.Encoding{})
+				s.MsgRecv(new(wire.ForwardResponse), wire.Encoding{})
+			}
+			conn.Close()
+			cancel()
+		}
+		if got, err := do(c, "later", nil); got != "later" || err != nil {
+			t.Errorf("got %q, %v, want later", got, err)
+		}
+		close(free)
+		if got, want := <-long, "long<nil>"; got != want {
+			t.Errorf("request under way: got %s, want %s", got, want)
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -87,7 +87,7 @@
 	for tries := 1; ; tries++ {
 		t, ok := s.choose(r.c, m, tried)
 		if !ok {
-			r.c.Log.Info("no upstream left", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name, "tries", tries-1)
+			r.c.Log.Info("no upstream left", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name, "tries", tries-1, "reason", last.Error())
 			return nil, last
 		}
 		q.Attempt = inbound + tries - 1
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -132,7 +132,8 @@
 func endToEnd(h http.Header, answer bool) http.Header {
 	n := make(http.Header, len(h)+4)
 	for k, v := range h {
-		if !answer || !strings.HasPrefix(k, reserved) {
+		// net/http makes all names canonical; it does not recognize others.
+		if http.CanonicalHeaderKey(k) == k && (!answer || !strings.HasPrefix(k, reserved)) {
 			n[k] = v
 		}
 	}
--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"runtime"
 	"testing"
+	"testing/synctest"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/standin"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 )
@@ -63,3 +65,40 @@
 		})
 	}
 }
+
+// Guards that a request head which no entry node would send cannot write lines
+// of its own to the upstream.
+func TestHostileHead(t *testing.T) {
+	const line = "\r\nGooseberrypick-Injected: 1"
+	for name, h := range map[string]wire.RequestHead{
+		"method":       {Method: "GET / HTTP/1.1" + line + "\r\nX:", Path: "/"},
+		"path":         {Method: "GET", Path: "/ HTTP/1.1" + line},
+		"no path":      {Method: "GET", Path: "::"},
+		"host":         {Method: "GET", Path: "/", Host: "h" + line},
+		"header name":  {Method: "GET", Path: "/", Header: http.Header{"X" + line: {"1"}}},
+		"header value": {Method: "GET", Path: "/", Header: http.Header{"X": {"1" + line}}},
+		"request ID":   {Method: "GET", Path: "/", RequestID: "id" + line},
+		"chunks":       {Method: "POST", Path: "/", Header: http.Header{"transfer-encoding": {"chunked"}}, Body: []byte("5\r\nhello\r\n0\r\n\r\n")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := standin.NewNetwork()
+				l, _ := n.Listen("up:80")
+				s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					if len(r.TransferEncoding) > 0 || r.Header.Get("Gooseberrypick-Injected") != "" || r.URL.Path != "/" {
+						t.Errorf("got %s %s %v", r.Method, r.URL, r.Header)
+					}
+				})}
+				done := make(chan error)
+				go func() { done <- s.Serve(l) }()
+				k := NewClient("up:80", n.Dial)
+				if a, err := k.Do(t.Context(), &call.Request{RequestHead: h}); err == nil {
+					a.Body.Close()
+				}
+				k.SetKeep(false)
+				s.Close()
+				<-done
+			})
+		})
+	}
+}
