--- a/internal/commands/process.go
+++ b/internal/commands/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
@@ -22,6 +23,8 @@
 		return err
 	}
 	defer w.Close()
+	// net/http writes to the standard logger, which would wait for the terminal.
+	slog.SetDefault(slog.New(logr.ToSlogHandler(l)))
 	p, err := start(l)
 	if err != nil {
 		return err
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -88,6 +88,7 @@
 	if err := c.welcome(s, m, q.Hello.Record); err != nil {
 		return err
 	}
+	left := false
 	for {
 		var q wire.NodeMessage
 		if err := s.MsgRecv(&q, wire.Encoding{}); err != nil {
@@ -95,9 +96,10 @@
 		}
 		switch {
 		case q.Report != nil:
+			left = q.Report.Gone
 			c.report(*q.Report)
 		case q.Ping != nil:
-			m <- &wire.ControlMessage{Pong: &wire.Pong{Committed: c.current(), Current: true}}
+			m <- &wire.ControlMessage{Pong: &wire.Pong{Committed: c.current(), Current: true, Left: left}}
 		}
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -33,14 +33,13 @@
 
 // NewClient returns a Client for the upstream at address that connects with d.
 func NewClient(address string, d wire.Dialer) *Client {
-	return &Client{connections{address: address, dial: d}}
+	return &Client{connections{address: address, dial: d, keep: true}}
 }
 
-// Close closes the idle connections, and each other one after its request.
-func (c *Client) Close() { c.pool.close() }
-
-// CloseIdle closes the idle connections.
-func (c *Client) CloseIdle() { c.pool.expire(time.Time{}, true) }
+// SetKeep says whether connections are kept for further requests. Those that
+// are not are closed: a server that shuts down closes idle connections itself,
+// also when a request is just arriving.
+func (c *Client) SetKeep(keep bool) { c.pool.setKeep(keep) }
 
 // Expire closes the connections that were idle for long.
 func (c *Client) Expire(now time.Time) { c.pool.expire(now, false) }
@@ -133,7 +132,8 @@
 func endToEnd(h http.Header, answer bool) http.Header {
 	n := make(http.Header, len(h)+4)
 	for k, v := range h {
-		if !answer || !strings.HasPrefix(k, reserved) {
+		// net/http makes all names canonical; it does not recognize others.
+		if http.CanonicalHeaderKey(k) == k && (!answer || !strings.HasPrefix(k, reserved)) {
 			n[k] = v
 		}
 	}
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -52,9 +52,9 @@
 	defer w.mu.Unlock()
 	w.announced = n
 	w.table = nil // configure anew
+	w.client.SetKeep(n.State == wire.Serving)
 	if n.State != wire.Serving {
 		w.refuseWaiting(now)
-		w.client.CloseIdle()
 	}
 	w.dispatch(now)
 }
@@ -133,7 +133,7 @@
 	w.announced.State = wire.Leaving
 	w.refuseWaiting(time.Now())
 	w.timer.Stop()
-	w.client.Close()
+	w.client.SetKeep(false)
 }
 
 // call waits for a slot and sends r.
