Encode the records of a bucket once for all nodes

Cause: each fresh node had the control encode all records for it, and took 4.7 MiB of them at the size of the target. Change: the control keeps the compressed encoding of each bucket until it changes; the node unpacks it with a bound. TestFreshNodesGetCurrentRecords fails with a cache that does not follow changes, additions or removals.

--- /dev/null
+++ b/internal/control/buckets.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+)
+
+// packedChunk bounds the packed records of one message, which a node unpacks
+// about ten times as large.
+const packedChunk = 64 << 10
+
+// bucketCache keeps the encoded records of each bucket, since the nodes of a
+// herd need the same ones. A change makes one of 256 stale.
+type bucketCache struct {
+	registry *registry.Registry
+	buckets  [registry.BucketCount]packedBucket
+}
+
+type packedBucket struct {
+	mu       sync.Mutex
+	filled   bool
+	revision uint64
+	// records are set where packing does not pay.
+	records []wire.NodeRecord
+	packed  []byte
+}
+
+// add adds a bucket to e. It returns the encoded size.
+func (c *bucketCache) add(number int, e *wire.Endpoints) (int, error) {
+	b := &c.buckets[number]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.filled || b.revision != c.registry.Revision(number) {
+		if err := b.fill(c.registry.Bucket(number)); err != nil {
+			return 0, err
+		}
+	}
+	e.Buckets = append(e.Buckets, number)
+	if b.packed == nil {
+		e.Records = append(e.Records, b.records...)
+		return encodedBytes(b.records), nil
+	}
+	e.Packed = append(e.Packed, b.packed)
+	return len(b.packed), nil
+}
+
+func (b *packedBucket) fill(l []wire.NodeRecord, revision uint64) error {
+	b.records, b.packed = l, nil
+	if encodedBytes(l) >= compressFrom {
+		d, err := wire.Marshal(l)
+		if err != nil {
+			return err
+		}
+		if d, err = compress(d); err != nil {
+			return err
+		}
+		b.records, b.packed = nil, d
+	}
+	b.filled, b.revision = true, revision
+	return nil
+}
--- a/internal/control/frames_test.go
+++ b/internal/control/frames_test.go
@@ -91,6 +91,7 @@
 		{"no encoding", []any{welcome, wire.Raw("\xff\xff")}, "decode message"},
 		{"empty message", []any{welcome, &wire.ControlMessage{}}, "empty message"},
 		{"record without a node", []any{welcome, records(wire.NodeRecord{})}, "a record without a node"},
+		{"packed records that do not unpack", []any{welcome, &wire.ControlMessage{Endpoints: &wire.Endpoints{Packed: [][]byte{{1}}}}}, "unpack"},
 		{"large message", []any{welcome, wire.Raw(make([]byte, wire.MaxMessageBytes+1<<20))}, "manager closed"},
 		{"silence", []any{welcome}, "control was silent"},
 		{"silence at once", nil, "control was silent"},
--- a/internal/control/herd_test.go
+++ b/internal/control/herd_test.go
@@ -155,3 +155,32 @@
 		})
 	}
 }
+
+// A fresh node must get the records as they are, not as they were for the node
+// before it.
+func TestFreshNodesGetCurrentRecords(t *testing.T) {
+	r := func(i int, sequence uint64, gone bool) wire.NodeRecord {
+		return wire.NodeRecord{Node: fmt.Sprint("other", i), Incarnation: 1, Sequence: sequence, Home: "a", Gone: gone}
+	}
+	for name, change := range map[string]wire.NodeRecord{
+		"nothing": r(7, 1, false), "changed": r(7, 2, false), "removed": r(8, 1, true), "added": r(5000, 1, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, []string{"a"}, func(w *world) {
+				a := w.controls["a"].registry
+				for i := range 5000 {
+					a.Put(time.Now(), []wire.NodeRecord{r(i, 1, false)})
+				}
+				for _, n := range []string{"first", "second"} {
+					n := w.startNode(n, "a")
+					w.within(time.Second, "complete", func() bool { return n.Control() != "" && n.registry.Len() > 4990 })
+					time.Sleep(50 * time.Millisecond) // before the next batch of changes
+					if got, want := n.registry.Digest(), a.Digest(); got != want {
+						t.Errorf("%s node: got digest %x, want %x", n.name, got, want)
+					}
+					a.Put(time.Now(), []wire.NodeRecord{change})
+				}
+			})
+		})
+	}
+}
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -298,17 +298,16 @@
 	e := &wire.Endpoints{Authoritative: authoritative}
 	size := 0
 	for _, i := range differing {
-		l, _ := s.registry.Bucket(i)
-		k := encodedBytes(l)
-		if len(e.Records) > 0 && size+k > endpointBytes {
+		k, err := s.buckets.add(i, e)
+		if err != nil {
+			return err
+		}
+		if size += k; size >= packedChunk {
 			if err := n.send(&wire.ControlMessage{Endpoints: e}); err != nil {
 				return err
 			}
 			e, size = &wire.Endpoints{Authoritative: authoritative}, 0
 		}
-		size += k
-		e.Buckets = append(e.Buckets, i)
-		e.Records = append(e.Records, l...)
 	}
 	e.Complete = true
 	return n.send(&wire.ControlMessage{Endpoints: e})
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -53,6 +53,7 @@
 	registry *registry.Registry
 	log      logr.Logger
 	updates  *updateCache
+	buckets  *bucketCache
 	slots    chan struct{}
 	// informed reports whether this control may remove nodes, settled whether
 	// it knows all nodes.
@@ -83,6 +84,7 @@
 		registry: r,
 		log:      l,
 		updates:  newUpdateCache(),
+		buckets:  &bucketCache{registry: r},
 		slots:    make(chan struct{}, maxSnapshots),
 		informed: func(time.Time) bool { return false },
 		settled:  func(time.Time) bool { return false },
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -101,17 +101,25 @@
 	return r, nil
 }
 
-func compress(d []byte) ([]byte, error) {
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
+// writers keeps the tables of the compressor, which take 1.2 MB each.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
-		return nil, errors.Wrap(err, "compress update")
+		panic(err) // the level is constant
 	}
+	return w
+}}
+
+func compress(d []byte) ([]byte, error) {
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	var b bytes.Buffer
+	w.Reset(&b)
 	if _, err := w.Write(d); err != nil {
-		return nil, errors.Wrap(err, "compress update")
+		return nil, errors.Wrap(err, "compress")
 	}
 	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress update")
+		return nil, errors.Wrap(err, "compress")
 	}
-	return b.Bytes(), nil
+	return bytes.Clone(b.Bytes()), nil
 }
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -256,21 +257,42 @@
 // applyEndpoints stores changed records. Nothing removes this node's own
 // record, which only the node itself writes.
 func (n *Client) applyEndpoints(e *wire.Endpoints) error {
-	if err := wire.CheckRecords(e.Records); err != nil {
-		return err
+	kept := make([]wire.NodeRecord, 0, len(e.Records)+1)
+	take := func(l []wire.NodeRecord) error {
+		if err := wire.CheckRecords(l); err != nil {
+			return err
+		}
+		l = slices.DeleteFunc(l, func(r wire.NodeRecord) bool {
+			own := r.Node == n.c.Node
+			if own {
+				n.refute(r)
+			}
+			return own
+		})
+		n.c.Registry.Put(time.Now(), l)
+		if e.Authoritative {
+			kept = append(kept, l...)
+		}
+		return nil
 	}
-	now := time.Now()
-	l := e.Records[:0:0]
-	for _, r := range e.Records {
-		if r.Node != n.c.Node {
-			l = append(l, r)
-		} else {
-			n.refute(r)
+	for _, p := range e.Packed {
+		var l []wire.NodeRecord
+		d, err := unpack(p)
+		if err == nil {
+			err = wire.UnmarshalLarge(d, &l)
 		}
+		if err == nil {
+			err = take(l)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if err := take(e.Records); err != nil {
+		return err
 	}
-	n.c.Registry.Put(now, l)
 	if e.Authoritative {
-		n.c.Registry.Retain(e.Buckets, append(l, n.currentRecord()))
+		n.c.Registry.Retain(e.Buckets, append(kept, n.currentRecord()))
 	}
 	if e.Complete {
 		n.synced.Store(true)
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -201,6 +201,8 @@
 	// Authoritative is set when a record that is missing from Buckets no longer
 	// exists. A control that has just started does not know all nodes yet.
 	Authoritative bool `cbor:"3,keyasint,omitempty"`
+	// Packed holds more records: compressed encodings of lists.
+	Packed [][]byte `cbor:"5,keyasint,omitempty"`
 	// Complete ends the answer to a Hello or a Compare.
 	Complete bool `cbor:"4,keyasint,omitempty"`
 }
