--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gooseberrypick/gooseberrypick/internal/raft"
 	"github.com/gooseberrypick/gooseberrypick/internal/wal"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -110,7 +112,7 @@
 			return nil, err
 		}
 		if err := m.Restore(b); err != nil {
-			return nil, errkind.Wrap(err, errkind.Internal, "restore the snapshot in %s", c.Folder)
+			return nil, errors.Wrapf(err, "restore the snapshot in %s", c.Folder)
 		}
 		if err := e.openSnapshot(); err != nil {
 			return nil, err
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gooseberrypick/gooseberrypick/internal/raft"
 	"github.com/gooseberrypick/gooseberrypick/internal/wal"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -107,7 +109,7 @@
 		return err
 	}
 	if err := e.machine.Restore(s.Data); err != nil {
-		return errkind.Wrap(err, errkind.Internal, "restore a received snapshot in %s", e.c.Folder)
+		return errors.Wrapf(err, "restore a received snapshot in %s", e.c.Folder)
 	}
 	if err := e.openSnapshot(); err != nil {
 		return err
