--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -3,14 +3,13 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
-	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
+	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -33,7 +32,7 @@
 	for k, v := range a.Head.Header {
 		x.w.Header()[k] = v
 	}
-	x.w.Header().Set(upstream.HeaderRequestID, x.id)
+	x.w.Header().Set(x.c.Dialect.RequestID, x.id)
 	if a.Head.Status == http.StatusNotModified {
 		// It is the length of another answer, and some HTTP/2 clients wait for
 		// as many bytes.
@@ -104,7 +103,7 @@
 		// net/http reads the rest of the body before it sends the answer.
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(discardTime)) // unsupported only by test writers
 	}
-	status := WriteError(x.w, x.id, err)
+	status := WriteError(x.w, x.c.Dialect, x.id, err)
 	x.c.Log.Info("request refused", "requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name,
 		"kind", e.Kind, "execution", e.Execution, "reason", e.Error())
 	x.c.Observe(x.match, status, e.Kind, e.Execution, time.Since(x.start))
@@ -122,7 +121,7 @@
 type retryAfterer interface{ RetryAfter() time.Duration }
 
 // WriteError writes the answer for err and returns its status.
-func WriteError(w http.ResponseWriter, id string, err error) int {
+func WriteError(w http.ResponseWriter, d *dialect.Dialect, id string, err error) int {
 	e := errkind.From(err)
 	a := e.Kind.Answer()
 	wait := a.RetryAfter
@@ -131,9 +130,11 @@
 		wait = r.RetryAfter()
 	}
 	if wait > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(max(1, (wait+time.Second-1)/time.Second))))
+		w.Header().Set("Retry-After", d.FormatRetryAfter(wait))
+	}
+	if d.Execution != "" {
+		w.Header().Set(d.Execution, string(e.Execution))
 	}
-	w.Header().Set(HeaderExecution, string(e.Execution))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(a.HTTPStatus)
 	_ = json.NewEncoder(w).Encode(Problem{Kind: e.Kind, Reason: e.Error(), RequestId: id, Execution: e.Execution}) // the caller has gone
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -22,8 +22,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
-	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
@@ -32,7 +32,7 @@
 	// HeaderIdempotencyKey is required on AtMostOnce routes.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderExecution states whether a request can have run.
-	HeaderExecution = "Gooseberrypick-Execution"
+	HeaderExecution = dialect.HeaderExecution
 
 	// MaxRequests bounds the requests under way at one node.
 	MaxRequests = 8192
@@ -65,6 +65,10 @@
 	Log    logr.Logger
 	// Observe is called after each request.
 	Observe func(m table.Match, status int, kind errkind.Kind, x errkind.Execution, took time.Duration)
+	// Dialect is spoken with callers; nil means the own one.
+	Dialect *dialect.Dialect
+	// Origin is the service of the VM that the callers run on.
+	Origin string
 	// MaxRequests and MaxBodyBytes replace the constants where they are above
 	// zero.
 	MaxRequests  int64
@@ -90,6 +94,9 @@
 	if c.MaxBodyBytes <= 0 {
 		c.MaxBodyBytes = MaxBodyBytes
 	}
+	if c.Dialect == nil {
+		c.Dialect = dialect.Own()
+	}
 	return &Handler{c: c}
 }
 
@@ -114,8 +121,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Handler: h, w: w, r: r, id: requestID(r), start: time.Now()}
-	w.Header().Set(upstream.HeaderRequestID, x.id)
+	x := &exchange{Handler: h, w: w, r: r, id: requestID(r, h.c.Dialect), start: time.Now()}
+	w.Header().Set(h.c.Dialect.RequestID, x.id)
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -131,7 +138,7 @@
 		return
 	}
 	x.match = m
-	d, err := check(r, m)
+	d, err := x.check()
 	if err != nil {
 		x.fail(err)
 		return
@@ -152,7 +159,7 @@
 	defer cancel()
 	// Ends the writing to a caller that does not read.
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.start.Add(d + writeGrace)) // unsupported only by test writers
-	q := newRequest(x.r, x.match, x.id, version)
+	q := x.newRequest(version)
 	if hasBody(x.r) {
 		u := newUpload(x.w, x.r)
 		x.upload = u
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
-	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -30,18 +30,22 @@
 	maxRequestIDBytes   = 128
 )
 
-func requestID(r *http.Request) string {
-	if id := r.Header.Get(upstream.HeaderRequestID); id != "" && len(id) <= maxRequestIDBytes {
+func requestID(r *http.Request, d *dialect.Dialect) string {
+	if id := r.Header.Get(d.RequestID); id != "" && len(id) <= maxRequestIDBytes {
 		return id
 	}
+	if d.NeedsRequestID {
+		return "" // refused by check
+	}
 	var b [12]byte
 	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails
 	return hex.EncodeToString(b[:])
 }
 
 // check refuses what can be refused before the body is read, and returns the
-// time that r has.
-func check(r *http.Request, m table.Match) (time.Duration, error) {
+// time that the request has.
+func (x *exchange) check() (time.Duration, error) {
+	r, m := x.r, x.match
 	if !r.ProtoAtLeast(1, 1) {
 		// An HTTP/1.0 caller takes the close of the connection for the end of
 		// the answer, so that a part would look whole.
@@ -54,7 +58,10 @@
 	if k := r.Header.Get(HeaderIdempotencyKey); m.Route.Execution == customer.AtMostOnce && (k == "" || len(k) > maxKeyBytes) {
 		return 0, errkind.New(errkind.KeyRequired, "route %q runs at most once and needs an %s header of 1 to %d bytes", m.Name, HeaderIdempotencyKey, maxKeyBytes)
 	}
-	return deadline(r, m)
+	if x.id == "" {
+		return 0, errkind.New(errkind.BadRequest, "the request has no %s header of 1 to %d bytes", x.c.Dialect.RequestID, maxRequestIDBytes)
+	}
+	return deadline(r, m, x.c.Dialect)
 }
 
 func dotSegments(path string) bool {
@@ -71,29 +78,31 @@
 
 // deadline returns the time left for r: the shorter of the route's deadline and
 // the caller's header.
-func deadline(r *http.Request, m table.Match) (time.Duration, error) {
-	v := r.Header.Get(upstream.HeaderDeadline)
+func deadline(r *http.Request, m table.Match, s *dialect.Dialect) (time.Duration, error) {
+	v := r.Header.Get(s.Deadline)
 	if v == "" {
 		return m.Route.Deadline, nil
 	}
-	d, err := time.ParseDuration(v)
+	d, err := s.ParseDeadline(v)
 	if err != nil {
-		return 0, errkind.New(errkind.BadRequest, "%s %q; expected a duration such as 750ms", upstream.HeaderDeadline, v)
+		return 0, errkind.New(errkind.BadRequest, "%s %v", s.Deadline, err)
 	}
 	if d <= 0 {
-		return 0, errkind.New(errkind.DeadlineTooShort, "no time is left: %s is %s", upstream.HeaderDeadline, v)
+		return 0, errkind.New(errkind.DeadlineTooShort, "no time is left: %s is %s", s.Deadline, v)
 	}
 	return min(d, m.Route.Deadline), nil
 }
 
-func newRequest(r *http.Request, m table.Match, id string, version uint64) *call.Request {
+func (x *exchange) newRequest(version uint64) *call.Request {
+	r, m := x.r, x.match
 	return &call.Request{RequestHead: wire.RequestHead{
-		RequestID:     id,
+		RequestID:     x.id,
+		Origin:        x.c.Origin,
 		Customer:      m.Customer,
 		Service:       m.Route.Service,
 		Rank:          m.Rank.Name,
 		Caller:        remoteHost(r),
-		Attempt:       inboundAttempt(r),
+		Attempt:       inboundAttempt(r, x.c.Dialect),
 		Version:       version,
 		Execution:     string(m.Route.Execution),
 		Method:        r.Method,
@@ -177,8 +186,11 @@
 	return h
 }
 
-func inboundAttempt(r *http.Request) int {
-	if n, err := strconv.Atoi(r.Header.Get(upstream.HeaderAttempt)); err == nil && n > 1 {
+func inboundAttempt(r *http.Request, d *dialect.Dialect) int {
+	if d.Attempt == "" {
+		return 1
+	}
+	if n, err := strconv.Atoi(r.Header.Get(d.Attempt)); err == nil && n > 1 {
 		return n
 	}
 	return 1
--- a/internal/commands/control.go
+++ b/internal/commands/control.go
@@ -6,6 +6,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/control"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+	"github.com/gooseberrypick/gooseberrypick/platform"
 )
 
 func newControl() *cobra.Command {
@@ -19,8 +20,12 @@
 			if err != nil {
 				return err
 			}
-			return runProcess(c, s.LogLevel, func(l logr.Logger) (runner, error) {
-				return control.New(control.Config{Settings: *s, Log: l})
+			return runProcess(c, s.Interface, s.LogLevel, func(l logr.Logger) (runner, error) {
+				k := control.Config{Settings: *s, Log: l}
+				if s.Interface == settings.PlatformInterface {
+					k.Operators = platform.Operators(l.WithName("platform"))
+				}
+				return control.New(k)
 			})
 		},
 	}
--- a/internal/commands/dev.go
+++ b/internal/commands/dev.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/dev"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
 // defaultBasePort lies below the usual range of ephemeral ports.
@@ -26,7 +27,7 @@
 				return errors.Wrap(err, "make the data folder")
 			}
 			defer func() { _ = os.RemoveAll(d) }() // only temporary data is left behind
-			return runProcess(c, level, func(l logr.Logger) (runner, error) {
+			return runProcess(c, settings.OwnInterface, level, func(l logr.Logger) (runner, error) {
 				return dev.New(dev.Config{BasePort: port, Folder: d, Out: c.OutOrStdout(), Log: l})
 			})
 		},
--- a/internal/commands/node.go
+++ b/internal/commands/node.go
@@ -6,6 +6,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/node"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+	"github.com/gooseberrypick/gooseberrypick/platform"
 )
 
 func newNode() *cobra.Command {
@@ -19,8 +20,12 @@
 			if err != nil {
 				return err
 			}
-			return runProcess(c, s.LogLevel, func(l logr.Logger) (runner, error) {
-				return node.New(node.Config{Settings: *s, Log: l})
+			return runProcess(c, s.Interface, s.LogLevel, func(l logr.Logger) (runner, error) {
+				k := node.Config{Settings: *s, Log: l}
+				if s.Interface == settings.PlatformInterface {
+					k.Interface = platform.Node(l.WithName("platform"))
+				}
+				return node.New(k)
 			})
 		},
 	}
--- a/internal/commands/process.go
+++ b/internal/commands/process.go
@@ -8,6 +8,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/logging"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+	"github.com/gooseberrypick/gooseberrypick/platform"
 )
 
 // runner is a process that serves until its context ends.
@@ -17,8 +19,12 @@
 
 // runProcess makes the logger, starts the process and runs it until the context
 // of the command ends.
-func runProcess(c *cobra.Command, level string, start func(l logr.Logger) (runner, error)) error {
-	l, w, err := logging.New(c.ErrOrStderr(), level)
+func runProcess(c *cobra.Command, i settings.Interface, level string, start func(l logr.Logger) (runner, error)) error {
+	to := c.ErrOrStderr()
+	if i == settings.PlatformInterface {
+		to = c.OutOrStdout() // where the platform collects logs
+	}
+	l, w, err := logging.New(to, level)
 	if err != nil {
 		return err
 	}
@@ -32,9 +38,14 @@
 	return p.Run(c.Context())
 }
 
-// settingsFlag adds the required flag --settings.
+// settingsFlag adds the flag --settings, which is required unless the platform
+// says where the file is.
 func settingsFlag(c *cobra.Command, to *string) {
-	c.Flags().StringVar(to, "settings", "", "settings file (JSON with comments)")
+	d := platform.SettingsFile()
+	c.Flags().StringVar(to, "settings", d, "settings file (JSON with comments)")
+	if d != "" {
+		return
+	}
 	if err := c.MarkFlagRequired("settings"); err != nil {
 		panic(err) // the flag was added above
 	}
--- a/internal/contract/references_test.go
+++ b/internal/contract/references_test.go
@@ -42,6 +42,9 @@
 	assertSame(t, got, want)
 }
 
+// wholeOnly are fields of a route that only configurations of the platform have.
+var wholeOnly = map[string]bool{"Attempts": true, "Split": true}
+
 // A key that the page lacks is not found; one that the program lacks is refused.
 func TestPagesOfKeys(t *testing.T) {
 	for name, types := range map[string][]any{
@@ -51,7 +54,9 @@
 		var want, got []string
 		for _, v := range types {
 			for f := range reflect.TypeOf(v).Fields() {
-				want = append(want, f.Name)
+				if !wholeOnly[f.Name] {
+					want = append(want, f.Name)
+				}
 			}
 		}
 		if name == "customer-file.md" {
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -148,7 +148,7 @@
 	k.source.lineage.Store("L")
 	k.source.current.Store(true)
 	members := []settings.Member{{Name: "a", Address: l.Addr().String()}}
-	k.fleet = newFleet(fleetConfig{Control: "a", Members: members, Source: k.source, Names: k.source, Pool: wire.NewPool(wire.DialTCP), Log: logr.Discard()})
+	k.fleet = newFleet(fleetConfig{Control: "a", Directory: newDirectory(settings.Control{Name: "a", Members: members}), Source: k.source, Names: k.source, Pool: wire.NewPool(wire.DialTCP), Log: logr.Discard()})
 	m := wire.NewMux()
 	k.register(m)
 	ctx, cancel := context.WithCancel(b.Context())
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
 	"github.com/gooseberrypick/gooseberrypick/internal/replica"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
@@ -40,6 +42,9 @@
 // IsCurrent implements configSource.
 func (c *config) IsCurrent() bool { return c.group.Status().Current }
 
+// Members implements configSource.
+func (c *config) Members() []wire.RaftMember { return c.group.Status().Members }
+
 // ReadBarrier implements configSource.
 func (c *config) ReadBarrier(ctx context.Context) error { return c.group.ReadBarrier(ctx) }
 
@@ -96,9 +101,9 @@
 
 // forward sends a command to the named member.
 func (c *config) forward(ctx context.Context, leader string, q *wire.ProposeRequest) (*wire.ProposeResponse, error) {
-	a, ok := c.peers.addresses[leader]
+	a, ok := c.peers.directory.address(leader)
 	if !ok {
-		return nil, errkind.New(errkind.NotLeader, "member %q is not in the settings", leader)
+		return nil, errkind.New(errkind.NotLeader, "the address of member %q is not known", leader)
 	}
 	connecting, cancel := context.WithTimeout(ctx, leaderConnectLimit)
 	defer cancel()
@@ -147,6 +152,7 @@
 	ranks func(ctx context.Context) (*wire.RankTotals, []string)
 	name  string
 	clock func() time.Time
+	log   logr.Logger
 }
 
 // Plan implements operator.Backend.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -48,6 +48,18 @@
 	Log      logr.Logger
 	// Dial opens inner connections; nil means TCP.
 	Dial wire.Dialer
+	// Operators replaces the own operator API; nil means the own one.
+	Operators func(Whole) http.Handler
+}
+
+// Whole is the operator API for configurations that are replaced as a whole and
+// numbered by their operators.
+type Whole interface {
+	// AcceptWhole accepts w. It returns an error of kind Conflict where another
+	// version is current.
+	AcceptWhole(ctx context.Context, w WholeConfig) error
+	// NewestWhole returns the newest configuration as it was sent.
+	NewestWhole(ctx context.Context) ([]byte, error)
 }
 
 // Control is one control process.
@@ -61,6 +73,7 @@
 	fleet     *fleet
 	metrics   metrics.Registry
 	transport *transport
+	directory *directory
 	stopRaft  context.CancelFunc
 	operators *http.Server
 	admin     *http.Server
@@ -98,8 +111,9 @@
 	s := k.c.Settings
 	ctx, cancel := context.WithCancel(context.Background())
 	k.stopRaft = cancel
-	k.transport = newTransport(ctx, s.Name, s.Members, k.c.Dial, k.log)
-	p := newPeers(k.pool, s.Members)
+	k.directory = newDirectory(s)
+	k.transport = newTransport(ctx, k.directory, k.c.Dial, k.log)
+	p := &peers{pool: k.pool, directory: k.directory}
 	m := versions.New()
 	g, err := openGroup(configGroup, s, m, k.transport, p, k.log)
 	if err != nil {
@@ -111,7 +125,7 @@
 		return err
 	}
 	k.fleet = newFleet(fleetConfig{
-		Control: s.Name, Members: s.Members, Source: k.config, Names: k.config, Pool: k.pool, Log: k.log,
+		Control: s.Name, Directory: k.directory, Source: k.config, Names: k.config, Pool: k.pool, Log: k.log,
 	})
 	return k.openServers()
 }
@@ -139,15 +153,19 @@
 
 func (k *Control) openServers() error {
 	s := k.c.Settings
-	b := &backend{config: k.config, reports: k.collect, ranks: k.collectRanks, name: s.Name, clock: time.Now}
+	b := &backend{config: k.config, reports: k.collect, ranks: k.collectRanks, name: s.Name, clock: time.Now, log: k.log}
 	o := make([]operator.Operator, 0, len(s.Operators))
 	for _, e := range s.Operators {
 		o = append(o, operator.Operator{Name: e.Name, TokenHash: e.TokenHash})
 	}
+	var h http.Handler
 	h, err := operator.NewHandler(operator.HandlerConfig{Backend: b, Operators: o, Log: k.c.Log.WithName("operator")})
 	if err != nil {
 		return err
 	}
+	if f := k.c.Operators; f != nil {
+		h = f(b)
+	}
 	k.operators = operator.NewServer(h)
 	k.admin = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: admin.New(admin.Config{
 		Metrics: k.metrics,
@@ -222,7 +240,7 @@
 
 func (k *Control) mux() *wire.Mux {
 	m := wire.NewMux()
-	k.groups.register(m)
+	k.groups.register(m, k.directory)
 	k.fleet.register(m)
 	registerClaims(m, k.claims, k.config.peers)
 	wire.HandleUnary(m, wire.MethodPropose, k.config.serve)
@@ -251,7 +269,7 @@
 		return k.stop()
 	})
 	k.log.Info("control started", "name", k.c.Settings.Name, "availabilityZone", k.c.Settings.AvailabilityZone,
-		"listen", k.c.Settings.Listen, "members", len(k.c.Settings.Members))
+		"listen", k.c.Settings.Listen, "members", len(k.c.Settings.Members), "seeds", k.c.Settings.Seeds)
 	err := g.Wait()
 	k.close()
 	k.log.Info("control stopped")
--- /dev/null
+++ b/internal/control/directory.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
+)
+
+// directory knows the controls and their addresses: those of the settings, or
+// where the settings name seeds, those that the config group has now.
+type directory struct {
+	self  settings.Member
+	fixed bool
+
+	mu      sync.RWMutex
+	members []settings.Member
+	// heard holds the addresses of controls that are not members, or not yet.
+	heard map[string]string
+}
+
+// maxHeard bounds the addresses of controls outside the membership.
+const maxHeard = 1024
+
+func newDirectory(s settings.Control) *directory {
+	d := &directory{
+		self:    settings.Member{Name: s.Name, Address: s.PeerListen},
+		fixed:   len(s.Seeds) == 0,
+		members: s.Members,
+		heard:   map[string]string{},
+	}
+	if !d.fixed {
+		d.members = []settings.Member{d.self}
+	}
+	return d
+}
+
+// list returns all controls by name, this one included.
+func (d *directory) list() []settings.Member {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.members
+}
+
+// addresses returns the addresses of all controls for nodes that find them by
+// seeds. Nodes with settings for fixed controls use only those.
+func (d *directory) addresses() []string {
+	if d.fixed {
+		return nil
+	}
+	var l []string
+	for _, m := range d.list() {
+		l = append(l, m.Address)
+	}
+	return l
+}
+
+// address returns where the named control is reached. An address stands for
+// itself.
+func (d *directory) address(name string) (string, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, m := range d.members {
+		if m.Name == name {
+			return m.Address, true
+		}
+	}
+	if a, ok := d.heard[name]; ok {
+		return a, true
+	}
+	if _, err := netip.ParseAddrPort(name); err == nil && !d.fixed {
+		return name, true
+	}
+	return "", false
+}
+
+// hear notes the address of a control that sent a message.
+func (d *directory) hear(name, address string) {
+	if d.fixed || address == "" {
+		return
+	}
+	d.mu.RLock()
+	known := d.heard[name] == address
+	d.mu.RUnlock()
+	if known {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.heard) >= maxHeard {
+		clear(d.heard)
+	}
+	d.heard[name] = address
+}
+
+// follow takes the membership of the config group. While an earlier identity
+// and its successor of the same name are both members, the successor counts,
+// which was added later.
+func (d *directory) follow(l []wire.RaftMember) {
+	if d.fixed || len(l) == 0 {
+		return
+	}
+	names := map[string]string{d.self.Name: d.self.Address}
+	for _, m := range l {
+		if m.Name != d.self.Name {
+			names[m.Name] = m.Address
+		}
+	}
+	next := make([]settings.Member, 0, len(names))
+	for n, a := range names {
+		next = append(next, settings.Member{Name: n, Address: a})
+	}
+	slices.SortFunc(next, func(a, b settings.Member) int { return strings.Compare(a.Name, b.Name) })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.Equal(next, d.members) {
+		d.members = next
+	}
+}
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -38,6 +38,8 @@
 	streams  *Streams
 	log      logr.Logger
 	pool     *wire.Pool
+	// directory names the other controls.
+	directory *directory
 
 	mu      sync.Mutex
 	peers   map[string]*peer
@@ -49,7 +51,10 @@
 
 // peer is another control.
 type peer struct {
-	member  settings.Member
+	member settings.Member
+	// ctx ends when the control is no longer listed.
+	ctx     context.Context
+	stop    context.CancelFunc
 	pending []wire.NodeRecord
 	// heard is when this control last exchanged records with the peer, told
 	// when any other control said that it did.
@@ -58,23 +63,49 @@
 	compared time.Time
 }
 
-func newExchange(control string, members []settings.Member, c configSource, p *wire.Pool, s *Streams, l logr.Logger) *exchange {
-	e := &exchange{
-		control:  control,
-		source:   c,
-		registry: s.registry,
-		streams:  s,
-		log:      l,
-		pool:     p,
-		peers:    map[string]*peer{},
-		started:  time.Now(),
-	}
-	for _, m := range members {
-		if m.Name != control {
-			e.peers[m.Name] = &peer{member: m}
+func newExchange(control string, d *directory, c configSource, p *wire.Pool, s *Streams, l logr.Logger) *exchange {
+	return &exchange{
+		control:   control,
+		directory: d,
+		source:    c,
+		registry:  s.registry,
+		streams:   s,
+		log:       l,
+		pool:      p,
+		peers:     map[string]*peer{},
+		started:   time.Now(),
+	}
+}
+
+// follow takes the list of controls and returns those that are new. A control
+// that has moved to another address is new as well.
+func (e *exchange) follow(ctx context.Context) []*peer {
+	l := e.directory.list()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := map[string]bool{}
+	var added []*peer
+	for _, m := range l {
+		listed[m.Name] = true
+		o := e.peers[m.Name]
+		if m.Name == e.control || o != nil && o.member == m {
+			continue
+		}
+		if o != nil {
+			o.stop()
+		}
+		p := &peer{member: m}
+		p.ctx, p.stop = context.WithCancel(ctx)
+		e.peers[m.Name] = p
+		added = append(added, p)
+	}
+	for k, p := range e.peers {
+		if !listed[k] {
+			p.stop()
+			delete(e.peers, k)
 		}
 	}
-	return e
+	return added
 }
 
 // receive answers another control.
@@ -82,15 +113,19 @@
 	if l := e.source.Lineage(); l == "" || q.Lineage != l {
 		return nil, errkind.New(errkind.NotCurrent, "control %s is of lineage %q, the call of lineage %q", e.control, l, q.Lineage)
 	}
-	p, ok := e.peers[q.Control]
-	if !ok {
+	e.mu.Lock()
+	p := e.peers[q.Control]
+	e.mu.Unlock()
+	if p == nil && e.directory.fixed {
 		return nil, errkind.New(errkind.BadRequest, "control %q is not a member", q.Control)
 	}
 	if err := wire.CheckRecords(q.Records); err != nil {
 		e.log.Info("records of a control refused", "control", q.Control, "cause", err.Error())
 		return nil, err
 	}
-	e.exchanged(p, q.Heard)
+	if p != nil { // a control that has just joined may call before it is listed here
+		e.exchanged(p, q.Heard)
+	}
 	e.take(q.Records)
 	a := &wire.RegistrySyncResponse{Heard: e.heard()}
 	if len(q.Buckets) > 0 {
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -9,7 +9,6 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
-	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
 // expireInterval is how often leases are checked. It is short against a lease.
@@ -17,12 +16,12 @@
 
 // fleetConfig holds what a fleet needs.
 type fleetConfig struct {
-	Control string
-	Members []settings.Member
-	Source  configSource
-	Names   nameStore
-	Pool    *wire.Pool
-	Log     logr.Logger
+	Control   string
+	Directory *directory
+	Source    configSource
+	Names     nameStore
+	Pool      *wire.Pool
+	Log       logr.Logger
 }
 
 // fleet is what a control knows of nodes and does for them: the registry, the
@@ -34,12 +33,15 @@
 	exchange *exchange
 	names    *names
 	source   configSource
+	// directory names the other controls.
+	directory *directory
 }
 
 func newFleet(c fleetConfig) *fleet {
-	f := &fleet{registry: registry.New(), source: c.Source}
+	f := &fleet{registry: registry.New(), source: c.Source, directory: c.Directory}
 	f.streams = newStreams(c.Control, c.Source, f.registry, c.Log)
-	f.exchange = newExchange(c.Control, c.Members, c.Source, c.Pool, f.streams, c.Log)
+	f.streams.controls = c.Directory.addresses
+	f.exchange = newExchange(c.Control, c.Directory, c.Source, c.Pool, f.streams, c.Log)
 	f.streams.informed, f.streams.settled = f.exchange.informed, f.exchange.settled
 	f.names = &names{store: c.Names, connected: f.streams.connected, log: c.Log, pending: map[string]nameChange{}}
 	f.names.alive = func(node string) bool {
@@ -60,14 +62,21 @@
 	})
 }
 
+// follow takes the membership of the config group, and exchanges records with
+// controls that are new.
+func (f *fleet) follow(ctx context.Context, g *sync.WaitGroup) {
+	f.directory.follow(f.source.Members())
+	for _, p := range f.exchange.follow(ctx) {
+		g.Go(func() { f.exchange.run(p.ctx, p) })
+	}
+}
+
 // run spreads endpoint changes to nodes and controls and ends leases until ctx
 // ends.
 func (f *fleet) run(ctx context.Context) {
 	var g sync.WaitGroup
 	defer g.Wait()
-	for _, p := range f.exchange.peers {
-		g.Go(func() { f.exchange.run(ctx, p) })
-	}
+	f.follow(ctx, &g)
 	g.Go(func() { f.names.run(ctx) })
 	var expired time.Time
 	t := time.NewTicker(batchInterval)
@@ -77,6 +86,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
+			f.follow(ctx, &g)
 			f.exchange.push(f.streams.Flush())
 			f.exchange.observe(now, f.source.IsCurrent())
 			if now.Sub(expired) >= expireInterval {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -35,6 +35,8 @@
 func (s *source) Lineage() string { return s.lineage.Load().(string) }
 func (s *source) IsCurrent() bool { return s.current.Load() }
 
+func (s *source) Members() []wire.RaftMember { return nil }
+
 func (s *source) ReadBarrier(ctx context.Context) error {
 	if s.current.Load() {
 		return nil
@@ -160,7 +162,7 @@
 	ctx, cancel := context.WithCancel(w.Context())
 	p := wire.NewPool(w.net.dialer(name))
 	c := &testControl{source: s, stop: cancel, done: make(chan struct{})}
-	c.fleet = newFleet(fleetConfig{Control: name, Members: w.members, Source: s, Names: s, Pool: p, Log: w.log()})
+	c.fleet = newFleet(fleetConfig{Control: name, Directory: newDirectory(settings.Control{Name: name, Members: w.members}), Source: s, Names: s, Pool: p, Log: w.log()})
 	m := wire.NewMux()
 	c.register(m)
 	l := w.net.listen(name)
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -24,6 +25,9 @@
 	// raftQueue is how many messages to one member may wait. Raft repeats what
 	// is dropped.
 	raftQueue = 1024
+	// raftConnectLimit bounds connecting to a member, so that messages to one
+	// that has come back do not wait for a connection to its silent address.
+	raftConnectLimit = time.Second
 )
 
 func claimGroupName(i int) string { return fmt.Sprintf("claims-%d", i) }
@@ -31,52 +35,63 @@
 // transport sends Raft messages to the other members, one stream for each. It
 // implements replica.Transport.
 type transport struct {
-	ctx     context.Context
-	dial    wire.Dialer
-	log     logr.Logger
-	queues  map[string]chan wire.RaftMessage
-	running sync.WaitGroup
+	ctx       context.Context
+	dial      wire.Dialer
+	log       logr.Logger
+	directory *directory
+	mu        sync.Mutex
+	queues    map[string]chan wire.RaftMessage
+	running   sync.WaitGroup
 }
 
-func newTransport(ctx context.Context, self string, members []settings.Member, d wire.Dialer, l logr.Logger) *transport {
-	t := &transport{ctx: ctx, dial: d, log: l, queues: map[string]chan wire.RaftMessage{}}
-	for _, m := range members {
-		if m.Name == self {
-			continue
-		}
-		q := make(chan wire.RaftMessage, raftQueue)
-		t.queues[m.Name] = q
-		t.running.Go(func() {
-			for ctx.Err() == nil {
-				t.session(m, q)
-			}
-		})
-	}
-	return t
+func newTransport(ctx context.Context, d *directory, dial wire.Dialer, l logr.Logger) *transport {
+	return &transport{ctx: ctx, dial: dial, log: l, directory: d, queues: map[string]chan wire.RaftMessage{}}
 }
 
 // Send implements replica.Transport. It drops the message when the queue is full.
 func (t *transport) Send(to string, m wire.RaftMessage) {
 	select {
-	case t.queues[to] <- m:
+	case t.queue(to) <- m:
 	default:
 	}
 }
 
+// queue returns the queue of a member, with a goroutine that empties it.
+func (t *transport) queue(to string) chan wire.RaftMessage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := t.queues[to]
+	if q != nil || t.ctx.Err() != nil {
+		return q
+	}
+	q = make(chan wire.RaftMessage, raftQueue)
+	t.queues[to] = q
+	t.running.Go(func() {
+		for t.ctx.Err() == nil {
+			t.session(to, q)
+		}
+	})
+	return q
+}
+
 // session opens a stream when there is something to send and uses it until it
 // fails. A message that meets a failure is lost.
-func (t *transport) session(m settings.Member, q chan wire.RaftMessage) {
+func (t *transport) session(to string, q chan wire.RaftMessage) {
 	var first wire.RaftMessage
 	select {
 	case <-t.ctx.Done():
 		return
 	case first = <-q:
 	}
-	dial, cancel := context.WithTimeout(t.ctx, exchangeTimeout)
+	address, ok := t.directory.address(to)
+	if !ok {
+		return
+	}
+	dial, cancel := context.WithTimeout(t.ctx, raftConnectLimit)
 	defer cancel()
-	c, err := wire.Dial(dial, t.dial, m.Address)
+	c, err := wire.Dial(dial, t.dial, address)
 	if err != nil {
-		t.log.V(1).Info("member unreachable", "member", m.Name, "cause", err.Error())
+		t.log.V(1).Info("member unreachable", "member", to, "cause", err.Error())
 		return
 	}
 	defer c.Close()
@@ -86,7 +101,7 @@
 	}
 	for next := first; ; {
 		if err := s.MsgSend(&next, wire.Encoding{}); err != nil {
-			t.log.V(1).Info("stream to member ended", "member", m.Name, "cause", err.Error())
+			t.log.V(1).Info("stream to member ended", "member", to, "cause", err.Error())
 			return
 		}
 		select {
@@ -96,27 +111,22 @@
 			return
 		case next = <-q:
 		}
+		if a, _ := t.directory.address(to); a != address {
+			return // the member has moved to another VM
+		}
 	}
 }
 
 // peers calls other members. It implements replica.Peers.
 type peers struct {
 	pool      *wire.Pool
-	addresses map[string]string
-}
-
-func newPeers(p *wire.Pool, members []settings.Member) *peers {
-	r := &peers{pool: p, addresses: map[string]string{}}
-	for _, m := range members {
-		r.addresses[m.Name] = m.Address
-	}
-	return r
+	directory *directory
 }
 
 func peerCall[Q, A any](ctx context.Context, p *peers, name, method string, q *Q) (*A, error) {
-	a, ok := p.addresses[name]
+	a, ok := p.directory.address(name)
 	if !ok {
-		return nil, errkind.New(errkind.NotLeader, "member %q is not in the settings", name)
+		return nil, errkind.New(errkind.NotLeader, "the address of member %q is not known", name)
 	}
 	return wire.PoolCall[Q, A](ctx, p.pool, a, method, q)
 }
@@ -155,13 +165,17 @@
 	for _, e := range s.Members {
 		k = append(k, replica.Member{Name: e.Name, Address: e.Address})
 	}
+	if len(s.Seeds) > 0 {
+		k = []replica.Member{{Name: s.Name, Address: s.PeerListen}}
+	}
 	g, err := replica.New(replica.Config{
 		Group:   name,
 		Name:    s.Name,
 		Members: k,
-		Folder:  filepath.Join(s.DataFolder, name),
-		Peers:   p,
-		Log:     l.WithName(name),
+		Seeds:   s.Seeds, Voters: 2*s.Losses + 1, FirstStart: s.FirstStart,
+		Folder: filepath.Join(s.DataFolder, name),
+		Peers:  p,
+		Log:    l.WithName(name),
 	}, m, t)
 	return g, errors.Wrapf(err, "open group %s", name)
 }
@@ -175,7 +189,7 @@
 }
 
 // register serves the methods between members.
-func (g groups) register(m *wire.Mux) {
+func (g groups) register(m *wire.Mux, d *directory) {
 	m.HandleStream(wire.MethodRaft, func(s drpc.Stream) error {
 		for {
 			var q wire.RaftMessage
@@ -186,6 +200,7 @@
 			if err != nil {
 				return err
 			}
+			d.hear(q.FromName, q.FromAddress)
 			r.Step(q)
 		}
 	})
--- a/internal/control/propose_test.go
+++ b/internal/control/propose_test.go
@@ -46,8 +46,9 @@
 func (g *group) start(name string) {
 	ctx, cancel := context.WithCancel(g.t.Context())
 	s := settings.Control{Name: name, Members: g.members, DataFolder: g.folders[name]}
-	x := newTransport(ctx, name, g.members, g.net.dialer(name), logr.Discard())
-	p := newPeers(wire.NewPool(g.net.dialer(name)), g.members)
+	d := newDirectory(s)
+	x := newTransport(ctx, d, g.net.dialer(name), logr.Discard())
+	p := &peers{pool: wire.NewPool(g.net.dialer(name)), directory: d}
 	m := versions.New()
 	var k replica.Machine = m
 	if g.machine != nil {
@@ -59,7 +60,7 @@
 	}
 	c := &config{Machine: m, group: r, peers: p}
 	mux := wire.NewMux()
-	groups{configGroup: r}.register(mux)
+	groups{configGroup: r}.register(mux, d)
 	wire.HandleUnary(mux, wire.MethodPropose, c.serve)
 	l := g.net.listen(name)
 	done := make(chan error, 1)
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -38,18 +38,19 @@
 	}
 }
 
-// askAll asks all controls, in the order of the settings. The answer of one that
+// askAll asks all controls and returns them with their answers. The answer of one that
 // gave none is nil.
-func (c *Control) askAll(ctx context.Context, q *wire.NodeReportsRequest) []*wire.NodeReports {
+func (c *Control) askAll(ctx context.Context, q *wire.NodeReportsRequest) ([]settings.Member, []*wire.NodeReports) {
+	members := c.directory.list()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	all := make([]*wire.NodeReports, len(c.c.Settings.Members))
+	all := make([]*wire.NodeReports, len(members))
 	var g sync.WaitGroup
-	for i, m := range c.c.Settings.Members {
+	for i, m := range members {
 		g.Go(func() { all[i] = c.ask(ctx, m, q) })
 	}
 	g.Wait()
-	return all
+	return members, all
 }
 
 // collectRanks sums the counts by rank of all controls. It also names the
@@ -57,9 +58,10 @@
 func (c *Control) collectRanks(ctx context.Context) (*wire.RankTotals, []string) {
 	t := rankstats.NewSum()
 	var silent []string
-	for i, a := range c.askAll(ctx, &wire.NodeReportsRequest{Ranks: true}) {
+	asked, all := c.askAll(ctx, &wire.NodeReportsRequest{Ranks: true})
+	for i, a := range all {
 		if a == nil || a.Ranks == nil {
-			silent = append(silent, c.c.Settings.Members[i].Name)
+			silent = append(silent, asked[i].Name)
 			continue
 		}
 		t.AddTotals(a.Ranks)
@@ -70,11 +72,11 @@
 // collect asks all controls for their nodes. A control that does not answer is
 // listed as unreachable.
 func (c *Control) collect(ctx context.Context) ([]operator.Node, []operator.Member) {
-	all := c.askAll(ctx, &wire.NodeReportsRequest{})
+	asked, all := c.askAll(ctx, &wire.NodeReportsRequest{})
 	var nodes []operator.Node
 	var members []operator.Member
 	now := time.Now()
-	for i, m := range c.c.Settings.Members {
+	for i, m := range asked {
 		a := all[i]
 		if a == nil {
 			members = append(members, operator.Member{Name: m.Name, Role: operator.Unreachable})
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -222,7 +222,7 @@
 
 // serve sends welcome, endpoints and configuration until the stream ends.
 func (s *Streams) serve(ctx context.Context, n *nodeStream, h *wire.Hello) error {
-	w := &wire.Welcome{Lineage: s.source.Lineage(), Control: s.control, Lease: NodeLease}
+	w := &wire.Welcome{Lineage: s.source.Lineage(), Control: s.control, Lease: NodeLease, Controls: s.controls()}
 	if err := n.send(&wire.ControlMessage{Welcome: w}); err != nil {
 		return err
 	}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -43,6 +43,8 @@
 	Lineage() string
 	// IsCurrent reports whether this member is in contact with a majority.
 	IsCurrent() bool
+	// Members returns the membership of the config group.
+	Members() []wire.RaftMember
 	ReadBarrier(ctx context.Context) error
 }
 
@@ -62,6 +64,8 @@
 	// planned.
 	seen func(node, zone string)
 	left func(node string)
+	// controls returns the addresses of all controls.
+	controls func() []string
 
 	mu    sync.Mutex
 	nodes map[string]*nodeStream
@@ -90,6 +94,7 @@
 		settled:  func(time.Time) bool { return false },
 		seen:     func(string, string) {},
 		left:     func(string) {},
+		controls: func() []string { return nil },
 		nodes:    map[string]*nodeStream{},
 		lost:     map[string]lostNode{},
 		turned:   map[string]turnedNode{},
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -86,7 +86,9 @@
 	// preferred is the control to try next; only Run uses it.
 	preferred string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// known are the controls that a control listed last.
+	known   []string
 	record  wire.NodeRecord
 	lineage string
 	// rival is the incarnation of another process that uses this node's name.
@@ -214,13 +216,28 @@
 }
 
 func (n *Client) shuffled() []string {
-	l := slices.Clone(n.c.Controls)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	l := slices.Clone(n.known)
+	for _, a := range n.c.Controls {
+		if !slices.Contains(l, a) {
+			l = append(l, a)
+		}
+	}
 	n.random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	return l
 }
 
+// learn notes the controls that a control listed.
+func (n *Client) learn(l []string) {
+	if len(l) == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.known = l
+}
+
 // jitter returns between half and one and a half times d.
 func (n *Client) jitter(d time.Duration) time.Duration {
 	n.mu.Lock()
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -52,6 +52,7 @@
 	if err := n.acceptLineage(w.Lineage); err != nil {
 		return err
 	}
+	n.learn(w.Controls)
 	n.c.Log.Info("connected to control", "control", w.Control, "address", address, "version", n.Table().Version())
 	n.control.Store(address)
 	go func() {
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -107,6 +107,9 @@
 // a fault.
 func (d *Document) Valid(path string) bool { return d.places[path].valid }
 
+// Has reports whether the value at path is present.
+func (d *Document) Has(path string) bool { _, ok := d.places[path]; return ok }
+
 // Fault adds a fault at the value of path, or at the innermost enclosing value
 // that is present.
 func (d *Document) Fault(path, problem, expected string) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
 	"github.com/gooseberrypick/gooseberrypick/internal/caller"
+	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/distribution"
 	"github.com/gooseberrypick/gooseberrypick/internal/idempotency"
 	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
@@ -68,6 +69,19 @@
 	Dial wire.Dialer
 	// Listen opens the node's ports; nil means TCP.
 	Listen func(address string) (net.Listener, error)
+	// Interface replaces parts of the own interface; its zero value is the own
+	// one.
+	Interface Interface
+}
+
+// Interface is how a node speaks with callers, upstreams and its platform.
+type Interface struct {
+	// Dialect names the headers of requests and answers.
+	Dialect *dialect.Dialect
+	// Announcements serves the announcements of upstreams.
+	Announcements func(*upstream.Announcements) http.Handler
+	// Ready answers on ReadyListen whether the node is ready.
+	Ready func(ready func() error) http.Handler
 }
 
 // Node is one node process.
@@ -87,11 +101,13 @@
 	callers       *http.Server
 	upstreams     *http.Server
 	admin         *http.Server
-	listeners     listeners
-	stopping      chan struct{}
+	// readiness is nil without ReadyListen.
+	readiness *http.Server
+	listeners listeners
+	stopping  chan struct{}
 }
 
-type listeners struct{ caller, upstream, peer, admin net.Listener }
+type listeners struct{ caller, upstream, peer, admin, ready net.Listener }
 
 // New opens the listeners and prepares the node.
 func New(c Config) (*Node, error) {
@@ -125,6 +141,7 @@
 		Log:     c.Log.WithName("upstream"),
 		Observe: n.metrics.queued,
 		Dial:    c.Dial,
+		Dialect: c.Interface.Dialect,
 	})
 	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n)
 	n.peers = peer.NewClient(inner)
@@ -154,9 +171,18 @@
 		Once:    &onceRunner{client: n.once, router: r},
 		Log:     n.c.Log.WithName("caller"),
 		Observe: n.answered,
+		Dialect: n.c.Interface.Dialect,
+		Origin:  s.Service,
 	})
 	n.callers = caller.NewServer(n.handler)
-	n.upstreams = localServer(n.announcements.Handler())
+	announcements := n.announcements.Handler()
+	if f := n.c.Interface.Announcements; f != nil {
+		announcements = f(n.announcements)
+	}
+	n.upstreams = localServer(announcements)
+	if f := n.c.Interface.Ready; f != nil {
+		n.readiness = localServer(f(n.ready))
+	}
 	n.upstreams.ReadTimeout = headerTimeout
 	n.admin = localServer(admin.New(admin.Config{
 		Metrics: n.metrics.registry,
@@ -209,7 +235,11 @@
 		{&l.upstream, "UpstreamListen", s.UpstreamListen},
 		{&l.peer, "PeerListen", s.PeerListen},
 		{&l.admin, "AdminListen", s.AdminListen},
+		{&l.ready, "ReadyListen", s.ReadyListen},
 	} {
+		if e.address == "" {
+			continue // optional
+		}
 		k, err := c.Listen(e.address)
 		if err != nil {
 			l.close()
@@ -224,7 +254,7 @@
 }
 
 func (l listeners) close() {
-	for _, k := range []net.Listener{l.caller, l.upstream, l.peer, l.admin} {
+	for _, k := range []net.Listener{l.caller, l.upstream, l.peer, l.admin, l.ready} {
 		if k != nil {
 			k.Close()
 		}
@@ -293,6 +323,9 @@
 	g.Go(func() error { return ignoreClosed(n.callers.Serve(n.listeners.caller)) })
 	g.Go(func() error { return ignoreClosed(n.upstreams.Serve(n.listeners.upstream)) })
 	g.Go(func() error { return ignoreClosed(n.admin.Serve(n.listeners.admin)) })
+	if n.readiness != nil && n.listeners.ready != nil {
+		g.Go(func() error { return ignoreClosed(n.readiness.Serve(n.listeners.ready)) })
+	}
 	g.Go(func() error {
 		return wire.Serve(serving, n.listeners.peer, m, wire.ServeOptions{Log: n.c.Log.WithName("peer"), MaxConnections: maxPeerConnections})
 	})
@@ -359,6 +392,9 @@
 	err := g.Wait()
 	n.upstreams.Close()
 	n.admin.Close()
+	if n.readiness != nil {
+		n.readiness.Close()
+	}
 	if err != nil {
 		n.callers.Close()
 		return errors.Wrapf(err, "graceful stop within %s", limit)
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -32,7 +32,7 @@
 
 // lead makes n the leader. Its first entry commits those of earlier terms.
 func (n *Node) lead(now time.Duration) {
-	n.role, n.leader = Leader, n.c.Identity
+	n.role, n.leader, n.leaderSince = Leader, n.c.Identity, now
 	n.peers = map[string]*progress{}
 	n.termStart = n.log.last() + 1
 	n.syncPeers()
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -166,6 +166,45 @@
 	return p != nil && now < p.contact+n.c.ElectionTimeout
 }
 
+// silentVoterLimit is how long a voter must be silent before a caught-up learner
+// of another name takes its place. It is longer than a restart or an election,
+// and leaves a replaced VM time to catch up before a further loss counts.
+const silentVoterLimit = 2 * time.Second
+
+// silent reports whether the member has not answered for silentVoterLimit.
+func (n *Node) silent(now time.Duration, identity string) bool {
+	if identity == n.c.Identity {
+		return false
+	}
+	p := n.peers[identity]
+	return p == nil || now >= max(p.contact, n.leaderSince)+silentVoterLimit
+}
+
+// displaced returns the voter that makes room for the learner m: an earlier
+// identity of its name, or where there are enough voters, the one that has been
+// silent the longest. wait tells that m cannot become a voter now.
+func (n *Node) displaced(now time.Duration, m wire.RaftMember) (old wire.RaftMember, found, wait bool) {
+	if old, ok := n.voterNamed(m.Name); ok {
+		return old, true, n.alive(now, old.Identity)
+	}
+	if n.c.Voters == 0 || n.voters() < n.c.Voters {
+		return old, false, false
+	}
+	for _, o := range n.membership().Members {
+		if o.Voter && n.silent(now, o.Identity) && (!found || n.lastContact(o) < n.lastContact(old)) {
+			old, found = o, true
+		}
+	}
+	return old, found, !found
+}
+
+func (n *Node) lastContact(m wire.RaftMember) time.Duration {
+	if p := n.peers[m.Identity]; p != nil {
+		return p.contact
+	}
+	return 0
+}
+
 // planMembership makes a learner that holds the whole state a voter. A voter of
 // the same name, whose disk was lost, is removed first, in a change of its own:
 // exchanging two voters at once could give majorities that do not overlap.
@@ -177,12 +216,13 @@
 		if m.Voter || !n.alive(now, m.Identity) || n.peers[m.Identity].match < n.commit {
 			continue
 		}
+		old, found, wait := n.displaced(now, m)
+		if wait {
+			continue
+		}
 		next := n.membership()
 		next.Members = slices.Clone(next.Members)
-		if old, ok := n.voterNamed(m.Name); ok {
-			if n.alive(now, old.Identity) {
-				continue
-			}
+		if found {
 			next.Members = slices.DeleteFunc(next.Members, func(o wire.RaftMember) bool { return o.Identity == old.Identity })
 		} else {
 			i := slices.Index(next.Members, m)
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -81,6 +81,10 @@
 	// KeepEntries and KeepBytes bound the entries kept behind the newest
 	// snapshot.
 	KeepEntries, KeepBytes int
+	// Voters is the number of voters that the leader aims for by making caught-up
+	// learners voters. With zero, a learner only takes the place of an earlier
+	// identity of its own name.
+	Voters int
 	// PinBytes bounds the entries kept behind an older snapshot while it is
 	// being sent.
 	PinBytes int
@@ -153,6 +157,7 @@
 	incoming   *incoming
 
 	// Leader only.
+	leaderSince time.Duration
 	peers       map[string]*progress
 	round       uint64
 	heartbeatAt time.Duration
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -68,8 +68,18 @@
 	Group string
 	// Name is the name of this member in Members.
 	Name string
-	// Members are all configured members, including this one.
+	// Members are all configured members, including this one. With Seeds they
+	// hold this member alone.
 	Members []Member
+	// Seeds are addresses of members. With them, the other members are found and
+	// join and leave at run time; Peers and Transport then also take addresses
+	// in place of names.
+	Seeds []string
+	// Voters is the number of voters that a group with Seeds aims for.
+	Voters int
+	// FirstStart allows an empty member to bootstrap a group with Seeds. It must
+	// be false once the group has existed.
+	FirstStart bool
 	// Folder holds the state of this group alone.
 	Folder string
 	// Peers is not needed for a group of one.
@@ -119,12 +129,24 @@
 	if _, ok := c.member(c.Name); !ok {
 		return c, errkind.New(errkind.Usage, "group %s: member %q is not among the configured members", c.Group, c.Name)
 	}
-	if len(c.Members) > 1 && c.Peers == nil {
+	if c.dynamic() && len(c.Members) != 1 {
+		return c, errkind.New(errkind.Usage, "group %s: %d members are configured beside the seeds; expected this member alone", c.Group, len(c.Members))
+	}
+	if (len(c.Members) > 1 || c.dynamic()) && c.Peers == nil {
 		return c, errkind.New(errkind.Usage, "group %s: %d members need Peers", c.Group, len(c.Members))
 	}
 	return c, nil
 }
 
+// dynamic reports whether members are found by seeds.
+func (c Config) dynamic() bool { return len(c.Seeds) > 0 }
+
+// self is this member.
+func (c Config) self() Member {
+	m, _ := c.member(c.Name) // withDefaults has checked it
+	return m
+}
+
 func (c Config) member(name string) (Member, bool) {
 	for _, m := range c.Members {
 		if m.Name == name {
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -167,7 +167,7 @@
 	e.self = s.Identity
 	e.node = raft.New(raft.Config{
 		Identity: e.self.Identity, ElectionTimeout: e.c.ElectionTimeout,
-		HeartbeatInterval: e.c.HeartbeatInterval, Rand: e.c.Rand,
+		HeartbeatInterval: e.c.HeartbeatInterval, Rand: e.c.Rand, Voters: e.c.Voters,
 		BatchBytes:  e.c.batchBytes,
 		KeepEntries: e.c.SnapshotEntries / 4, KeepBytes: e.c.SnapshotBytes / 4,
 		PinBytes: 2 * e.c.SnapshotBytes,
@@ -178,7 +178,7 @@
 	if e.node == nil || e.failure != nil || m.Lineage != e.self.Lineage || m.Group != e.c.Group {
 		return
 	}
-	if _, ok := e.c.member(m.FromName); !ok {
+	if _, ok := e.c.member(m.FromName); !ok && !e.c.dynamic() {
 		return
 	}
 	if len(e.names) >= 1024 { // identities of replaced members add up slowly
@@ -258,6 +258,9 @@
 	if id == e.self.Identity {
 		return e.c.member(e.c.Name)
 	}
+	if m, ok := e.node.Member(id); ok && e.c.dynamic() {
+		return Member{Name: m.Name, Address: m.Address}, true
+	}
 	return e.c.member(e.nameOf(id))
 }
 
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -102,6 +102,9 @@
 			continue
 		}
 		m.Group, m.Lineage, m.FromName = e.c.Group, e.self.Lineage, e.c.Name
+		if e.c.dynamic() {
+			m.FromAddress = e.c.self().Address
+		}
 		e.send.Send(to, m)
 	}
 }
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -43,6 +43,9 @@
 // decide returns the plan for the answers of the other configured members. An
 // empty plan means to ask again.
 func (f *former) decide(answers map[string]*wire.ProbeResponse) plan {
+	if f.c.dynamic() {
+		return f.decideBySeeds(answers)
+	}
 	var p plan
 	empty := 0
 	for _, m := range f.c.Members {
@@ -108,25 +111,42 @@
 		mu      sync.Mutex
 		answers = map[string]*wire.ProbeResponse{}
 	)
-	for _, m := range f.c.Members {
-		if m.Name == f.c.Name {
-			continue
-		}
+	for _, n := range f.others() {
 		w.Go(func() {
-			a, err := f.c.Peers.Probe(ctx, m.Name, &wire.ProbeRequest{Group: f.c.Group, Name: f.c.Name, Identity: f.identity})
-			if err != nil || a.Name != m.Name {
-				f.c.Log.V(1).Info("member did not answer", "group", f.c.Group, "member", m.Name, "cause", err)
+			a, err := f.c.Peers.Probe(ctx, n, &wire.ProbeRequest{Group: f.c.Group, Name: f.c.Name, Identity: f.identity})
+			if err != nil || a.Name != n && !f.c.dynamic() {
+				f.c.Log.V(1).Info("member did not answer", "group", f.c.Group, "member", n, "cause", err)
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			answers[m.Name] = a
+			answers[n] = a
 		})
 	}
 	w.Wait()
 	return answers
 }
 
+// others returns the names of the other configured members, or the addresses of
+// the other seeds.
+func (f *former) others() []string {
+	var l []string
+	if f.c.dynamic() {
+		for _, a := range f.c.Seeds {
+			if a != f.c.self().Address {
+				l = append(l, a)
+			}
+		}
+		return l
+	}
+	for _, m := range f.c.Members {
+		if m.Name != f.c.Name {
+			l = append(l, m.Name)
+		}
+	}
+	return l
+}
+
 // bootstrap makes the group durable here first. Others that are not told here
 // learn of it from their own probes.
 func (f *former) bootstrap(ctx context.Context, g *Group, p plan) {
@@ -144,8 +164,12 @@
 		if m.Name == f.c.Name {
 			continue
 		}
+		to := m.Name
+		if f.c.dynamic() {
+			to = m.Address
+		}
 		w.Go(func() {
-			_, err := f.c.Peers.Bootstrap(ctx, m.Name, &wire.BootstrapRequest{
+			_, err := f.c.Peers.Bootstrap(ctx, to, &wire.BootstrapRequest{
 				Group: f.c.Group, Driver: f.identity, Lineage: p.lineage, Members: p.initial,
 			})
 			if err != nil {
@@ -158,7 +182,7 @@
 
 // join asks the members in turn; only the leader admits.
 func (f *former) join(ctx context.Context, g *Group, names []string) {
-	self, _ := f.c.member(f.c.Name)
+	self := f.c.self()
 	for _, n := range names {
 		c, cancel := context.WithTimeout(ctx, 2*probeTimeout)
 		a, err := f.c.Peers.Join(c, n, &wire.JoinRequest{
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -141,18 +141,20 @@
 		return nil, err
 	}
 	g.publish(e, g.now())
+	f, r := newFormer(c, l.State().Identity.Identity), newReturner(c, l.State().Identity.Identity)
+	forming := e.node == nil
 	go func() {
 		defer close(g.done)
 		g.run(e)
 	}()
-	if e.node == nil {
-		g.joining.Add(1)
-		f := newFormer(c, l.State().Identity.Identity)
-		go func() {
-			defer g.joining.Done()
+	g.joining.Go(func() {
+		if forming {
 			f.run(ctx, g)
-		}()
-	}
+		}
+		if c.dynamic() {
+			r.run(ctx, g)
+		}
+	})
 	return g, nil
 }
 
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -29,13 +29,16 @@
 // Probe serves wire.MethodProbe.
 func (g *Group) Probe(ctx context.Context, r *wire.ProbeRequest) (*wire.ProbeResponse, error) {
 	var a *wire.ProbeResponse
-	err := g.do(ctx, func(e *engine, _ time.Duration) error {
+	err := g.do(ctx, func(e *engine, now time.Duration) error {
 		if e.self.Lineage == "" {
 			e.driver = r.Identity
 		}
 		a = &wire.ProbeResponse{
 			Name: e.c.Name, Identity: e.self.Identity, Lineage: e.self.Lineage, Initial: e.self.Initial,
 		}
+		if e.node != nil {
+			a.Members = e.node.Status(now).Members
+		}
 		return nil
 	})
 	if err != nil {
@@ -72,6 +75,9 @@
 		want = append(want, m.Name)
 	}
 	slices.Sort(got)
+	if len(got) > 0 && g.c.dynamic() {
+		want = got // the members are not configured; the engine checks that this one is among them
+	}
 	if !slices.Equal(got, want) || r.Lineage == "" || r.Members[0].Identity != r.Driver {
 		return errkind.New(errkind.Conflict, "bootstrap with members %v; the settings of this member name %v", got, want)
 	}
@@ -129,7 +135,7 @@
 
 // Join serves wire.MethodJoin. It answers once the learner is committed.
 func (g *Group) Join(ctx context.Context, r *wire.JoinRequest) (*wire.JoinResponse, error) {
-	if _, ok := g.c.member(r.Name); !ok || r.Identity == "" {
+	if _, ok := g.c.member(r.Name); !ok && !g.c.dynamic() || r.Identity == "" {
 		return nil, errkind.New(errkind.BadRequest, "no member %q is configured", r.Name)
 	}
 	p := newProposal()
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -97,6 +97,8 @@
 	Inbound int
 	// Tries is how many tries the entry node has made, at least 1.
 	Tries int
+	// MaxTries is the bound of the route; zero leaves that of the budget.
+	MaxTries int
 	// Remaining is the time left until the deadline.
 	Remaining time.Duration
 	// Usual is the usual duration of a try.
@@ -142,7 +144,7 @@
 		return Decision{Reason: ReasonNoUse}
 	case t.Inbound > 1:
 		return Decision{Reason: ReasonInbound}
-	case t.Tries >= b.config.MaxTries:
+	case t.Tries >= b.config.MaxTries, t.MaxTries > 0 && t.Tries >= t.MaxTries:
 		return Decision{Reason: ReasonMaxTries}
 	case t.Execution != errkind.NotRun && !t.Idempotent:
 		return Decision{Reason: ReasonMayHaveRun}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,6 +52,7 @@
 	c        Config
 	mu       sync.RWMutex
 	services map[string]*service
+	splits   *splits
 }
 
 // New returns a Router.
@@ -62,7 +63,7 @@
 	if c.Retried == nil {
 		c.Retried = func(string) {}
 	}
-	return &Router{c: c, services: map[string]*service{}}
+	return &Router{c: c, services: map[string]*service{}, splits: newSplits(c.Seed)}
 }
 
 // try is one attempt at one upstream.
@@ -75,6 +76,8 @@
 
 // Route sends q to an upstream of the matched service.
 func (r *Router) Route(ctx context.Context, m table.Match, q *call.Request) (*call.Response, error) {
+	m = r.splits.choose(m)
+	q.Service = m.Route.Service
 	s := r.service(m.Route.Service)
 	s.called(time.Now(), m.Rank.Name, q.Attempt)
 	inbound := q.Attempt
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -128,6 +128,7 @@
 		Idempotent: retryable(m, q),
 		Inbound:    inbound,
 		Tries:      tries,
+		MaxTries:   m.Route.Attempts,
 		Remaining:  left,
 		Rank:       m.Rank.Name,
 	})
--- /dev/null
+++ b/internal/router/split.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+)
+
+// maxSplits bounds the routes whose turn is remembered.
+const maxSplits = 10_000
+
+// splits gives each part of a split route its share of the requests, in small
+// samples too: the smooth weighted round robin never lets a part fall more than
+// one request behind. Each node starts at a random turn, so that the first
+// requests of many nodes do not all go to the heaviest part.
+type splits struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	routes map[string]*turns
+}
+
+// turns is the state of one route's round robin.
+type turns struct {
+	split  []customer.Part
+	credit []int
+}
+
+func newSplits(seed uint64) *splits {
+	return &splits{random: rand.New(rand.NewPCG(seed, seed)), routes: map[string]*turns{}}
+}
+
+// choose returns m with the part whose turn it is.
+func (s *splits) choose(m table.Match) table.Match {
+	if len(m.Parts) == 0 {
+		return m
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.routes[m.Name]
+	if t == nil || !slices.Equal(t.split, m.Route.Split) {
+		t = s.start(m)
+	}
+	return m.WithPart(m.Parts[t.next()])
+}
+
+// start begins a round robin at a random turn.
+func (s *splits) start(m table.Match) *turns {
+	if len(s.routes) >= maxSplits {
+		clear(s.routes)
+	}
+	t := &turns{split: m.Route.Split, credit: make([]int, len(m.Parts))}
+	s.routes[m.Name] = t
+	for range s.random.IntN(max(1, t.total())) % maxSplits {
+		t.next()
+	}
+	return t
+}
+
+func (t *turns) total() int {
+	n := 0
+	for _, p := range t.split {
+		n += p.Weight
+	}
+	return n
+}
+
+// next returns the index of the part whose turn it is.
+func (t *turns) next() int {
+	best := 0
+	for i, p := range t.split {
+		t.credit[i] += p.Weight
+		if t.credit[i] > t.credit[best] {
+			best = i
+		}
+	}
+	t.credit[best] -= t.total()
+	return best
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -29,10 +29,24 @@
 	Route    customer.Route
 	Rank     customer.Rank
 	Service  customer.Service
+	// Parts are the services of a split route; Service is empty then.
+	Parts []Part
 	// Name is the route's name, computed once.
 	Name string
 }
 
+// Part is a service of a split route with its weight.
+type Part struct {
+	Service customer.Service
+	Weight  int
+}
+
+// WithPart returns m with all its requests going to one part.
+func (m Match) WithPart(p Part) Match {
+	m.Service, m.Route.Service, m.Parts = p.Service, p.Service.Name, nil
+	return m
+}
+
 // Table is immutable.
 type Table struct {
 	version uint64
@@ -126,7 +140,7 @@
 		s, _ := c.Service(r.Service)
 		k, _ := c.Rank(r.Rank)
 		h := strings.ToLower(r.Host)
-		added[h] = append(added[h], Match{Customer: c.Customer(), Route: r, Rank: k, Service: s, Name: r.Name()})
+		added[h] = append(added[h], Match{Customer: c.Customer(), Route: r, Rank: k, Service: s, Parts: partsOf(c, r), Name: r.Name()})
 	}
 	for h, l := range added {
 		l = append(slices.Clone(t.hosts[h]), l...)
@@ -142,6 +156,15 @@
 	return nil
 }
 
+func partsOf(c *customer.Config, r customer.Route) []Part {
+	l := make([]Part, 0, len(r.Split))
+	for _, p := range r.Split {
+		s, _ := c.Service(p.Service)
+		l = append(l, Part{Service: s, Weight: p.Weight})
+	}
+	return l
+}
+
 // Service returns a service by its name, which is unique over all customers.
 func (t *Table) Service(name string) (customer.Service, bool) {
 	c := t.configs[t.service[name]]
@@ -183,7 +206,7 @@
 // Match returns the most specific route for a request.
 func (t *Table) Match(host, method, path string) (Match, bool) {
 	for _, m := range t.hosts[normalize(host)] {
-		if m.Route.Method == method && hasPathPrefix(path, m.Route.Path) {
+		if (m.Route.Method == method || m.Route.Method == customer.AnyMethod) && hasPathPrefix(path, m.Route.Path) {
 			return m, true
 		}
 	}
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -37,6 +37,25 @@
 	Slots       int
 	Connections int
 	State       wire.UpstreamState
+	// Incarnation grows with each start of an upstream and Sequence with each of
+	// its announcements, so that a late announcement is known as such. Both are
+	// zero in the own interface, which has neither.
+	Incarnation int64  `json:"-"`
+	Sequence    uint64 `json:"-"`
+}
+
+// supersedes reports whether n is to be taken although o was.
+func (n Announcement) supersedes(o Announcement) bool {
+	if n.Incarnation != o.Incarnation {
+		return n.Incarnation > o.Incarnation
+	}
+	return n.Incarnation == 0 || n.Sequence > o.Sequence
+}
+
+// sameAs reports whether n says the same as o, for the fleet.
+func (n Announcement) sameAs(o Announcement) bool {
+	n.Sequence = o.Sequence
+	return n == o
 }
 
 // Renewal answers an announcement.
@@ -61,6 +80,14 @@
 	// notify orders the calls of Set.
 	notify sync.Mutex
 	names  map[string]Announced
+	// ended holds the incarnations of upstreams that withdrew, oldest first, so
+	// that a late announcement does not bring one back.
+	ended []ending
+}
+
+type ending struct {
+	name        string
+	incarnation int64
 }
 
 // Target follows the announcements.
@@ -132,23 +159,87 @@
 	defer a.notify.Unlock()
 	a.mu.Lock()
 	o, known := a.names[name]
+	if reason := a.outdated(name, n); reason != "" {
+		a.mu.Unlock()
+		a.log.Info("announcement ignored", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address,
+			"incarnation", n.Incarnation, "sequence", n.Sequence, "reason", reason)
+		return nil
+	}
 	if !known && len(a.names) >= maxUpstreams {
 		a.mu.Unlock()
 		return errkind.New(errkind.TooLarge, "%d upstreams are announced already", maxUpstreams)
 	}
+	replaced := a.dropAddress(name, n)
 	e := Announced{Name: name, Announcement: n, Since: now, expires: now.Add(RenewWithin)}
-	if known && o.State == n.State && o.Address == n.Address {
+	if known && o.State == n.State && o.Address == n.Address && o.Incarnation == n.Incarnation {
 		e.Since = o.Since
 	}
 	a.names[name] = e
 	a.mu.Unlock()
-	if !known || o.Announcement != n {
+	if replaced != "" {
+		a.log.Info("upstream removed", "upstream", replaced, "reason", "its address belongs to "+name)
+	}
+	if !known || !o.sameAs(n) {
 		a.log.Info("upstream announced", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address)
 		a.target.Set(a.List())
 	}
 	return nil
 }
 
+// outdated returns why an announcement is older than what is known, or an empty
+// string. The caller holds the lock.
+func (a *Announcements) outdated(name string, n Announcement) string {
+	if o, ok := a.names[name]; ok && !n.supersedes(o.Announcement) {
+		return "a newer announcement of the upstream is known"
+	}
+	if n.Incarnation == 0 {
+		return ""
+	}
+	for _, e := range a.ended {
+		if e.name == name && n.Incarnation <= e.incarnation {
+			return "the upstream has withdrawn"
+		}
+	}
+	for k, o := range a.names {
+		if k != name && o.Address == n.Address && o.Incarnation > n.Incarnation {
+			return "upstream " + k + " started later at the same address"
+		}
+	}
+	return ""
+}
+
+// dropAddress removes another upstream that had the address of n before, and
+// returns its name. The caller holds the lock.
+func (a *Announcements) dropAddress(name string, n Announcement) string {
+	if n.Incarnation == 0 {
+		return ""
+	}
+	for k, o := range a.names {
+		if k != name && o.Address == n.Address {
+			delete(a.names, k)
+			return k
+		}
+	}
+	return ""
+}
+
+// End remembers that an upstream withdrew in the given incarnation, and removes
+// it unless a later one is known.
+func (a *Announcements) End(name string, incarnation int64) {
+	a.mu.Lock()
+	o, ok := a.names[name]
+	if incarnation == 0 {
+		incarnation = o.Incarnation
+	}
+	if a.ended = append(a.ended, ending{name, incarnation}); len(a.ended) > maxUpstreams {
+		a.ended = a.ended[1:]
+	}
+	a.mu.Unlock()
+	if ok && o.Incarnation <= incarnation {
+		a.Remove(name, "withdrawn")
+	}
+}
+
 func (a *Announcements) delete(w http.ResponseWriter, r *http.Request) {
 	a.Remove(r.PathValue("name"), "withdrawn")
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,29 +11,32 @@
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// Headers that a node sets towards an upstream.
+// Headers that a node sets towards an upstream in the own interface.
 const (
-	HeaderDeadline  = "Gooseberrypick-Deadline"
-	HeaderRequestID = "Gooseberrypick-Request-Id"
-	HeaderAttempt   = "Gooseberrypick-Attempt"
-
-	// reserved is the prefix of the system's own headers. An upstream that is
-	// itself a caller may pass on an answer with them, whose statements concern
-	// another request.
-	reserved = "Gooseberrypick-"
+	HeaderDeadline  = dialect.HeaderDeadline
+	HeaderRequestID = dialect.HeaderRequestID
+	HeaderAttempt   = dialect.HeaderAttempt
 )
 
 // Client sends requests to one upstream over HTTP/1.1 and keeps its connections
 // open. The queue bounds the number of requests at the same time.
-type Client struct{ pool connections }
+type Client struct {
+	pool    connections
+	dialect *dialect.Dialect
+}
 
-// NewClient returns a Client for the upstream at address that connects with d.
-func NewClient(address string, d wire.Dialer) *Client {
-	return &Client{connections{address: address, dial: d, keep: true}}
+// NewClient returns a Client for the upstream at address that connects with d
+// and speaks s; nil means the own dialect.
+func NewClient(address string, d wire.Dialer, s *dialect.Dialect) *Client {
+	if s == nil {
+		s = dialect.Own()
+	}
+	return &Client{pool: connections{address: address, dial: d, keep: true}, dialect: s}
 }
 
 // SetKeep says whether connections are kept for further requests. Those that
@@ -56,10 +59,13 @@
 		if err != nil {
 			return nil, errkind.Wrap(err, call.EndKind(ctx, errkind.ConnectFailed), "connect to upstream").WithExecution(errkind.NotRun)
 		}
-		x := &exchange{ctx: ctx, connection: k, pool: &c.pool, stream: r.Stream}
+		x := &exchange{ctx: ctx, connection: k, pool: &c.pool, stream: r.Stream, dialect: c.dialect, requestID: r.RequestID}
 		err = x.start(q)
 		switch {
 		case err == nil:
+			if err := x.refusal(); err != nil {
+				return nil, err
+			}
 			return x.response(r), nil
 		case k.sent:
 			return nil, errkind.From(err).WithExecution(errkind.Unknown)
@@ -75,7 +81,7 @@
 		Head: wire.ResponseHead{
 			RequestID:     r.RequestID,
 			Status:        x.answer.StatusCode,
-			Header:        endToEnd(x.answer.Header, true),
+			Header:        endToEnd(x.answer.Header, x.dialect.Reserved),
 			ContentLength: x.answer.ContentLength,
 		},
 		Body:    x,
@@ -93,12 +99,20 @@
 		return nil, errkind.New(errkind.BadRequest, "method %q", r.Method)
 	}
 	u.Scheme, u.Host = "http", c.pool.address
-	h := endToEnd(r.Header, false)
+	h := endToEnd(r.Header, "")
 	if d, ok := ctx.Deadline(); ok {
-		h[HeaderDeadline] = []string{strconv.FormatInt(max(time.Until(d).Milliseconds(), 1), 10) + "ms"}
+		h[c.dialect.Deadline] = []string{c.dialect.FormatDeadline(time.Until(d))}
+	}
+	for name, v := range map[string]string{
+		c.dialect.RequestID: r.RequestID,
+		c.dialect.Attempt:   strconv.Itoa(r.Attempt),
+		c.dialect.Instance:  r.Upstream,
+		c.dialect.Caller:    r.Origin,
+	} {
+		if name != "" {
+			h[name] = []string{v}
+		}
 	}
-	h[HeaderRequestID] = []string{r.RequestID}
-	h[HeaderAttempt] = []string{strconv.Itoa(r.Attempt)}
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
@@ -128,12 +142,14 @@
 }
 
 // endToEnd returns a copy of h without headers that concern one connection, and
-// of an answer without the system's own headers.
-func endToEnd(h http.Header, answer bool) http.Header {
+// without those that begin with the reserved prefix unless it is empty. An
+// upstream that is itself a caller may pass on an answer with the system's own
+// headers, whose statements concern another request.
+func endToEnd(h http.Header, reserved string) http.Header {
 	n := make(http.Header, len(h)+4)
 	for k, v := range h {
 		// net/http makes all names canonical; it does not recognize others.
-		if http.CanonicalHeaderKey(k) == k && (!answer || !strings.HasPrefix(k, reserved)) {
+		if http.CanonicalHeaderKey(k) == k && (reserved == "" || !strings.HasPrefix(k, reserved)) {
 			n[k] = v
 		}
 	}
--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -41,7 +41,7 @@
 					}()
 				}
 			}()
-			k := NewClient(l.Addr().String(), wire.DialTCP)
+			k := NewClient(l.Addr().String(), wire.DialTCP, nil)
 			defer k.SetKeep(false)
 			do := func() string {
 				r := &call.Request{RequestHead: wire.RequestHead{Method: "POST", Path: "/", Execution: string(customer.Once), WholeBody: true}}
@@ -91,7 +91,7 @@
 				})}
 				done := make(chan error)
 				go func() { done <- s.Serve(l) }()
-				k := NewClient("up:80", n.Dial)
+				k := NewClient("up:80", n.Dial, nil)
 				if a, err := k.Do(t.Context(), &call.Request{RequestHead: h}); err == nil {
 					a.Body.Close()
 				}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -32,6 +33,8 @@
 	// bodyBroke is set where the request's body broke off, and not the network,
 	// before the connection is closed for that reason.
 	bodyBroke atomic.Bool
+	dialect   *dialect.Dialect
+	requestID string
 	// stop ends the watch over ctx.
 	stop   func() bool
 	answer *http.Response
@@ -99,7 +102,10 @@
 		if a.StatusCode < http.StatusOK {
 			continue
 		}
-		if a.ContentLength < 0 && len(a.TransferEncoding) == 0 && q.Method != http.MethodHead {
+		if id := a.Header.Get(x.dialect.RequestID); x.dialect.EchoesRequestID && id != x.requestID {
+			return errors.Errorf("the answer belongs to request %q", id)
+		}
+		if a.ContentLength < 0 && len(a.TransferEncoding) == 0 && q.Method != http.MethodHead && !x.dialect.EndsByClose {
 			return errors.New("the answer has neither a length nor chunks, so that its end cannot be told from a broken connection")
 		}
 		x.limit, x.answer = math.MaxInt64, a
--- a/internal/upstream/local.go
+++ b/internal/upstream/local.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -30,6 +31,8 @@
 	Observe func(service, rank string, wait time.Duration)
 	// Dial connects to upstreams; nil means TCP.
 	Dial wire.Dialer
+	// Dialect is spoken with upstreams; nil means the own one.
+	Dialect *dialect.Dialect
 }
 
 // Local serves the upstreams beside this node. It implements call.Transport.
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -35,7 +35,7 @@
 
 func newWorker(c Config, n Announced) *worker {
 	w := &worker{
-		c: c, client: NewClient(n.Address, c.Dial), service: n.Service, address: n.Address,
+		c: c, client: NewClient(n.Address, c.Dial, c.Dialect), service: n.Service, address: n.Address,
 		announced: n, waiting: map[uint64]chan error{},
 	}
 	w.limiter = limit.New(limit.Config{Slots: n.Slots})
--- a/internal/versions/command.go
+++ b/internal/versions/command.go
@@ -54,6 +54,10 @@
 	FileName  string              `cbor:"6,keyasint"`
 	File      []byte              `cbor:"7,keyasint"`
 	Resources []customer.Resource `cbor:"8,keyasint"`
+	// Number is the operator's own number of the version and BaseNumber that of
+	// the version it builds on. With a Number, BaseNumber replaces Base.
+	Number     uint64 `cbor:"9,keyasint,omitempty"`
+	BaseNumber uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // RememberNodes adds nodes to the known nodes. The time of each node in Nodes
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -166,7 +166,7 @@
 		return Result{Version: r.Version, Repeated: true}, nil
 	}
 	v := m.current.Load()
-	if err := v.checkBase(a.Customer, a.Base); err != nil {
+	if err := v.check(a); err != nil {
 		return refusal(err), nil
 	}
 	n, err := a.config()
--- a/internal/versions/view.go
+++ b/internal/versions/view.go
@@ -27,6 +27,8 @@
 	Services int    `cbor:"9,keyasint"`
 	Ranks    int    `cbor:"10,keyasint"`
 	Routes   int    `cbor:"11,keyasint"`
+	// Number is the operator's own number of the version, zero without one.
+	Number uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Entry is one version of the history.
@@ -152,6 +154,30 @@
 		name, base, m.Version, m.Author, m.Time.UTC().Format(time.RFC3339))
 }
 
+// check reports whether a can succeed on v.
+func (v *View) check(a Accept) error {
+	if a.Number > 0 {
+		return v.checkNumber(a)
+	}
+	return v.checkBase(a.Customer, a.Base)
+}
+
+// checkNumber reports whether an accept with the operator's own numbers can
+// succeed on v: it must build on the number in force and raise it.
+func (v *View) checkNumber(a Accept) error {
+	current := uint64(0)
+	if r, ok := v.newest[a.Customer]; ok {
+		current = r.Metadata.Number
+	}
+	if a.BaseNumber != current {
+		return errkind.New(errkind.Conflict, "version %d builds on version %d, but version %d is current", a.Number, a.BaseNumber, current)
+	}
+	if a.Number <= current {
+		return errkind.New(errkind.Conflict, "version %d is not above the current version %d", a.Number, current)
+	}
+	return nil
+}
+
 // ChangeFrom returns the changes that lead from the given version to v, one per
 // customer by name. It returns false when the version is zero, no longer known,
 // or above v. In the first two cases the node needs Full. In the last case the
@@ -197,7 +223,7 @@
 		Metadata: Metadata{
 			Version: n.version, Customer: a.Customer, Author: a.Author, Time: a.Time.UTC(), Base: a.Base,
 			RequestID: a.RequestID, FileName: a.FileName, Digest: n.digest,
-			Services: len(c.Services()), Ranks: len(c.Ranks()), Routes: len(c.Routes()),
+			Number: a.Number, Services: len(c.Services()), Ranks: len(c.Ranks()), Routes: len(c.Routes()),
 		},
 		File: a.File, FileKept: true, Change: &d,
 	}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -180,6 +180,8 @@
 	Lineage string        `cbor:"1,keyasint"`
 	Control string        `cbor:"2,keyasint"`
 	Lease   time.Duration `cbor:"3,keyasint"`
+	// Controls are the addresses of all controls.
+	Controls []string `cbor:"4,keyasint,omitempty"`
 }
 
 // ConfigChunk is a part of one encoded ConfigUpdate. The update is complete
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -35,6 +35,8 @@
 	ContentLength int64  `cbor:"17,keyasint"`
 	// Route is the name of the matched route, for log lines.
 	Route string `cbor:"18,keyasint,omitempty"`
+	// Origin is the service of the VM where the request began.
+	Origin string `cbor:"19,keyasint,omitempty"`
 }
 
 // ForwardResponse is what the owner node sends back: Admitted where the body is
--- a/internal/wire/raft.go
+++ b/internal/wire/raft.go
@@ -99,6 +99,9 @@
 	Sum        uint64          `cbor:"23,keyasint,omitempty"`
 	// Full is set in a rejection for lack of space on the disk.
 	Full bool `cbor:"24,keyasint,omitempty"`
+	// FromAddress is where the sender is reached, set where members are found at
+	// run time.
+	FromAddress string `cbor:"25,keyasint,omitempty"`
 }
 
 // ProposeRequest forwards a command to the leader of a group.
@@ -128,6 +131,8 @@
 	Lineage  string `cbor:"3,keyasint,omitempty"`
 	// Initial is the membership at bootstrap, where the member knows it.
 	Initial []RaftMember `cbor:"4,keyasint,omitempty"`
+	// Members is the newest membership that the member knows.
+	Members []RaftMember `cbor:"5,keyasint,omitempty"`
 }
 
 // BootstrapRequest tells an empty member the first membership of a new group.
--- a/pkg/customer/config.go
+++ b/pkg/customer/config.go
@@ -39,6 +39,15 @@
 	Floor float64 `cbor:"5,keyasint"`
 }
 
+// AnyMethod is the Method of a route that takes requests of every method.
+const AnyMethod = "*"
+
+// Part is a service's part of the requests of a route.
+type Part struct {
+	Service string `cbor:"1,keyasint"`
+	Weight  int    `cbor:"2,keyasint"`
+}
+
 // Route maps requests to a service and a rank.
 type Route struct {
 	Host      string        `cbor:"1,keyasint"`
@@ -48,6 +57,20 @@
 	Rank      string        `cbor:"5,keyasint"`
 	Deadline  time.Duration `cbor:"6,keyasint"`
 	Execution Execution     `cbor:"7,keyasint"`
+	// Attempts bounds the upstreams that one request is sent to. Zero leaves it
+	// to the retry budget.
+	Attempts int `cbor:"8,keyasint,omitempty"`
+	// Split replaces Service where several services share the requests in
+	// proportion to their weights.
+	Split []Part `cbor:"9,keyasint,omitempty"`
+}
+
+// Parts returns the services that run the requests of r, with their weights.
+func (r Route) Parts() []Part {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []Part{{Service: r.Service, Weight: 1}}
 }
 
 // Name returns the match of r, which is unique within a customer.
--- a/pkg/customer/parse.go
+++ b/pkg/customer/parse.go
@@ -79,8 +79,10 @@
 		c.ranks[r.Name] = Rank(r)
 	}
 	for _, r := range f.Routes {
-		v := Route(r)
-		v.Host = strings.ToLower(v.Host) // host names are compared without case
+		v := Route{
+			Host:   strings.ToLower(r.Host), // host names are compared without case
+			Method: r.Method, Path: r.Path, Service: r.Service, Rank: r.Rank, Deadline: r.Deadline, Execution: r.Execution,
+		}
 		c.routes[v.Name()] = v
 	}
 	return c
--- a/pkg/customer/parse_test.go
+++ b/pkg/customer/parse_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -53,7 +54,7 @@
 		Host: "a.example.org", Method: "GET", Path: "/p4", Service: "s", Rank: "r1",
 		Deadline: 2 * time.Second, Execution: customer.Idempotent,
 	}
-	if got != want {
+	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 	s, _ := c.Service("s")
--- a/pkg/customer/resource.go
+++ b/pkg/customer/resource.go
@@ -54,6 +54,9 @@
 	return l
 }
 
+// NewResource returns v, a Service, Rank or Route, as a resource.
+func NewResource(k ResourceKind, name string, v any) Resource { return encode(k, name, v) }
+
 func encode(k ResourceKind, name string, v any) Resource {
 	b, err := cbor.Marshal(v)
 	if err != nil {
@@ -174,8 +177,10 @@
 // Check reports the first route that refers to a service or rank that c lacks.
 func (c *Config) Check() error {
 	for _, r := range c.Routes() {
-		if _, ok := c.services[r.Service]; !ok {
-			return errors.Errorf("route %q needs service %q, which customer %q lacks", r.Name(), r.Service, c.customer)
+		for _, p := range r.Parts() {
+			if _, ok := c.services[p.Service]; !ok {
+				return errors.Errorf("route %q needs service %q, which customer %q lacks", r.Name(), p.Service, c.customer)
+			}
 		}
 		if _, ok := c.ranks[r.Rank]; !ok {
 			return errors.Errorf("route %q needs rank %q, which customer %q lacks", r.Name(), r.Rank, c.customer)
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -13,6 +13,8 @@
 const (
 	maxClaimGroups    = 64
 	minClaimRetention = time.Hour
+	maxPort           = 65535
+	maxLosses         = 4
 )
 
 var (
@@ -27,23 +29,81 @@
 func checkNode(c checker, s *Node) {
 	c.name("Name", s.Name)
 	c.name("AvailabilityZone", s.AvailabilityZone)
-	c.listens([]listen{
+	l := []listen{
 		{"Listen", s.Listen, false},
 		{"UpstreamListen", s.UpstreamListen, false},
 		{"PeerListen", s.PeerListen, true},
 		{"AdminListen", s.AdminListen, false},
-	})
-	if c.d.Valid("Control") && len(s.Control) == 0 {
-		c.d.Fault("Control", "empty", "the address of at least one control")
 	}
-	seen := map[netip.AddrPort]bool{}
-	for i, a := range s.Control {
-		c.peer(jsonc.Index("Control", i), a, seen)
+	if s.ReadyListen != "" {
+		l = append(l, listen{"ReadyListen", s.ReadyListen, false})
 	}
+	c.listens(l)
+	c.controls(s)
+	c.speaks(s.Interface)
+	if s.Interface == PlatformInterface {
+		c.name("Service", s.Service)
+		if c.d.Valid("ReadyListen") && s.ReadyListen == "" {
+			c.d.Fault("ReadyListen", "empty", "an address, which the interface Platform needs")
+		}
+	}
+	c.retryBudget(s.RetryBudget)
 	c.tls(s.TLS)
 	c.common(s.LogLevel, s.StopLimit)
 }
 
+// controls checks how a node finds its controls.
+func (c checker) controls(s *Node) {
+	switch {
+	case c.d.Has("") && !c.d.Has("Control") && !c.d.Has("Seeds"):
+		c.d.Fault("", "neither Control nor Seeds", "the addresses of controls or of seeds")
+	case len(s.Seeds) == 0:
+		if c.d.Valid("Control") && len(s.Control) == 0 {
+			c.d.Fault("Control", "empty", "the address of at least one control")
+		}
+	case len(s.Control) > 0:
+		c.d.Fault("Seeds", "Control is set as well", "either Control or Seeds")
+	case s.ControlPort < 1 || s.ControlPort > maxPort:
+		c.d.Fault("Seeds", fmt.Sprintf("ControlPort %d is out of range", s.ControlPort), "a ControlPort from 1 to 65535")
+	}
+	c.addresses("Control", s.Control)
+	c.addresses("Seeds", s.Seeds)
+}
+
+func (c checker) addresses(key string, l []string) {
+	seen := map[netip.AddrPort]bool{}
+	for i, a := range l {
+		c.peer(jsonc.Index(key, i), a, seen)
+	}
+}
+
+func (c checker) speaks(i Interface) {
+	if c.d.Valid("Interface") && i != OwnInterface && i != PlatformInterface {
+		c.d.Fault("Interface", "unknown interface "+jsonc.Quote(string(i)), `"Own" or "Platform"`)
+	}
+}
+
+func (c checker) retryBudget(b RetryBudget) {
+	if !c.d.Valid("RetryBudget") || b == (RetryBudget{}) {
+		return
+	}
+	if b.Share < 0 || b.Share > 1 || b.Slack < 0 || b.Window <= 0 {
+		c.d.Fault("RetryBudget", fmt.Sprintf("Share %v, Slack %d, Window %s is out of range", b.Share, b.Slack, b.Window),
+			"a Share from 0 to 1, a Slack of at least 0 and a Window above 0s")
+	}
+}
+
+// seeds checks how a control finds the others.
+func (c checker) seeds(s *Control) {
+	c.addresses("Seeds", s.Seeds)
+	if c.d.Valid("Members") && len(s.Members) > 0 {
+		c.d.Fault("Seeds", "Members is set as well", "either Members or Seeds")
+	}
+	if c.d.Valid("Losses") && (s.Losses < 0 || s.Losses > maxLosses) {
+		c.d.Fault("Losses", fmt.Sprintf("%d is out of range", s.Losses), "a whole number from 0 to 4")
+	}
+}
+
 func checkControl(c checker, s *Control) {
 	c.name("Name", s.Name)
 	c.name("AvailabilityZone", s.AvailabilityZone)
@@ -52,7 +112,15 @@
 		{"PeerListen", s.PeerListen, true},
 		{"AdminListen", s.AdminListen, false},
 	})
-	c.members(s)
+	switch {
+	case len(s.Seeds) > 0:
+		c.seeds(s)
+	case c.d.Has("") && !c.d.Has("Members"):
+		c.d.Fault("", "neither Members nor Seeds", "the members or the addresses of seeds")
+	default:
+		c.members(s)
+	}
+	c.speaks(s.Interface)
 	if c.d.Valid("DataFolder") && s.DataFolder == "" {
 		c.d.Fault("DataFolder", "empty", "a folder")
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -15,6 +15,7 @@
 
 import (
 	"io"
+	"net/netip"
 	"os"
 	"time"
 
@@ -28,6 +29,20 @@
 	DefaultStopLimit      = 30 * time.Second
 	DefaultClaimGroups    = 2
 	DefaultClaimRetention = 24 * time.Hour
+	DefaultLosses         = 2
+)
+
+// Interface is the manner in which a process speaks with callers, upstreams and
+// operators.
+type Interface string
+
+// Interfaces.
+const (
+	// OwnInterface is the interface of this project.
+	OwnInterface Interface = "Own"
+	// PlatformInterface is the interface of the platform that package platform
+	// speaks.
+	PlatformInterface Interface = "Platform"
 )
 
 // Node holds the settings of a node.
@@ -41,8 +56,21 @@
 	// PeerListen serves other nodes, which reach this node by it.
 	PeerListen  string
 	AdminListen string
-	// Control lists the PeerListen addresses of controls.
-	Control []string `jsonc:"max=100"`
+	// Control lists the PeerListen addresses of controls. With Seeds it is empty.
+	Control []string `jsonc:"optional,max=100"`
+	// Seeds lists addresses at which some controls can be found. Only their IPs
+	// count: all controls have the port ControlPort in their PeerListen.
+	Seeds       []string `jsonc:"optional,max=100"`
+	ControlPort int      `jsonc:"optional"`
+	// Interface is how callers, upstreams and the platform are spoken to.
+	Interface Interface `jsonc:"optional"`
+	// Service is the service of the upstream beside the node. With the interface
+	// Platform, upstreams are told it as the origin of the callers' requests.
+	Service string `jsonc:"optional"`
+	// ReadyListen serves the platform's questions whether the node is ready.
+	ReadyListen string `jsonc:"optional"`
+	// RetryBudget bounds the requests that are sent to a second upstream.
+	RetryBudget RetryBudget `jsonc:"optional"`
 	// TLS is for connections to and from other nodes and controls.
 	TLS      TLS    `jsonc:"optional"`
 	LogLevel string `jsonc:"optional"`
@@ -51,6 +79,14 @@
 	StopLimit time.Duration `jsonc:"optional"`
 }
 
+// RetryBudget is what all nodes together may send to second upstreams of one
+// service within any Window: Share of the requests in it, and Slack more.
+type RetryBudget struct {
+	Share  float64
+	Slack  int
+	Window time.Duration
+}
+
 // Control holds the settings of a control.
 type Control struct {
 	Name             string
@@ -60,8 +96,20 @@
 	// PeerListen serves nodes and other controls, which reach this control by it.
 	PeerListen  string
 	AdminListen string
-	// Members lists all controls that vote, including this one.
-	Members    []Member `jsonc:"max=100"`
+	// Members lists all controls that vote, including this one. With Seeds it is
+	// empty.
+	Members []Member `jsonc:"optional,max=100"`
+	// Seeds lists addresses at which some controls can be found, as in Node. The
+	// port of PeerListen is that of all controls.
+	Seeds []string `jsonc:"optional,max=100"`
+	// Losses is how many voting controls may be lost at once in a system with
+	// Seeds, which aims for twice as many voters and one more.
+	Losses int `jsonc:"optional"`
+	// FirstStart allows a control with an empty folder to set up a new system
+	// with the other seeds. It must be false once the system has existed.
+	FirstStart bool `jsonc:"optional"`
+	// Interface is how operators are spoken to.
+	Interface  Interface `jsonc:"optional"`
 	DataFolder string
 	// TLS is for connections to and from nodes and other controls, and for the
 	// operator API, which asks for no certificate of the client.
@@ -111,7 +159,7 @@
 // ParseNode decodes and checks the settings of a node. The file is named in
 // errors.
 func ParseNode(file string, data []byte) (*Node, error) {
-	s := &Node{LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit}
+	s := &Node{LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface}
 	d := jsonc.Parse(file, data)
 	d.Decode(s)
 	checkNode(checker{d}, s)
@@ -119,15 +167,31 @@
 		return nil, errkind.New(errkind.Usage, "%v", err)
 	}
 	s.TLS = s.TLS.within(file)
+	if len(s.Seeds) > 0 {
+		s.Control = peerAddresses(s.Seeds, s.ControlPort)
+	}
 	return s, nil
 }
 
+// peerAddresses returns the IPs of checked addresses with another port.
+func peerAddresses(l []string, port int) []string {
+	var r []string
+	for _, a := range l {
+		p, err := netip.ParseAddrPort(a)
+		if err != nil {
+			continue // reported by the check
+		}
+		r = append(r, netip.AddrPortFrom(p.Addr().Unmap(), uint16(port)).String())
+	}
+	return r
+}
+
 // ParseControl decodes and checks the settings of a control. The file is named
 // in errors.
 func ParseControl(file string, data []byte) (*Control, error) {
 	s := &Control{
 		ClaimGroups: DefaultClaimGroups, ClaimRetention: DefaultClaimRetention,
-		LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit,
+		LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, Losses: DefaultLosses,
 	}
 	d := jsonc.Parse(file, data)
 	d.Decode(s)
@@ -136,6 +200,10 @@
 		return nil, errkind.New(errkind.Usage, "%v", err)
 	}
 	s.TLS = s.TLS.within(file)
+	if own, err := netip.ParseAddrPort(s.PeerListen); err == nil && len(s.Seeds) > 0 {
+		s.PeerListen = netip.AddrPortFrom(own.Addr().Unmap(), own.Port()).String()
+		s.Seeds = peerAddresses(s.Seeds, int(own.Port()))
+	}
 	return s, nil
 }
 
