Take SIGHUP as a reload, and leave a silent control within 1.5 s

Change: SIGHUP and a changed settings file are read again; pings every 500 ms, a stream ends after 1.5 s of silence.

--- a/internal/commands/control.go
+++ b/internal/commands/control.go
@@ -20,13 +20,22 @@
 			if err != nil {
 				return err
 			}
-			return runProcess(c, s.Interface, s.LogLevel, func(l logr.Logger) (runner, error) {
-				k := control.Config{Settings: *s, Log: l}
-				if s.Interface == settings.PlatformInterface {
-					k.Operators = platform.Operators(l.WithName("platform"))
-				}
-				return control.New(k)
-			})
+			return process{
+				file: file, level: s.LogLevel, speaks: s.Interface,
+				start: func(l logr.Logger) (runner, error) {
+					k := control.Config{Settings: *s, Log: l}
+					if s.Interface == settings.PlatformInterface {
+						k.Operators = platform.Operators(l.WithName("platform"))
+					}
+					return control.New(k)
+				},
+				// A control needs its settings only at the start; they are checked so
+				// that a fault is seen before that.
+				reloading: func(runner) error {
+					_, err := settings.ReadControl(file)
+					return err
+				},
+			}.run(c)
 		},
 	}
 	settingsFlag(c, &file)
--- a/internal/commands/dev.go
+++ b/internal/commands/dev.go
@@ -27,9 +27,9 @@
 				return errors.Wrap(err, "make the data folder")
 			}
 			defer func() { _ = os.RemoveAll(d) }() // only temporary data is left behind
-			return runProcess(c, settings.OwnInterface, level, func(l logr.Logger) (runner, error) {
+			return process{level: level, speaks: settings.OwnInterface, start: func(l logr.Logger) (runner, error) {
 				return dev.New(dev.Config{BasePort: port, Folder: d, Out: c.OutOrStdout(), Log: l})
-			})
+			}}.run(c)
 		},
 	}
 	c.Flags().IntVar(&port, "base-port", defaultBasePort, "first of the loopback ports to use")
--- a/internal/commands/node.go
+++ b/internal/commands/node.go
@@ -20,13 +20,23 @@
 			if err != nil {
 				return err
 			}
-			return runProcess(c, s.Interface, s.LogLevel, func(l logr.Logger) (runner, error) {
-				k := node.Config{Settings: *s, Log: l}
-				if s.Interface == settings.PlatformInterface {
-					k.Interface = platform.Node(l.WithName("platform"))
-				}
-				return node.New(k)
-			})
+			return process{
+				file: file, level: s.LogLevel, speaks: s.Interface,
+				start: func(l logr.Logger) (runner, error) {
+					k := node.Config{Settings: *s, Log: l}
+					if s.Interface == settings.PlatformInterface {
+						k.Interface = platform.Node(l.WithName("platform"))
+					}
+					return node.New(k)
+				},
+				reloading: func(r runner) error {
+					s, err := settings.ReadNode(file)
+					if err == nil {
+						r.(*node.Node).Reload(*s)
+					}
+					return err
+				},
+			}.run(c)
 		},
 	}
 	settingsFlag(c, &file)
--- a/internal/commands/process.go
+++ b/internal/commands/process.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
@@ -17,25 +20,46 @@
 	Run(ctx context.Context) error
 }
 
-// runProcess makes the logger, starts the process and runs it until the context
-// of the command ends.
-func runProcess(c *cobra.Command, i settings.Interface, level string, start func(l logr.Logger) (runner, error)) error {
+// process is a runner with its settings.
+type process struct {
+	// file is empty for a process without a settings file.
+	file      string
+	level     string
+	speaks    settings.Interface
+	start     func(l logr.Logger) (runner, error)
+	reloading func(r runner) error
+}
+
+// run makes the logger, starts the process and runs it until the context of the
+// command ends.
+func (p process) run(c *cobra.Command) error {
 	to := c.ErrOrStderr()
-	if i == settings.PlatformInterface {
+	if p.speaks == settings.PlatformInterface {
 		to = c.OutOrStdout() // where the platform collects logs
 	}
-	l, w, err := logging.New(to, level)
+	l, w, err := logging.New(to, p.level)
 	if err != nil {
 		return err
 	}
 	defer w.Close()
 	// net/http writes to the standard logger, which would wait for the terminal.
 	slog.SetDefault(slog.New(logr.ToSlogHandler(l)))
-	p, err := start(l)
+	// SIGHUP would end the process while it starts.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	r, err := p.start(l)
 	if err != nil {
 		return err
 	}
-	return p.Run(c.Context())
+	if p.file != "" {
+		ctx, cancel := context.WithCancel(c.Context())
+		defer cancel()
+		go func() {
+			watchSettings(ctx, hup, p.file, l.WithName("settings"), func() error { return p.reloading(r) })
+		}()
+	}
+	return r.Run(c.Context())
 }
 
 // settingsFlag adds the flag --settings, which is required unless the platform
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -32,14 +32,16 @@
 
 // Times of the node's stream.
 const (
-	PingInterval = time.Second
+	PingInterval = 500 * time.Millisecond
 	// RankInterval is how often a ping carries the counts by rank.
 	RankInterval = 10 * time.Second
-	// silenceLimit ends a stream on which not even answers to pings arrive.
-	silenceLimit = 4 * time.Second
+	// silenceLimit ends a stream on which not even answers to pings arrive. With
+	// the time to connect to another control it stays below the 3 s for which a
+	// fleet whose control froze may serve an older version.
+	silenceLimit = 1500 * time.Millisecond
 	// behindLimit is how long a control may be behind a version seen at a peer.
 	behindLimit    = 3 * time.Second
-	connectTimeout = 3 * time.Second
+	connectTimeout = time.Second
 	// differedLimit is how many answers to pings must differ before the node
 	// compares its records with the control's, and comparePause how long it
 	// waits before it does so again.
@@ -228,6 +230,13 @@
 	return l
 }
 
+// SetControls replaces the controls of the settings. An open stream stays.
+func (n *Client) SetControls(l []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.c.Controls = l
+}
+
 // learn notes the controls that a control listed.
 func (n *Client) learn(l []string) {
 	if len(l) == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -295,6 +295,10 @@
 	}
 }
 
+// Reload takes what changed in the settings and can change at run time: the
+// controls. Everything else needs a restart.
+func (n *Node) Reload(s settings.Node) { n.distribution.SetControls(s.Control) }
+
 // Set implements upstream.Target. It passes the announced upstreams to the
 // queue and the fleet.
 func (n *Node) Set(l []upstream.Announced) {
