--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -169,10 +169,11 @@
 		k = []replica.Member{{Name: s.Name, Address: s.PeerListen}}
 	}
 	g, err := replica.New(replica.Config{
-		Group:   name,
-		Name:    s.Name,
-		Members: k,
-		Seeds:   s.Seeds, Voters: 2*s.Losses + 1, FirstStart: s.FirstStart,
+		Group:           name,
+		Name:            s.Name,
+		Members:         k,
+		ElectionTimeout: s.ElectionTimeout,
+		Seeds:           s.Seeds, Voters: 2*s.Losses + 1, FirstStart: s.FirstStart,
 		Folder: filepath.Join(s.DataFolder, name),
 		Peers:  p,
 		Log:    l.WithName(name),
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -15,6 +15,10 @@
 	minClaimRetention = time.Hour
 	maxPort           = 65535
 	maxLosses         = 4
+	// Below the minimum, one lost packet between availability zones would cost
+	// an election; above the maximum, accepts would stand still for long.
+	minElectionTimeout = 200 * time.Millisecond
+	maxElectionTimeout = 10 * time.Second
 )
 
 var (
@@ -121,6 +125,9 @@
 		c.members(s)
 	}
 	c.speaks(s.Interface)
+	if c.d.Valid("ElectionTimeout") && (s.ElectionTimeout < minElectionTimeout || s.ElectionTimeout > maxElectionTimeout) {
+		c.d.Fault("ElectionTimeout", fmt.Sprintf("%s is out of range", s.ElectionTimeout), "a duration from 200ms to 10s")
+	}
 	if c.d.Valid("DataFolder") && s.DataFolder == "" {
 		c.d.Fault("DataFolder", "empty", "a folder")
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -30,6 +30,9 @@
 	DefaultClaimGroups    = 2
 	DefaultClaimRetention = 24 * time.Hour
 	DefaultLosses         = 2
+	// DefaultElectionTimeout leaves room for a slow sync of a busy disk, during
+	// which a control sends and hears nothing.
+	DefaultElectionTimeout = time.Second
 )
 
 // Interface is the manner in which a process speaks with callers, upstreams and
@@ -108,6 +111,9 @@
 	// FirstStart allows a control with an empty folder to set up a new system
 	// with the other seeds. It must be false once the system has existed.
 	FirstStart bool `jsonc:"optional"`
+	// ElectionTimeout is how long the leader of the controls may be silent before
+	// another one is elected.
+	ElectionTimeout time.Duration `jsonc:"optional"`
 	// Interface is how operators are spoken to.
 	Interface  Interface `jsonc:"optional"`
 	DataFolder string
@@ -191,7 +197,7 @@
 func ParseControl(file string, data []byte) (*Control, error) {
 	s := &Control{
 		ClaimGroups: DefaultClaimGroups, ClaimRetention: DefaultClaimRetention,
-		LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, Losses: DefaultLosses,
+		LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, Losses: DefaultLosses, ElectionTimeout: DefaultElectionTimeout,
 	}
 	d := jsonc.Parse(file, data)
 	d.Decode(s)
