Trust the announced slots of platform upstreams, and retry after their own 500

Change: limit.Config.Exact for upstreams whose slots are exact; idempotent requests are tried once more after a complete answer with status 500, within the retry budget.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -54,6 +54,9 @@
 	// EndsByClose accepts answers of upstreams that have neither a length nor
 	// chunks and end with a proper close of their connection.
 	EndsByClose bool
+	// ExactSlots says that upstreams run as many requests at the same time as
+	// they announce, whatever their latency does.
+	ExactSlots bool
 	// FormatRetryAfter formats when a refused caller should come back.
 	FormatRetryAfter func(time.Duration) string
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -31,6 +31,9 @@
 	ColdStart time.Duration
 	// Since is when the upstream began to serve.
 	Since time.Time
+	// Exact trusts the announced slots: the upstream runs that many requests at
+	// the same time whatever its latency does.
+	Exact bool
 }
 
 const (
@@ -117,6 +120,9 @@
 
 // Limit returns the number of requests that may be in flight at now.
 func (l *Limiter) Limit(now time.Time) int {
+	if l.config.Exact {
+		return l.ramp(now)
+	}
 	l.checkStall(now)
 	n := l.limit
 	if l.probe.active(now) {
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -201,3 +201,18 @@
 		between(t, fmt.Sprint("after ", s, " s"), l.Limit(epoch.Add(time.Duration(s)*time.Second)), want, want)
 	}
 }
+
+// An upstream that is slow or fails must not lose slots that it is known to
+// have: its requests would be refused while it is idle.
+func TestExactSlots(t *testing.T) {
+	now := time.Unix(1, 0)
+	l := limit.New(limit.Config{Slots: 6, Exact: true})
+	for range 200 {
+		s := l.Started(now, "r")
+		now = now.Add(500 * time.Millisecond)
+		l.Finished(now, s, limit.Failed)
+		if got := l.Limit(now); got != 6 {
+			t.Fatalf("got a limit of %d, want 6", got)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,8 @@
 type Interface struct {
 	// Dialect names the headers of requests and answers.
 	Dialect *dialect.Dialect
+	// RetryFailures also tries again after an upstream's own status 500.
+	RetryFailures bool
 	// Announcements serves the announcements of upstreams.
 	Announcements func(*upstream.Announcements) http.Handler
 	// Ready answers on ReadyListen whether the node is ready.
@@ -164,6 +166,8 @@
 		Seed:       uint64(now.UnixNano()),
 		SeeVersion: n.distribution.SeeVersion,
 		Retried:    n.metrics.retried,
+
+		RetryFailures: n.c.Interface.RetryFailures,
 	})
 	n.handler = caller.New(caller.Config{
 		Table:   n.distribution.Table,
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -76,6 +76,15 @@
 	b.tokens[rank] = min(b.tokens[rank]+b.config.Share, b.config.Burst)
 }
 
+// Allows reports whether Decide would say to try again, without taking anything
+// out of the budget.
+func (b *Budget) Allows(now time.Time, t Try) bool {
+	before := b.tokens[t.Rank]
+	d := b.Decide(now, t)
+	b.tokens[t.Rank] = before
+	return d.Retry
+}
+
 // Allow takes one retry of rank out of the budget if there is one.
 func (b *Budget) Allow(_ time.Time, rank string) bool {
 	// Ten additions of 0.1 are slightly less than 1 in binary.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -43,6 +45,9 @@
 	Seed  uint64
 	// SeeVersion is told the version of each peer that answers; it may be nil.
 	SeeVersion func(uint64)
+	// RetryFailures also tries again after complete answers with status 500, on
+	// routes whose requests may run twice.
+	RetryFailures bool
 	// Retried is called for each retry; it may be nil.
 	Retried func(service string)
 }
@@ -97,9 +102,12 @@
 		q.Attempt = inbound + tries - 1
 		r.logChoice(m, q, t)
 		a, err := r.call(ctx, s, m, q, t)
-		if err == nil {
+		if err == nil && !r.againAfter(ctx, s, m, q, a, inbound, tries) {
 			return a, nil
 		}
+		if err == nil {
+			err = discard(a)
+		}
 		last = afterTry(last, err, tries)
 		if tried == nil {
 			tried = map[string]bool{}
@@ -122,6 +130,29 @@
 	}
 }
 
+// againAfter reports whether a complete answer that says that the upstream
+// failed is followed by another try.
+func (r *Router) againAfter(ctx context.Context, s *service, m table.Match, q *call.Request, a *call.Response, inbound, tries int) bool {
+	if !r.c.RetryFailures || a.Head.Status != http.StatusInternalServerError || !retryable(m, q) {
+		return false
+	}
+	return s.others(r.c, q) && s.mayRetry(m, q, errkind.New(errkind.UpstreamFailed, "the upstream answered 500"), inbound, tries, remaining(ctx))
+}
+
+// discard ends an answer that another try replaces.
+func discard(a *call.Response) error {
+	_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscard))
+	a.Body.Close()
+	if err != nil {
+		return errkind.Wrap(err, errkind.UpstreamFailed, "the upstream answered %d and broke off", a.Head.Status)
+	}
+	return errkind.New(errkind.UpstreamFailed, "the upstream answered %d", a.Head.Status)
+}
+
+// maxDiscard bounds what is read of an answer that is not passed on, so that its
+// connection can be used again.
+const maxDiscard = 64 << 10
+
 // maxRedirects bounds the choices that met an upstream which has just left.
 const maxRedirects = 3
 
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -9,6 +9,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/retry"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
@@ -114,15 +115,37 @@
 // body can be read only once.
 const reasonBodySent = "body was sent already"
 
+// others reports whether the service has an upstream besides that of q.
+func (s *service) others(c Config, q *call.Request) bool {
+	for _, k := range c.Registry.Candidates(s.name) {
+		if k.Upstream.Name != q.Upstream && k.Upstream.State == wire.Serving {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRetry reports whether the budget would allow another try now, without
+// taking it.
+func (s *service) mayRetry(m table.Match, q *call.Request, err error, inbound, tries int, left time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Allows(time.Now(), s.try(m, q, err, inbound, tries, left))
+}
+
 // retry decides whether a failed try is followed by another one.
 func (s *service) retry(m table.Match, q *call.Request, err error, inbound, tries int, left time.Duration, admitted bool) retry.Decision {
 	if admitted {
 		return retry.Decision{Reason: reasonBodySent}
 	}
-	e := errkind.From(err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Decide(time.Now(), retry.Try{
+	return s.budget.Decide(time.Now(), s.try(m, q, err, inbound, tries, left))
+}
+
+func (s *service) try(m table.Match, q *call.Request, err error, inbound, tries int, left time.Duration) retry.Try {
+	e := errkind.From(err)
+	return retry.Try{
 		Kind:       e.Kind,
 		Execution:  e.Execution,
 		Idempotent: retryable(m, q),
@@ -131,5 +154,5 @@
 		MaxTries:   m.Route.Attempts,
 		Remaining:  left,
 		Rank:       m.Rank.Name,
-	})
+	}
 }
