--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -136,7 +136,12 @@
 		w.Header().Set(d.Execution, string(e.Execution))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(a.HTTPStatus)
+	status := a.HTTPStatus
+	if status == http.StatusGatewayTimeout && e.Execution == errkind.NotRun {
+		// A caller with time left may send it again, whatever its kind.
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(Problem{Kind: e.Kind, Reason: e.Error(), RequestId: id, Execution: e.Execution}) // the caller has gone
-	return a.HTTPStatus
+	return status
 }
--- a/internal/contract/pages_test.go
+++ b/internal/contract/pages_test.go
@@ -64,7 +64,7 @@
 	t.Helper()
 	p := &page{site: site{folder: t.TempDir(), ports: map[string]string{}, nextPort: reservePorts(t)}, name: name}
 	if name == readme { // it builds the programs and needs no settings
-		p.copyTree(t, "main.go", "go.mod", "go.sum", "internal", "pkg", "examples/examples.go", "examples/upstream",
+		p.copyTree(t, "main.go", "go.mod", "go.sum", "internal", "pkg", "platform", "examples/examples.go", "examples/upstream",
 			"examples/pichler/customer.jsonc", "examples/vineta-norte/customer.jsonc")
 		return p
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -390,11 +390,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	n.handler.Leave()
+	var g errgroup.Group
+	g.Go(func() error {
+		// Callers come until they have seen that the node is not ready.
+		time.Sleep(min(n.c.Settings.CallerDrain, limit/2))
+		return n.callers.Shutdown(ctx)
+	})
 	n.distribution.Leave(ctx)
 	time.Sleep(min(lameDuck, limit/4))
 	n.peerServer.Refuse()
-	var g errgroup.Group
-	g.Go(func() error { return n.callers.Shutdown(ctx) })
 	g.Go(func() error { return n.peerServer.Drain(ctx) })
 	g.Go(func() error { time.Sleep(min(refuseTime, limit/4)); return nil })
 	err := g.Wait()
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -52,6 +52,9 @@
 		}
 	}
 	c.retryBudget(s.RetryBudget)
+	if c.d.Valid("CallerDrain") && (s.CallerDrain < 0 || s.CallerDrain > s.StopLimit) {
+		c.d.Fault("CallerDrain", fmt.Sprintf("%s is out of range", s.CallerDrain), "a duration from 0s to StopLimit")
+	}
 	c.tls(s.TLS)
 	c.common(s.LogLevel, s.StopLimit)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -30,6 +30,7 @@
 	DefaultClaimGroups    = 2
 	DefaultClaimRetention = 24 * time.Hour
 	DefaultLosses         = 2
+	DefaultCallerDrain    = 500 * time.Millisecond
 	// DefaultElectionTimeout leaves room for a slow sync of a busy disk, during
 	// which a control sends and hears nothing.
 	DefaultElectionTimeout = time.Second
@@ -72,6 +73,9 @@
 	Service string `jsonc:"optional"`
 	// ReadyListen serves the platform's questions whether the node is ready.
 	ReadyListen string `jsonc:"optional"`
+	// CallerDrain is how long a stopping node still takes connections of callers,
+	// which learn of the stop from its readiness.
+	CallerDrain time.Duration `jsonc:"optional"`
 	// RetryBudget bounds the requests that are sent to a second upstream.
 	RetryBudget RetryBudget `jsonc:"optional"`
 	// TLS is for connections to and from other nodes and controls.
@@ -165,7 +169,7 @@
 // ParseNode decodes and checks the settings of a node. The file is named in
 // errors.
 func ParseNode(file string, data []byte) (*Node, error) {
-	s := &Node{LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface}
+	s := &Node{LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, CallerDrain: DefaultCallerDrain}
 	d := jsonc.Parse(file, data)
 	d.Decode(s)
 	checkNode(checker{d}, s)
