Ask several controls at once when the stream to one ends

Processes were killed at the end of the grace time, since their own limit was the same. Change: a node asks four controls together and takes the first that is in contact with a majority; StopMargin is taken off StopLimit.

--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -85,8 +85,10 @@
 	// left is closed when a control has confirmed that this node leaves.
 	left     chan struct{}
 	leftOnce sync.Once
-	// preferred is the control to try next; only Run uses it.
+	// preferred is the control to try next, and turn counts the choices that no
+	// answer decided; only Run uses them.
 	preferred string
+	turn      int
 
 	mu sync.Mutex
 	// known are the controls that a control listed last.
@@ -185,21 +187,10 @@
 
 // Run keeps a stream open until ctx ends.
 func (n *Client) Run(ctx context.Context) {
-	var order []string
 	address := ""
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if len(order) == 0 {
-			order = n.shuffled()
-			if order[0] == address { // it has just failed; the others come first
-				order = append(order[1:], address)
-			}
-		}
-		if n.preferred != "" {
-			address, n.preferred = n.preferred, ""
-		} else {
-			address, order = order[0], order[1:]
-		}
+		address = n.next(ctx, address)
 		start := time.Now()
 		err := n.session(ctx, address)
 		n.control.Store("")
@@ -217,6 +208,31 @@
 	}
 }
 
+// next returns the control to connect to after the stream to another one ended.
+// Several of the others are asked at once, so that a second control that does
+// not answer costs no time.
+func (n *Client) next(ctx context.Context, failed string) string {
+	if a := n.preferred; a != "" {
+		n.preferred = ""
+		return a
+	}
+	l := n.shuffled()
+	if failed == "" {
+		return l[0]
+	}
+	if i := slices.Index(l, failed); i >= 0 && len(l) > 1 {
+		l = append(slices.Delete(l, i, i+1), failed)
+	}
+	if others := l[:len(l)-1]; len(others) > 1 {
+		if a := n.firstCurrent(ctx, others[:min(len(others), askedAtOnce)]); a != "" {
+			return a
+		}
+		n.turn++
+		return l[n.turn%len(l)]
+	}
+	return l[0]
+}
+
 func (n *Client) shuffled() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/distribution/probe.go
+++ b/internal/distribution/probe.go
@@ -9,7 +9,11 @@
 
 // Times of the search for another control.
 const (
-	probeTimeout  = 2 * time.Second
+	probeTimeout = 2 * time.Second
+	// askedAtOnce is how many controls a node without a stream asks together,
+	// and askTimeout how long it waits for the first that can serve it.
+	askedAtOnce   = 4
+	askTimeout    = 500 * time.Millisecond
 	minProbePause = time.Second
 	// maxProbePause bounds the load of 37,000 nodes that all search while no
 	// control has a majority: 725 nodes for each control make 73 calls/s.
@@ -67,9 +71,31 @@
 	}
 	defer c.Close()
 	a, err := wire.Call[wire.Empty, wire.ControlState](ctx, c, wire.MethodControlState, &wire.Empty{})
-	if err != nil || a.Lineage != n.lineageInForce() {
+	if l := n.lineageInForce(); err != nil || a.Lineage == "" || l != "" && a.Lineage != l {
 		return false
 	}
 	n.SeeVersion(a.Committed)
 	return a.Current && a.Committed >= n.Table().Version()
 }
+
+// firstCurrent returns the first of the controls that answers and is in contact
+// with a majority, or an empty string.
+func (n *Client) firstCurrent(ctx context.Context, l []string) string {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	found := make(chan string, len(l))
+	for _, a := range l {
+		go func() {
+			if !n.isBetter(ctx, a) {
+				a = ""
+			}
+			found <- a
+		}()
+	}
+	for range l {
+		if a := <-found; a != "" {
+			return a
+		}
+	}
+	return ""
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -385,20 +385,20 @@
 // their connections are closed.
 func (n *Node) stop() error {
 	close(n.stopping)
-	limit := n.c.Settings.StopLimit
+	limit, start := n.c.Settings.StopLimit, time.Now()
 	n.c.Log.Info("node stops: announcing, then finishing requests in flight", "limit", limit.String())
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	n.handler.Leave()
+	n.distribution.Leave(ctx)
+	time.Sleep(min(lameDuck, limit/4))
+	n.peerServer.Refuse()
 	var g errgroup.Group
 	g.Go(func() error {
 		// Callers come until they have seen that the node is not ready.
-		time.Sleep(min(n.c.Settings.CallerDrain, limit/2))
+		time.Sleep(min(n.c.Settings.CallerDrain, limit/2) - time.Since(start))
 		return n.callers.Shutdown(ctx)
 	})
-	n.distribution.Leave(ctx)
-	time.Sleep(min(lameDuck, limit/4))
-	n.peerServer.Refuse()
 	g.Go(func() error { return n.peerServer.Drain(ctx) })
 	g.Go(func() error { time.Sleep(min(refuseTime, limit/4)); return nil })
 	err := g.Wait()
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -56,7 +56,7 @@
 		c.d.Fault("CallerDrain", fmt.Sprintf("%s is out of range", s.CallerDrain), "a duration from 0s to StopLimit")
 	}
 	c.tls(s.TLS)
-	c.common(s.LogLevel, s.StopLimit)
+	c.common(s.LogLevel, s.StopLimit, s.StopMargin)
 }
 
 // controls checks how a node finds its controls.
@@ -142,7 +142,7 @@
 	if c.d.Valid("ClaimRetention") && s.ClaimRetention < minClaimRetention {
 		c.d.Fault("ClaimRetention", fmt.Sprintf("%s is out of range", s.ClaimRetention), "at least 1h")
 	}
-	c.common(s.LogLevel, s.StopLimit)
+	c.common(s.LogLevel, s.StopLimit, s.StopMargin)
 }
 
 // members checks that the members can form quorums and that this control is
@@ -184,13 +184,16 @@
 	}
 }
 
-func (c checker) common(level string, stop time.Duration) {
+func (c checker) common(level string, stop, margin time.Duration) {
 	if c.d.Valid("LogLevel") && !slices.Contains(logLevels, level) {
 		c.d.Fault("LogLevel", "unknown level "+jsonc.Quote(level), `one of "debug", "info", "error"`)
 	}
 	if c.d.Valid("StopLimit") && stop <= 0 {
 		c.d.Fault("StopLimit", fmt.Sprintf("%s is out of range", stop), "a duration above 0")
 	}
+	if c.d.Valid("StopMargin") && (margin < 0 || margin >= stop) {
+		c.d.Fault("StopMargin", fmt.Sprintf("%s is out of range", margin), "a duration from 0s to below StopLimit")
+	}
 }
 
 // name reports whether the value at path is a valid name.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -82,8 +82,10 @@
 	TLS      TLS    `jsonc:"optional"`
 	LogLevel string `jsonc:"optional"`
 	Pprof    bool   `jsonc:"optional"`
-	// StopLimit bounds a graceful shutdown.
-	StopLimit time.Duration `jsonc:"optional"`
+	// StopLimit bounds a graceful shutdown. StopMargin is taken off it, where the
+	// limit is that of whoever kills the process after it.
+	StopLimit  time.Duration `jsonc:"optional"`
+	StopMargin time.Duration `jsonc:"optional"`
 }
 
 // RetryBudget is what all nodes together may send to second upstreams of one
@@ -131,8 +133,10 @@
 	ClaimRetention time.Duration `jsonc:"optional"`
 	LogLevel       string        `jsonc:"optional"`
 	Pprof          bool          `jsonc:"optional"`
-	// StopLimit bounds a graceful shutdown.
-	StopLimit time.Duration `jsonc:"optional"`
+	// StopLimit bounds a graceful shutdown. StopMargin is taken off it, where the
+	// limit is that of whoever kills the process after it.
+	StopLimit  time.Duration `jsonc:"optional"`
+	StopMargin time.Duration `jsonc:"optional"`
 }
 
 // Member is a control that votes.
@@ -177,6 +181,7 @@
 		return nil, errkind.New(errkind.Usage, "%v", err)
 	}
 	s.TLS = s.TLS.within(file)
+	s.StopLimit -= s.StopMargin
 	if len(s.Seeds) > 0 {
 		s.Control = peerAddresses(s.Seeds, s.ControlPort)
 	}
@@ -210,6 +215,7 @@
 		return nil, errkind.New(errkind.Usage, "%v", err)
 	}
 	s.TLS = s.TLS.within(file)
+	s.StopLimit -= s.StopMargin
 	if own, err := netip.ParseAddrPort(s.PeerListen); err == nil && len(s.Seeds) > 0 {
 		s.PeerListen = netip.AddrPortFrom(own.Addr().Unmap(), own.Port()).String()
 		s.Seeds = peerAddresses(s.Seeds, int(own.Port()))
