Run no claim groups on the platform, and let nodes without a configuration ask again within 1 s

Cause: claim groups held elections, disks and connections without a request that carries a key; after a power cut nodes without a configuration waited up to 2 s between tries. Change: ClaimGroups may be 0 with the interface Platform; the backoff of a node without a configuration ends at 1 s.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -242,7 +242,9 @@
 	m := wire.NewMux()
 	k.groups.register(m, k.directory)
 	k.fleet.register(m)
-	registerClaims(m, k.claims, k.config.peers)
+	if k.c.Settings.ClaimGroups > 0 {
+		registerClaims(m, k.claims, k.config.peers)
+	}
 	wire.HandleUnary(m, wire.MethodPropose, k.config.serve)
 	wire.HandleUnary(m, wire.MethodNodeReports, k.report)
 	return m
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -54,6 +54,8 @@
 	leaveLimitAlone = time.Second
 	minBackoff      = 500 * time.Millisecond
 	maxBackoff      = 5 * time.Second
+	// maxFirstBackoff is the longest backoff of a node without a configuration.
+	maxFirstBackoff = time.Second
 )
 
 // Config holds what a Client needs.
@@ -204,10 +206,18 @@
 			backoff = minBackoff
 		}
 		n.sleep(ctx, n.spread(backoff))
-		backoff = min(backoff*2, maxBackoff)
+		backoff = min(backoff*2, n.longestBackoff())
 	}
 }
 
+// longestBackoff is short for a node that serves nothing yet.
+func (n *Client) longestBackoff() time.Duration {
+	if n.Table().Version() == 0 {
+		return maxFirstBackoff
+	}
+	return maxBackoff
+}
+
 // next returns the control to connect to after the stream to another one ended.
 // Several of the others are asked at once, so that a second control that does
 // not answer costs no time.
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -136,7 +136,7 @@
 	}
 	c.tls(s.TLS)
 	c.operators(s.Operators)
-	if c.d.Valid("ClaimGroups") && (s.ClaimGroups < 1 || s.ClaimGroups > maxClaimGroups) {
+	if c.d.Valid("ClaimGroups") && (s.ClaimGroups < s.leastClaimGroups() || s.ClaimGroups > maxClaimGroups) {
 		c.d.Fault("ClaimGroups", fmt.Sprintf("%d is out of range", s.ClaimGroups), "a whole number from 1 to 64")
 	}
 	if c.d.Valid("ClaimRetention") && s.ClaimRetention < minClaimRetention {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -139,6 +139,14 @@
 	StopMargin time.Duration `jsonc:"optional"`
 }
 
+// leastClaimGroups is zero where no request carries an idempotency key.
+func (c Control) leastClaimGroups() int {
+	if c.Interface == PlatformInterface {
+		return 0
+	}
+	return 1
+}
+
 // Member is a control that votes.
 type Member struct {
 	Name    string
