Poll for a current control every 250 ms while a node has no configuration

Cause: after a power cut nodes sat in the admission of controls without a leader (1 s each) and backed off; the leader was elected 1.5 s after the controls began.

--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -149,6 +149,9 @@
 	if h.Version > 0 && h.Version <= s.source.Current().Version() {
 		return nil
 	}
+	if !s.source.IsCurrent() {
+		return errkind.New(errkind.NotCurrent, "control %s is not in contact with a majority", s.control)
+	}
 	if err := s.confirm(ctx); err != nil {
 		return err
 	}
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -55,7 +55,7 @@
 	minBackoff      = 500 * time.Millisecond
 	maxBackoff      = 5 * time.Second
 	// maxFirstBackoff is the longest backoff of a node without a configuration.
-	maxFirstBackoff = time.Second
+	maxFirstBackoff = 250 * time.Millisecond
 )
 
 // Config holds what a Client needs.
@@ -192,7 +192,12 @@
 	address := ""
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		address = n.next(ctx, address)
+		next := n.next(ctx, address)
+		if next == "" {
+			n.sleep(ctx, n.spread(maxFirstBackoff))
+			continue
+		}
+		address = next
 		start := time.Now()
 		err := n.session(ctx, address)
 		n.control.Store("")
@@ -220,7 +225,7 @@
 
 // next returns the control to connect to after the stream to another one ended.
 // Several of the others are asked at once, so that a second control that does
-// not answer costs no time.
+// not answer costs no time. It returns an empty string when none is worth a try.
 func (n *Client) next(ctx context.Context, failed string) string {
 	if a := n.preferred; a != "" {
 		n.preferred = ""
@@ -237,6 +242,9 @@
 		if a := n.firstCurrent(ctx, others[:min(len(others), askedAtOnce)]); a != "" {
 			return a
 		}
+		if n.Table().Version() == 0 {
+			return "" // no control could give it a configuration
+		}
 		n.turn++
 		return l[n.turn%len(l)]
 	}
