Pack large accepts, and keep large bodies in their availability zone

Cause: bytes between zones were the dearest price after the VMs: each accepted configuration travelled as text and as compiled resources to four members, and uploads left their zone for a little less wait. Change: accepts with an operator's number are compressed in the log; a body of 16 KiB or more leaves its zone only for a wait four times shorter.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -31,6 +31,8 @@
 	// remotePenalty is by how much an upstream of another zone must be better;
 	// it stands for the longer way and keeps choices from flapping.
 	remotePenalty = 1.25
+	// largePenalty takes the place of remotePenalty for large bodies.
+	largePenalty = 4
 	// shedPenalty multiplies the expected time of an upstream that sheds all.
 	shedPenalty = 4
 	// idleTime is how long estimates of an unused upstream are kept.
@@ -81,6 +83,9 @@
 	Rank string
 	// Exclude names candidates that were already tried.
 	Exclude map[string]bool
+	// Large is set for requests with a large body, which stay in their zone while
+	// it can serve them at all: traffic between zones costs more than the wait.
+	Large bool
 	// NoProbe is set for requests that must not be used to probe a suspect:
 	// those that run at most once.
 	NoProbe bool
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -28,7 +28,7 @@
 	switch {
 	case probe >= 0 && !local.ok:
 		return Choice{s.all[probe], ReasonProbe}, true
-	case local.ok && remote.ok && remote.score*remotePenalty < local.score:
+	case local.ok && remote.ok && remote.score*q.penalty() < local.score:
 		return Choice{s.all[remote.index], ReasonRemote}, true
 	case local.ok:
 		return Choice{s.all[local.index], ReasonLocal}, true
@@ -38,6 +38,14 @@
 	return b.chooseSuspect(now, s, q)
 }
 
+// penalty is by how much an upstream of another zone must be better.
+func (q Query) penalty() float64 {
+	if q.Large {
+		return largePenalty
+	}
+	return remotePenalty
+}
+
 // draw compares random candidates of [from, to). It returns the best that is
 // not suspect, and a suspect whose probe is due, or -1.
 func (b *Balancer) draw(now time.Time, s *Set, q Query, from, to int) (best option, probe int) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,7 +94,7 @@
 	redirects := 0
 	last := error(errkind.New(errkind.NoUpstream, "no upstream of service %q is serving", m.Route.Service))
 	for tries := 1; ; tries++ {
-		t, ok := s.choose(r.c, m, tried)
+		t, ok := s.choose(r.c, m, isLarge(q), tried)
 		if !ok {
 			r.c.Log.Info("no upstream left", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name, "tries", tries-1, "reason", last.Error())
 			return nil, last
@@ -130,6 +130,12 @@
 	}
 }
 
+// largeBytes is the size from which a body counts as large for the choice of an
+// upstream.
+const largeBytes = 16 << 10
+
+func isLarge(q *call.Request) bool { return q.Stream != nil || len(q.Body) >= largeBytes }
+
 // againAfter reports whether a complete answer that says that the upstream
 // failed is followed by another try.
 func (r *Router) againAfter(ctx context.Context, s *service, m table.Match, q *call.Request, a *call.Response, inbound, tries int) bool {
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -43,7 +43,7 @@
 }
 
 // choose picks an upstream and counts it as started.
-func (s *service) choose(c Config, m table.Match, tried map[string]bool) (try, bool) {
+func (s *service) choose(c Config, m table.Match, large bool, tried map[string]bool) (try, bool) {
 	l := c.Registry.Candidates(s.name)
 	now := time.Now()
 	s.mu.Lock()
@@ -53,6 +53,7 @@
 		Zone:    c.Zone,
 		Rank:    m.Rank.Name,
 		Exclude: tried,
+		Large:   large,
 		NoProbe: m.Route.Execution != customer.Idempotent,
 	})
 	if !ok {
--- a/internal/versions/command.go
+++ b/internal/versions/command.go
@@ -33,6 +33,8 @@
 	typeAccept        commandType = "Accept"
 	typeRememberNodes commandType = "RememberNodes"
 	typeForgetNodes   commandType = "ForgetNodes"
+	// typePacked holds the compressed form of another command.
+	typePacked commandType = "Packed"
 )
 
 // envelope is the encoded form of every command.
@@ -99,7 +101,13 @@
 }
 
 // Encode returns the command to propose.
-func (a Accept) Encode() ([]byte, error) { return encode(typeAccept, a) }
+func (a Accept) Encode() ([]byte, error) {
+	c, err := encode(typeAccept, a)
+	if err != nil || a.Number == 0 || len(c) < packFrom {
+		return c, err
+	}
+	return pack(c)
+}
 
 // Encode returns the command to propose.
 func (r RememberNodes) Encode() ([]byte, error) { return encode(typeRememberNodes, r) }
@@ -146,6 +154,8 @@
 		return nil, errkind.New(errkind.Outdated, "command version %d, this release reads up to %d", e.Version, commandVersion)
 	}
 	switch e.Type {
+	case typePacked:
+		return unpack(e)
 	case typeAccept:
 		return decodeBody[Accept](e)
 	case typeRememberNodes:
--- /dev/null
+++ b/internal/versions/packed.go
@@ -0,0 +1,60 @@
+package versions
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// packFrom is the size from which packing pays. Whole configurations shrink to
+// about a tenth, on the way to each member as on its disk.
+const packFrom = 4 << 10
+
+// packed is the body of a Packed command.
+type packed struct {
+	Command []byte `cbor:"1,keyasint"`
+}
+
+// pack returns the compressed form of an encoded command.
+func pack(c []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack command")
+	}
+	if _, err := w.Write(c); err != nil {
+		return nil, errors.Wrap(err, "pack command")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "pack command")
+	}
+	return encode(typePacked, packed{Command: b.Bytes()})
+}
+
+// unpack returns the command that a Packed one holds. Packed commands do not
+// nest.
+func unpack(e envelope) (any, error) {
+	var p packed
+	if err := unmarshal(e.Body, &p); err != nil {
+		return nil, errors.Wrap(err, "decode packed command")
+	}
+	r := flate.NewReader(bytes.NewReader(p.Command))
+	defer r.Close()
+	b, err := io.ReadAll(io.LimitReader(r, MaxCommandBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack command")
+	}
+	if len(b) > MaxCommandBytes {
+		return nil, errors.Errorf("packed command exceeds %d bytes", MaxCommandBytes)
+	}
+	var inner envelope
+	if err := unmarshal(b, &inner); err != nil {
+		return nil, errors.Wrap(err, "decode packed envelope")
+	}
+	if inner.Type == typePacked {
+		return nil, errors.New("packed command inside a packed one")
+	}
+	return decode(b)
+}
