--- /dev/null
+++ b/internal/replica/seeds_test.go
@@ -0,0 +1,155 @@
+package replica_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/replica"
+)
+
+// seeded is a cluster whose members are found by the seeds a, b and c.
+type seeded struct{ *cluster }
+
+func (c seeded) start(first bool, names ...string) {
+	c.t.Helper()
+	for _, n := range names {
+		c.members = []replica.Member{{Name: n, Address: n}}
+		c.tune = func(k *replica.Config) {
+			k.Seeds, k.Voters, k.FirstStart = []string{"a", "b", "c"}, 5, first
+		}
+		c.cluster.start(n)
+	}
+	c.members = nil
+	for _, n := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		c.members = append(c.members, replica.Member{Name: n, Address: n})
+	}
+}
+
+// wipe removes the folder of a stopped member.
+func (c seeded) wipe(name string) {
+	if err := os.RemoveAll(filepath.Join(c.folder, name)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// voters returns the names of the voters that the leader knows.
+func (c seeded) voters() []string {
+	var l []string
+	for _, m := range c.leader().Status().Members {
+		if m.Voter {
+			l = append(l, m.Name)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+// within waits until the voters are those of want.
+func (c seeded) within(d time.Duration, what string, want ...string) {
+	c.t.Helper()
+	var got []string
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if got = c.voters(); slices.Equal(got, want) {
+			return
+		}
+	}
+	c.t.Fatalf("%s: got voters %v after %s, want %v", what, got, d, want)
+}
+
+func runSeeded(t *testing.T, f func(c seeded)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := seeded{newCluster(t, 0)}
+		defer c.stop("a", "b", "c", "d", "e", "f", "g")
+		c.start(true, "d", "a", "e", "c", "b")
+		c.within(5*time.Second, "first start", "a", "b", "c", "d", "e")
+		equal(t, "result", c.propose("x").(int), 1)
+		f(c)
+	})
+}
+
+// The acknowledged state must survive losses one after the other, so that a
+// replaced control counts as a voter within the 4 s that it is given.
+func TestSeats(t *testing.T) {
+	const catchUp = 4 * time.Second
+	for _, s := range []struct {
+		name string
+		f    func(c seeded)
+	}{
+		{"a lost disk", func(c seeded) {
+			c.stop("b")
+			c.wipe("b")
+			c.start(false, "b")
+			c.within(catchUp, "back with an empty disk", "a", "b", "c", "d", "e")
+		}},
+		{"two lost disks", func(c seeded) {
+			c.stop("a", "e")
+			c.wipe("a")
+			c.wipe("e")
+			c.start(false, "a", "e")
+			c.within(2*catchUp, "back with empty disks", "a", "b", "c", "d", "e")
+		}},
+		{"a replaced member", func(c seeded) {
+			c.stop("d")
+			c.start(false, "f")
+			c.within(catchUp, "replaced", "a", "b", "c", "e", "f")
+		}},
+		{"a replaced leader that is a seed", func(c seeded) {
+			l := c.leader().Status().Leader.Name
+			c.stop(l)
+			c.start(false, "f")
+			want := slices.DeleteFunc([]string{"a", "b", "c", "d", "e", "f"}, func(n string) bool { return n == l })
+			c.within(catchUp+2*time.Second, "replaced", want...)
+		}},
+		{"a member that is only down", func(c seeded) {
+			c.stop("d")
+			time.Sleep(20 * time.Second)
+			c.within(time.Second, "down", "a", "b", "c", "d", "e")
+			c.start(false, "d")
+			time.Sleep(catchUp)
+			c.within(time.Second, "back", "a", "b", "c", "d", "e")
+		}},
+		{"a member that was replaced while it was down", func(c seeded) {
+			c.stop("d")
+			c.start(false, "f")
+			c.within(catchUp, "replaced", "a", "b", "c", "e", "f")
+			c.start(false, "d")
+			time.Sleep(2 * catchUp)
+			c.within(time.Second, "all seats taken", "a", "b", "c", "e", "f")
+			c.stop("e")
+			c.within(catchUp, "takes the next free seat", "a", "b", "c", "d", "f")
+		}},
+		{"all members restart", func(c seeded) {
+			c.stop("a", "b", "c", "d", "e")
+			c.start(false, "a", "b", "c", "d", "e")
+			c.within(5*time.Second, "back", "a", "b", "c", "d", "e")
+		}},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			runSeeded(t, func(c seeded) {
+				s.f(c)
+				if got := c.propose("y").(int); got != 2 {
+					c.t.Errorf("got %d commands, want 2: acknowledged state was lost", got)
+				}
+			})
+		})
+	}
+}
+
+// Members with empty disks must never form a second group beside one that
+// exists.
+func TestEmptyMembersDoNotBootstrap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := seeded{newCluster(t, 0)}
+		defer c.stop("a", "b", "c")
+		c.start(false, "a", "b", "c")
+		time.Sleep(time.Minute)
+		for _, n := range []string{"a", "b", "c"} {
+			equal(t, fmt.Sprint("role of ", n), c.group(n).Status().Role, replica.Forming)
+		}
+	})
+}
