Leave a zone whose upstreams are slow, unless the body is large

Cause: the own zone was kept while its upstreams had free slots, however slow they were; services of three upstreams have one for each zone, and a slow one made a third of the calls late. Change: above a slowness of 1.2 the zones are compared, by slowness as long as nobody waits.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,6 +28,11 @@
 	// localLoad is the load per slot up to which the own zone is preferred
 	// without a look at others: its slots are not all busy.
 	localLoad = 0.9
+	// slowLocal is the slowness from which the own zone loses that preference:
+	// each request there takes as much longer as a loaded upstream would.
+	slowLocal = 1.2
+	// waitlessLoad is the load per slot below which requests do not wait.
+	waitlessLoad = 0.7
 	// remotePenalty is by how much an upstream of another zone must be better;
 	// it stands for the longer way and keeps choices from flapping.
 	remotePenalty = 1.25
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -240,3 +240,27 @@
 	}
 	atLeast(t, "different upstreams", len(r.chosen), 900)
 }
+
+// Guards that requests leave a zone whose upstreams are slow, and that large
+// bodies do not, since their way costs more than the wait.
+func TestSlowZone(t *testing.T) {
+	slow := func(n string) (balance.Outcome, bool) {
+		o, _ := good(n)
+		if n == "u0" || n == "u3" || n == "u6" {
+			o.Latency *= 3
+		}
+		return o, true
+	}
+	for _, large := range []bool{false, true} {
+		s, r := balance.NewSet(candidates(9)), newRun(t)
+		r.times(300, s, balance.Query{Zone: "a", Large: large}, slow)
+		r.times(300, s, balance.Query{Zone: "b"}, slow)
+		clear(r.zones)
+		r.times(300, s, balance.Query{Zone: "a", Large: large}, slow)
+		if large {
+			atLeast(t, "large bodies in the own zone", r.zones["a"], 300)
+		} else {
+			atMost(t, "small bodies in the slow zone", r.zones["a"], 150)
+		}
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -7,9 +7,16 @@
 	index int
 	score float64 // expected time in usual latencies
 	load  float64 // requests per slot
+	slow  float64 // latency in comparison with the service
 	ok    bool
 }
 
+// acrossZones is the score with which options of two zones are compared. Below
+// a certain load a request does not wait, so that a lower one is no gain.
+func (o option) acrossZones() float64 {
+	return o.score * max(o.load, waitlessLoad) / o.load
+}
+
 // Choose returns the upstream for one request, or false when the set has none
 // that is not excluded.
 func (b *Balancer) Choose(now time.Time, s *Set, q Query) (Choice, bool) {
@@ -21,14 +28,14 @@
 	if probe >= 0 {
 		return Choice{s.all[probe], ReasonProbe}, true
 	}
-	if local.ok && local.load < localLoad {
+	if local.ok && local.load < localLoad && (q.Large || local.slow < slowLocal) {
 		return Choice{s.all[local.index], ReasonLocal}, true
 	}
 	remote, probe := b.drawOutside(now, s, q, from, to)
 	switch {
 	case probe >= 0 && !local.ok:
 		return Choice{s.all[probe], ReasonProbe}, true
-	case local.ok && remote.ok && remote.score*q.penalty() < local.score:
+	case local.ok && remote.ok && remote.acrossZones()*q.penalty() < local.acrossZones():
 		return Choice{s.all[remote.index], ReasonRemote}, true
 	case local.ok:
 		return Choice{s.all[local.index], ReasonLocal}, true
@@ -76,9 +83,8 @@
 			}
 			continue
 		}
-		score, load := b.judge(now, e, c, q.Rank)
-		if !best.ok || score < best.score {
-			best = option{index: i, score: score, load: load, ok: true}
+		if o := b.judge(now, e, i, c, q.Rank); !best.ok || o.score < best.score {
+			best = o
 		}
 		if usable++; usable >= b.config.Draws {
 			break
@@ -114,14 +120,13 @@
 	return e.suspect
 }
 
-func (b *Balancer) judge(now time.Time, e *estimate, c *Candidate, rank string) (score, load float64) {
+func (b *Balancer) judge(now time.Time, e *estimate, index int, c *Candidate, rank string) option {
 	if e == nil {
 		e = &estimate{slow: 1}
 	}
-	load = (e.ahead(now, rank) + 1) / e.slots(now, c)
-	score = load * e.slowness(now)
-	score *= 1 + (shedPenalty-1)*decay(e.shed, now.Sub(e.shedAt), failHalfLife)
-	return score, load
+	o := option{index: index, load: (e.ahead(now, rank) + 1) / e.slots(now, c), slow: e.slowness(now), ok: true}
+	o.score = o.load * o.slow * (1 + (shedPenalty-1)*decay(e.shed, now.Sub(e.shedAt), failHalfLife))
+	return o
 }
 
 // chooseSuspect takes the least loaded of the drawn candidates although all are
@@ -133,9 +138,8 @@
 		if q.Exclude[c.Name] {
 			continue
 		}
-		score, load := b.judge(now, b.known[c.Name], c, q.Rank)
-		if !best.ok || score < best.score {
-			best = option{index: i, score: score, load: load, ok: true}
+		if o := b.judge(now, b.known[c.Name], i, c, q.Rank); !best.ok || o.score < best.score {
+			best = o
 		}
 	}
 	if best.ok {
