--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,8 @@
 		Observe: n.metrics.queued,
 		Dial:    c.Dial,
 		Dialect: c.Interface.Dialect,
+
+		TailExponent: c.Settings.UrgentReserve,
 	})
 	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n)
 	n.peers = peer.NewClient(inner)
--- a/internal/queue/headroom.go
+++ b/internal/queue/headroom.go
@@ -10,11 +10,11 @@
 	// chance that none does is exp(-6), 0.25%, well below the one point by which
 	// a flood may change the urgent rank's service.
 	enoughReleases = 6.0
-	// tailExponent sizes spare slots so that the wait for one of them exceeds
-	// the slack with a chance of about exp(-3). With 5, surveys and scans lost
-	// service while urgent work gained nothing, as the demand is already the
+	// DefaultTailExponent sizes spare slots so that the wait for one of them
+	// exceeds the slack with a chance of about exp(-3). With 5, surveys and scans
+	// lost service while urgent work gained nothing, as the demand is already the
 	// higher of two windows.
-	tailExponent = 3.0
+	DefaultTailExponent = 3.0
 	// spareDeviations bounds the spare slots in standard deviations of a
 	// Poisson number of busy slots.
 	spareDeviations = 2.5
@@ -55,7 +55,7 @@
 	if !needed {
 		return 0
 	}
-	spare := min(spareDeviations*math.Sqrt(demand)+1, tailExponent*ratio)
+	spare := min(spareDeviations*math.Sqrt(demand)+1, q.tailExponent*ratio)
 	n := max(1, int(math.Ceil(demand+spare)))
 	kept := max(1, int(math.Ceil(floors*float64(q.limit))))
 	return max(0, min(n, q.limit-kept))
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -30,6 +30,9 @@
 	// MaxWaitingPerRank bounds the waiting requests of one rank; zero means
 	// half of MaxWaiting.
 	MaxWaitingPerRank int
+	// TailExponent is how sure urgent work is of a spare slot: it misses one with
+	// a chance of about exp(-TailExponent). Zero means DefaultTailExponent.
+	TailExponent float64
 }
 
 // DefaultMaxWaiting bounds the waiting requests of one upstream. Waiting
@@ -113,6 +116,7 @@
 	epoch      time.Time
 	now        float64 // seconds since epoch
 
+	tailExponent  float64
 	headroomAt    float64
 	headroomLimit int
 }
@@ -125,6 +129,8 @@
 		items:      map[uint64]*item{},
 		limit:      max(0, c.Limit),
 		maxWaiting: cmp.Or(c.MaxWaiting, DefaultMaxWaiting),
+
+		tailExponent: cmp.Or(c.TailExponent, DefaultTailExponent),
 	}
 	q.maxPerRank = cmp.Or(c.MaxWaitingPerRank, max(1, q.maxWaiting/2))
 	ranks := c.Ranks
--- a/internal/upstream/local.go
+++ b/internal/upstream/local.go
@@ -31,6 +31,8 @@
 	Observe func(service, rank string, wait time.Duration)
 	// Dial connects to upstreams; nil means TCP.
 	Dial wire.Dialer
+	// TailExponent is that of queue.Config.
+	TailExponent float64
 	// Dialect is spoken with upstreams; nil means the own one.
 	Dialect *dialect.Dialect
 }
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -39,7 +39,7 @@
 		announced: n, waiting: map[uint64]chan error{},
 	}
 	w.limiter = limit.New(limit.Config{Slots: n.Slots, Exact: c.Dialect != nil && c.Dialect.ExactSlots})
-	w.queue = queue.New(queue.Config{})
+	w.queue = queue.New(queue.Config{TailExponent: c.TailExponent})
 	w.timer = time.AfterFunc(time.Hour, func() { w.wake(time.Now()) })
 	w.timer.Stop()
 	return w
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -15,6 +15,7 @@
 	minClaimRetention = time.Hour
 	maxPort           = 65535
 	maxLosses         = 4
+	maxUrgentReserve  = 10
 	// Below the minimum, one lost packet between availability zones would cost
 	// an election; above the maximum, accepts would stand still for long.
 	minElectionTimeout = 200 * time.Millisecond
@@ -52,6 +53,9 @@
 		}
 	}
 	c.retryBudget(s.RetryBudget)
+	if c.d.Valid("UrgentReserve") && (s.UrgentReserve <= 0 || s.UrgentReserve > maxUrgentReserve) {
+		c.d.Fault("UrgentReserve", fmt.Sprintf("%v is out of range", s.UrgentReserve), "a number above 0, at most 10")
+	}
 	if c.d.Valid("CallerDrain") && (s.CallerDrain < 0 || s.CallerDrain > s.StopLimit) {
 		c.d.Fault("CallerDrain", fmt.Sprintf("%s is out of range", s.CallerDrain), "a duration from 0s to StopLimit")
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -30,6 +30,7 @@
 	DefaultClaimGroups    = 2
 	DefaultClaimRetention = 24 * time.Hour
 	DefaultLosses         = 2
+	DefaultUrgentReserve  = 3
 	DefaultCallerDrain    = 500 * time.Millisecond
 	// DefaultElectionTimeout leaves room for a slow sync of a busy disk, during
 	// which a control sends and hears nothing.
@@ -76,6 +77,9 @@
 	// CallerDrain is how long a stopping node still takes connections of callers,
 	// which learn of the stop from its readiness.
 	CallerDrain time.Duration `jsonc:"optional"`
+	// UrgentReserve is how sure urgent work is of a spare slot beside longer,
+	// less urgent work: it misses one with a chance of about exp(-UrgentReserve).
+	UrgentReserve float64 `jsonc:"optional"`
 	// RetryBudget bounds the requests that are sent to a second upstream.
 	RetryBudget RetryBudget `jsonc:"optional"`
 	// TLS is for connections to and from other nodes and controls.
@@ -181,7 +185,7 @@
 // ParseNode decodes and checks the settings of a node. The file is named in
 // errors.
 func ParseNode(file string, data []byte) (*Node, error) {
-	s := &Node{LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, CallerDrain: DefaultCallerDrain}
+	s := &Node{LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, CallerDrain: DefaultCallerDrain, UrgentReserve: DefaultUrgentReserve}
 	d := jsonc.Parse(file, data)
 	d.Decode(s)
 	checkNode(checker{d}, s)
