--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/peer"
 	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/retry"
 	"github.com/gooseberrypick/gooseberrypick/internal/router"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
@@ -167,6 +168,7 @@
 		Log:        n.c.Log.WithName("router"),
 		Seed:       uint64(now.UnixNano()),
 		SeeVersion: n.distribution.SeeVersion,
+		Budget:     retry.Config{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Retried:    n.metrics.retried,
 
 		RetryFailures: n.c.Interface.RetryFailures,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/balance"
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/retry"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -43,6 +44,8 @@
 	Peers Peers
 	Log   logr.Logger
 	Seed  uint64
+	// Budget bounds the retries of each service.
+	Budget retry.Config
 	// SeeVersion is told the version of each peer that answers; it may be nil.
 	SeeVersion func(uint64)
 	// RetryFailures also tries again after complete answers with status 500, on
@@ -276,7 +279,7 @@
 	if s := r.services[name]; s != nil {
 		return s
 	}
-	s = newService(name, r.c.Seed)
+	s = newService(name, r.c.Seed, r.c.Budget)
 	r.services[name] = s
 	return s
 }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -27,11 +27,11 @@
 	byName  map[string]registry.Candidate
 }
 
-func newService(name string, seed uint64) *service {
+func newService(name string, seed uint64, b retry.Config) *service {
 	return &service{
 		name:     name,
 		balancer: balance.New(balance.Config{Seed: seed}),
-		budget:   retry.New(retry.Config{}),
+		budget:   retry.New(b),
 		set:      balance.NewSet(nil),
 	}
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -16,6 +16,7 @@
 	maxPort           = 65535
 	maxLosses         = 4
 	maxUrgentReserve  = 10
+	maxRetryBurst     = 1000
 	// Below the minimum, one lost packet between availability zones would cost
 	// an election; above the maximum, accepts would stand still for long.
 	minElectionTimeout = 200 * time.Millisecond
@@ -95,12 +96,9 @@
 }
 
 func (c checker) retryBudget(b RetryBudget) {
-	if !c.d.Valid("RetryBudget") || b == (RetryBudget{}) {
-		return
-	}
-	if b.Share < 0 || b.Share > 1 || b.Slack < 0 || b.Window <= 0 {
-		c.d.Fault("RetryBudget", fmt.Sprintf("Share %v, Slack %d, Window %s is out of range", b.Share, b.Slack, b.Window),
-			"a Share from 0 to 1, a Slack of at least 0 and a Window above 0s")
+	if c.d.Valid("RetryBudget") && (b.Share <= 0 || b.Share > 1 || b.Burst < 1 || b.Burst > maxRetryBurst) {
+		c.d.Fault("RetryBudget", fmt.Sprintf("Share %v, Burst %v is out of range", b.Share, b.Burst),
+			"a Share above 0, at most 1, and a Burst from 1 to 1000")
 	}
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -31,7 +31,11 @@
 	DefaultClaimRetention = 24 * time.Hour
 	DefaultLosses         = 2
 	DefaultUrgentReserve  = 3
-	DefaultCallerDrain    = 500 * time.Millisecond
+	// DefaultRetryBurst covers the requests in flight at one lost upstream of a
+	// small service.
+	DefaultRetryShare  = 0.1
+	DefaultRetryBurst  = 10
+	DefaultCallerDrain = 500 * time.Millisecond
 	// DefaultElectionTimeout leaves room for a slow sync of a busy disk, during
 	// which a control sends and hears nothing.
 	DefaultElectionTimeout = time.Second
@@ -92,12 +96,11 @@
 	StopMargin time.Duration `jsonc:"optional"`
 }
 
-// RetryBudget is what all nodes together may send to second upstreams of one
-// service within any Window: Share of the requests in it, and Slack more.
+// RetryBudget bounds the retries of one rank of one service at one node: Share
+// of its calls, of which up to Burst are saved for later.
 type RetryBudget struct {
-	Share  float64
-	Slack  int
-	Window time.Duration
+	Share float64
+	Burst float64
 }
 
 // Control holds the settings of a control.
@@ -185,7 +188,10 @@
 // ParseNode decodes and checks the settings of a node. The file is named in
 // errors.
 func ParseNode(file string, data []byte) (*Node, error) {
-	s := &Node{LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, CallerDrain: DefaultCallerDrain, UrgentReserve: DefaultUrgentReserve}
+	s := &Node{
+		LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, RetryBudget: RetryBudget{Share: DefaultRetryShare, Burst: DefaultRetryBurst},
+		CallerDrain: DefaultCallerDrain, UrgentReserve: DefaultUrgentReserve,
+	}
 	d := jsonc.Parse(file, data)
 	d.Decode(s)
 	checkNode(checker{d}, s)
