Return the upstream's own failure where a later try fails, and 502 once a try may have run

The upstream's answer was thrown away. Change: the first answer is kept up to 64 KiB and returned where no later try brings a better one; an error of unknown execution never has a status that promises not-run. The course of one request moved into its own type. Result: TestFailureAfterRun and TestStatusFollowsExecution fail without the change.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -136,11 +136,7 @@
 		w.Header().Set(d.Execution, string(e.Execution))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	status := a.HTTPStatus
-	if status == http.StatusGatewayTimeout && e.Execution == errkind.NotRun {
-		// A caller with time left may send it again, whatever its kind.
-		status = http.StatusServiceUnavailable
-	}
+	status := e.HTTPStatus()
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(Problem{Kind: e.Kind, Reason: e.Error(), RequestId: id, Execution: e.Execution}) // the caller has gone
 	return status
--- a/internal/router/failure_test.go
+++ b/internal/router/failure_test.go
@@ -8,28 +8,107 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/registry"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// answers is a transport whose first answers have the given statuses.
+// answers is a transport whose first answers have the given statuses. It refuses
+// a request for lack of capacity in place of a status full, and breaks off after
+// it was sent in place of a status cut.
 type answers struct{ statuses []int }
 
+const full, cut = -1, -2
+
 func (a *answers) Call(_ context.Context, r *call.Request) (*call.Response, error) {
 	s := 200
 	if len(a.statuses) > 0 {
 		s, a.statuses = a.statuses[0], a.statuses[1:]
 	}
+	switch s {
+	case full:
+		return nil, &call.LoadError{After: 2 * time.Second, Err: errkind.New(errkind.QueueFull, "full")}
+	case cut:
+		return nil, errkind.New(errkind.UpstreamFailed, "connection reset")
+	}
 	return &call.Response{
 		Head: wire.ResponseHead{RequestID: r.RequestID, Status: s, ContentLength: 4}, Body: io.NopCloser(strings.NewReader("body")),
 		Trailer: func() map[string][]string { return nil }, Load: func() *wire.Load { return nil },
 	}, nil
 }
 
+// twoUpstreams returns a router with two upstreams behind l, and a match of the route.
+func twoUpstreams(l *answers, enabled bool, execution customer.Execution, attempts int) (*Router, table.Match) {
+	g := registry.New()
+	g.Put(time.Now(), []wire.NodeRecord{{Node: "n", Incarnation: 1, Upstreams: []wire.Upstream{
+		{Name: "u1", Service: "s", State: wire.Serving, Slots: 5, Connections: 5},
+		{Name: "u2", Service: "s", State: wire.Serving, Slots: 5, Connections: 5},
+	}}})
+	m := table.Match{
+		Name: "* h/", Rank: customer.Rank{Name: "r"},
+		Route: customer.Route{Service: "s", Execution: execution, Attempts: attempts},
+	}
+	return New(Config{Node: "n", Registry: g, Local: l, Log: logr.Discard(), RetryFailures: enabled}), m
+}
+
+func send(t *testing.T, r *Router, m table.Match) (int, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	a, err := r.Route(ctx, m, &call.Request{RequestHead: wire.RequestHead{RequestID: "id", WholeBody: true, Attempt: 1}})
+	if err != nil {
+		return 0, err
+	}
+	b, err := io.ReadAll(a.Body)
+	a.Body.Close()
+	if got, want := string(b), "body"; err != nil || got != want {
+		t.Errorf("body: got %q, %v, want %q", got, err, want)
+	}
+	return a.Head.Status, nil
+}
+
+// A request that ran must never be refused as not-run because a later try was,
+// and an upstream's own answer must not be lost to a later error.
+func TestFailureAfterRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		statuses []int
+		status   int
+		want     int // of an error
+	}{
+		"answer, then refused":     {[]int{500, full}, 500, 0},
+		"answer, then cut":         {[]int{500, cut}, 500, 0},
+		"cut, then refused":        {[]int{cut, full}, 0, 502},
+		"refused, then refused":    {[]int{full, full}, 0, 503},
+		"refused, then an answer":  {[]int{full, 500}, 500, 0},
+		"cut, then a whole answer": {[]int{cut}, 200, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &answers{}
+			r, m := twoUpstreams(l, true, customer.Idempotent, 2)
+			for range 20 { // earns retries
+				_, _ = send(t, r, m)
+			}
+			l.statuses = c.statuses
+			got, err := send(t, r, m)
+			if got != c.status {
+				t.Errorf("got status %d, want %d", got, c.status)
+			}
+			if (err != nil) != (c.want > 0) || err != nil && errkind.From(err).HTTPStatus() != c.want {
+				t.Errorf("got %v, want an error of status %d", err, c.want)
+			}
+			var l2 *call.LoadError
+			if c.want > 0 && (!errors.As(err, &l2) || l2.After != 2*time.Second) {
+				t.Errorf("got %#v, want the time to come back", err)
+			}
+		})
+	}
+}
+
 // Work that must not run twice must never be sent again after an upstream's own
 // failure, and other work not more often than its route and the budget allow.
 func TestRetryAfterFailure(t *testing.T) {
@@ -52,34 +131,14 @@
 		"other parts of the system": {customer.Idempotent, 2, true, 20, []int{502}, 502},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := registry.New()
-			g.Put(time.Now(), []wire.NodeRecord{{Node: "n", Incarnation: 1, Upstreams: []wire.Upstream{
-				{Name: "u1", Service: "s", State: wire.Serving, Slots: 5, Connections: 5},
-				{Name: "u2", Service: "s", State: wire.Serving, Slots: 5, Connections: 5},
-			}}})
 			l := &answers{}
-			r := New(Config{Node: "n", Registry: g, Local: l, Log: logr.Discard(), RetryFailures: c.enabled})
-			m := table.Match{
-				Name: "* h/", Rank: customer.Rank{Name: "r"},
-				Route: customer.Route{Service: "s", Execution: c.execution, Attempts: c.attempts},
-			}
-			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-			defer cancel()
-			send := func() int {
-				a, err := r.Route(ctx, m, &call.Request{RequestHead: wire.RequestHead{RequestID: "id", WholeBody: true, Attempt: 1}})
-				if err != nil {
-					t.Fatal(err)
-				}
-				_, _ = io.Copy(io.Discard, a.Body)
-				a.Body.Close()
-				return a.Head.Status
-			}
+			r, m := twoUpstreams(l, c.enabled, c.execution, c.attempts)
 			for range c.budget {
-				send()
+				_, _ = send(t, r, m)
 			}
 			l.statuses = c.statuses
-			if got := send(); got != c.want {
-				t.Errorf("got status %d, want %d", got, c.want)
+			if got, err := send(t, r, m); err != nil || got != c.want {
+				t.Errorf("got status %d, %v, want %d", got, err, c.want)
 			}
 		})
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,8 +12,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -88,49 +86,7 @@
 	q.Service = m.Route.Service
 	s := r.service(m.Route.Service)
 	s.called(time.Now(), m.Rank.Name, q.Attempt)
-	inbound := q.Attempt
-	admitted := false
-	if q.Stream != nil {
-		q.Admitted = func() error { admitted = true; return nil }
-	}
-	var tried map[string]bool
-	redirects := 0
-	last := error(errkind.New(errkind.NoUpstream, "no upstream of service %q is serving", m.Route.Service))
-	for tries := 1; ; tries++ {
-		t, ok := s.choose(r.c, m, isLarge(q), tried)
-		if !ok {
-			r.c.Log.Info("no upstream left", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name, "tries", tries-1, "reason", last.Error())
-			return nil, last
-		}
-		q.Attempt = inbound + tries - 1
-		r.logChoice(m, q, t)
-		a, err := r.call(ctx, s, m, q, t)
-		if err == nil && !r.againAfter(ctx, s, m, q, a, inbound, tries) {
-			return a, nil
-		}
-		if err == nil {
-			err = discard(a)
-		}
-		last = afterTry(last, err, tries)
-		if tried == nil {
-			tried = map[string]bool{}
-		}
-		tried[t.name] = true
-		if redirects < maxRedirects && !admitted && isRedirect(err) {
-			redirects++
-			tries--
-			r.c.Log.Info("choose again", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
-				"upstream", t.name, "reason", err.Error())
-			continue
-		}
-		d := s.retry(m, q, err, inbound, tries, remaining(ctx), admitted)
-		r.c.Log.Info("try failed", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
-			"upstream", t.name, "kind", errkind.Of(err), "retry", d.Retry, "reason", d.Reason, "cause", err.Error())
-		if !d.Retry {
-			return nil, last
-		}
-		r.c.Retried(m.Route.Service)
-	}
+	return newPursuit(ctx, r, s, m, q).run()
 }
 
 // largeBytes is the size from which a body counts as large for the choice of an
@@ -139,50 +95,6 @@
 
 func isLarge(q *call.Request) bool { return q.Stream != nil || len(q.Body) >= largeBytes }
 
-// againAfter reports whether a complete answer that says that the upstream
-// failed is followed by another try.
-func (r *Router) againAfter(ctx context.Context, s *service, m table.Match, q *call.Request, a *call.Response, inbound, tries int) bool {
-	if !r.c.RetryFailures || a.Head.Status != http.StatusInternalServerError || !retryable(m, q) {
-		return false
-	}
-	return s.others(r.c, q) && s.mayRetry(m, q, errkind.New(errkind.UpstreamFailed, "the upstream answered 500"), inbound, tries, remaining(ctx))
-}
-
-// discard ends an answer that another try replaces.
-func discard(a *call.Response) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscard))
-	a.Body.Close()
-	if err != nil {
-		return errkind.Wrap(err, errkind.UpstreamFailed, "the upstream answered %d and broke off", a.Head.Status)
-	}
-	return errkind.New(errkind.UpstreamFailed, "the upstream answered %d", a.Head.Status)
-}
-
-// maxDiscard bounds what is read of an answer that is not passed on, so that its
-// connection can be used again.
-const maxDiscard = 64 << 10
-
-// maxRedirects bounds the choices that met an upstream which has just left.
-const maxRedirects = 3
-
-// isRedirect reports whether err only says that the choice was out of date: the
-// upstream leaves, and nothing was sent to it. Such a choice takes nothing out of
-// the retry budget, since it put no load on any upstream and callers must not
-// notice when upstreams come and go.
-func isRedirect(err error) bool {
-	e := errkind.From(err)
-	return e.Kind == errkind.Leaving && e.Execution == errkind.NotRun
-}
-
-// afterTry returns the error of a request whose latest try ended in err. Once a
-// try may have run, so may have the request, whatever became of later tries.
-func afterTry(last, err error, tries int) error {
-	if tries > 1 && errkind.From(last).Execution != errkind.NotRun {
-		return errkind.From(err).WithExecution(errkind.Unknown)
-	}
-	return err
-}
-
 func (r *Router) logChoice(m table.Match, q *call.Request, t try) {
 	r.c.Log.Info("choose upstream", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
 		"upstream", t.name, "availabilityZone", t.candidate.AvailabilityZone, "attempt", q.Attempt, "reason", t.reason)
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -191,6 +191,20 @@
 	return &c
 }
 
+// HTTPStatus returns the status of the table, unless the execution of e calls for
+// another one: 503 and the like promise that a request did not run, and a caller
+// with time left may send a request that did not run again, whatever its kind.
+func (e *Error) HTTPStatus() int {
+	s := e.Kind.Answer().HTTPStatus
+	switch {
+	case s == http.StatusServiceUnavailable && e.Execution != NotRun:
+		return http.StatusBadGateway
+	case s == http.StatusGatewayTimeout && e.Execution == NotRun:
+		return http.StatusServiceUnavailable
+	}
+	return s
+}
+
 // Error returns the reason and the cause.
 func (e *Error) Error() string {
 	if e.cause == nil {
