Let large request bodies arrive one after the other on narrow links

Cause: on the grown deployments the links of nodes carry 4 to 5 Mbit/s. Change: a body above 32 KiB follows only after the owner node admitted it, and the owner node admits one for each 5 Mbit/s of its link (LinkMbps in the settings). What cannot arrive in time is refused at once as not-run with the time to come back; the wait counts in the load reports. A slow sender keeps the link for a second at most. TestLargeBodiesInTurn, TestLargeBodyWithoutTime and TestSlowSendersKeepNoLink fail with the gate, the refusal or the bound on slow senders switched off.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -22,9 +22,11 @@
 
 // Sizes on the request path.
 const (
-	// WholeBodyBytes is the largest body that travels with the head, before
-	// admission, and can be sent again.
+	// WholeBodyBytes is the largest body that is kept whole and can be sent again.
 	WholeBodyBytes = 64 << 10
+	// InlineBodyBytes is the largest body that travels with the head, before the
+	// owner node admitted the request.
+	InlineBodyBytes = 32 << 10
 	// ChunkBytes is the size of one piece of a streamed body.
 	ChunkBytes = 32 << 10
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,7 @@
 	})
 	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n)
 	n.peers = peer.NewClient(inner)
-	n.peerServer = peer.NewServer(n.local)
+	n.peerServer = peer.NewServer(peer.ServerConfig{Transport: n.local, LinkMbps: c.Settings.LinkMbps})
 	n.controls = &controls{pool: wire.NewPool(inner), addresses: c.Settings.Control, preferred: n.distribution.Control}
 	n.once = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
 	n.serversOf(now)
--- a/internal/peer/chunks.go
+++ b/internal/peer/chunks.go
@@ -25,6 +25,8 @@
 	next   chunk
 	// ended is set once the whole body was read.
 	ended atomic.Bool
+	// whole is called when nothing more of the body arrives.
+	whole func()
 }
 
 type chunk struct {
@@ -44,6 +46,9 @@
 	go func() {
 		for {
 			k := c.receive()
+			if k.err != nil {
+				c.whole()
+			}
 			select {
 			case c.chunks <- k:
 			case <-c.closed:
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -43,7 +43,7 @@
 		conn: conn, release: func(clean bool) { c.pool.Put(address, conn, clean) },
 	}
 	x.head.Remaining -= min(x.head.Remaining/marginShare, maxMargin)
-	if len(r.Body) > call.WholeBodyBytes {
+	if len(r.Body) > call.InlineBodyBytes {
 		x.head.Body, x.head.WholeBody, x.body = nil, false, io.NopCloser(bytes.NewReader(r.Body))
 	}
 	a, err := x.start()
--- /dev/null
+++ b/internal/peer/gate_test.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/standin"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
+)
+
+// slowBody arrives in pieces of 16 KiB with a pause before each.
+type slowBody struct {
+	io.Reader
+	pause    time.Duration
+	arriving *atomic.Int32
+	most     *atomic.Int32
+	begun    bool
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if !b.begun {
+		b.begun = true
+		if n := b.arriving.Add(1); n > b.most.Load() {
+			b.most.Store(n)
+		}
+	}
+	time.Sleep(b.pause)
+	n, err := b.Reader.Read(p[:min(len(p), 16<<10)])
+	if err != nil {
+		b.arriving.Add(-1)
+	}
+	return n, err
+}
+
+// narrow starts an owner node on a link that carries one large body at a time.
+func narrow(t *testing.T) *Client {
+	n := standin.NewNetwork()
+	l, err := n.Listen("owner:3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := wire.NewMux()
+	NewServer(ServerConfig{LinkMbps: transferMbps, Transport: transport(func(_ context.Context, r *call.Request) (*call.Response, error) {
+		if r.Stream != nil {
+			if err := r.Admitted(); err != nil {
+				return nil, err
+			}
+			if _, err := io.Copy(io.Discard, r.Stream); err != nil {
+				return nil, err
+			}
+		}
+		return answer(r.RequestID, 2, bytes.NewReader([]byte("ok"))), nil
+	})}).Register(m)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- wire.Serve(ctx, l, m, wire.ServeOptions{}) }()
+	c := NewClient(n.Dial)
+	t.Cleanup(func() { c.Close(); cancel(); <-done })
+	return c
+}
+
+// upload sends a body of 64 KiB within limit.
+func upload(c *Client, body io.Reader, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	a, err := c.Call(ctx, "owner:3", &call.Request{
+		RequestHead: wire.RequestHead{RequestID: "u", Method: "POST", Remaining: limit},
+		Stream:      io.NopCloser(body),
+	})
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	_, err = io.Copy(io.Discard, a.Body)
+	return err
+}
+
+func size(n int) io.Reader { return bytes.NewReader(make([]byte, n)) }
+
+// Guards that large bodies do not fill a narrow link together, so that a small
+// request or answer never waits behind more than one of them.
+func TestLargeBodiesInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := narrow(t)
+		var arriving, most atomic.Int32
+		done := make(chan error)
+		for range 4 {
+			go func() {
+				done <- upload(c, &slowBody{Reader: size(64 << 10), pause: 20 * time.Millisecond, arriving: &arriving, most: &most}, 10*time.Second)
+			}()
+		}
+		time.Sleep(time.Millisecond)
+		start := time.Now()
+		if _, err := do(c, "small", nil); err != nil || time.Since(start) > 0 {
+			t.Errorf("small request: got %v after %s, want no wait", err, time.Since(start))
+		}
+		for range 4 {
+			if err := <-done; err != nil {
+				t.Errorf("upload: %v", err)
+			}
+		}
+		if got := most.Load(); got != 1 {
+			t.Errorf("bodies at the same time: got %d, want 1", got)
+		}
+	})
+}
+
+// Guards that a body which cannot arrive in time is refused at once as not-run,
+// with the time to come back, and that it takes no place from others.
+func TestLargeBodyWithoutTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := narrow(t)
+		var arriving, most atomic.Int32
+		slow := func() io.Reader {
+			return &slowBody{Reader: size(64 << 10), pause: 20 * time.Millisecond, arriving: &arriving, most: &most}
+		}
+		done := make(chan error)
+		go func() { done <- upload(c, slow(), time.Minute) }()
+		synctest.Wait()
+		start := time.Now()
+		err := upload(c, slow(), 150*time.Millisecond)
+		var l *call.LoadError
+		if e := errkind.From(err); e.Kind != errkind.QueueFull || e.Execution != errkind.NotRun || !errors.As(err, &l) || l.After <= 0 {
+			t.Errorf("got %#v, want QueueFull, not-run, with a time to come back", err)
+		}
+		if took := time.Since(start); took > 0 {
+			t.Errorf("refused after %s, want at once", took)
+		}
+		if err := <-done; err != nil {
+			t.Errorf("first upload: %v", err)
+		}
+		if err := upload(c, slow(), time.Minute); err != nil {
+			t.Errorf("upload after the refusal: %v", err)
+		}
+	})
+}
+
+// Guards that callers that send slowly, or go away while they wait, do not keep
+// the link from others.
+func TestSlowSendersKeepNoLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := narrow(t)
+		var arriving, most atomic.Int32
+		done := make(chan error, 2)
+		go func() {
+			done <- upload(c, &slowBody{Reader: size(64 << 10), pause: 10 * time.Second, arriving: &arriving, most: &most}, time.Minute)
+		}()
+		synctest.Wait()
+		go func() { done <- upload(c, size(64<<10), 500*time.Millisecond) }() // gives up while it waits
+		synctest.Wait()
+		start := time.Now()
+		if err := upload(c, size(64<<10), time.Minute); err != nil {
+			t.Errorf("upload beside a slow one: %v", err)
+		}
+		if took := time.Since(start); took > 2*maxTransfer {
+			t.Errorf("upload beside a slow one took %s, want at most %s", took, 2*maxTransfer)
+		}
+		if err := <-done; errkind.From(err).Execution != errkind.NotRun {
+			t.Errorf("given up: got %v, want not-run", err)
+		}
+		if err := <-done; err != nil {
+			t.Errorf("slow upload: %v", err)
+		}
+	})
+}
+
+// Guards that wide links are not bounded to one body.
+func TestTransfersOfLink(t *testing.T) {
+	for mbps, want := range map[float64]int{0: maxTransfers, 4.13: 1, 5.53: 1, 170: 34, 1000: 200, 100000: maxTransfers} {
+		if got := transfersOf(mbps); got != want {
+			t.Errorf("%v Mbit/s: got %d, want %d", mbps, got, want)
+		}
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m, p := wire.NewMux(), NewServer(f)
+	m, p := wire.NewMux(), NewServer(ServerConfig{Transport: f})
 	p.Register(m)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,7 +5,7 @@
 //
 // The owner node registers its transport on the inner server:
 //
-//	p := peer.NewServer(local)
+//	p := peer.NewServer(peer.ServerConfig{Transport: local, LinkMbps: 170})
 //	p.Register(mux)
 //	…
 //	p.Refuse()           // at a stop
@@ -16,9 +16,10 @@
 //	c := peer.NewClient(wire.DialTCP)
 //	a, err := c.Call(ctx, address, request)
 //
-// A body larger than call.WholeBodyBytes is sent only after the owner node
+// A body larger than call.InlineBodyBytes is sent only after the owner node
 // admitted the request, so that refused uploads cost no transfer and can be
-// tried elsewhere. The owner node in turn sends nothing to its upstream before
+// tried elsewhere. The owner node admits as many at the same time as its link
+// carries beside its other traffic. The owner node in turn sends nothing to its upstream before
 // the first chunk of such a body arrived: until then the entry node may have
 // given up and said that the request did not run.
 package peer
@@ -26,6 +27,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
@@ -35,16 +37,25 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
+// ServerConfig holds what a Server needs.
+type ServerConfig struct {
+	// Transport runs the requests.
+	Transport call.Transport
+	// LinkMbps is the rate of the VM's link; zero means unknown, and so unbounded.
+	LinkMbps float64
+}
+
 // Server answers the requests of other nodes.
 type Server struct {
-	transport call.Transport
-	mu        sync.Mutex // orders enter and Refuse
-	refusing  bool
-	inFlight  sync.WaitGroup
+	c        ServerConfig
+	gate     *gate
+	mu       sync.Mutex // orders enter and Refuse
+	refusing bool
+	inFlight sync.WaitGroup
 }
 
-// NewServer returns a Server that passes requests to t.
-func NewServer(t call.Transport) *Server { return &Server{transport: t} }
+// NewServer returns a Server.
+func NewServer(c ServerConfig) *Server { return &Server{c: c, gate: newGate(transfersOf(c.LinkMbps))} }
 
 // Register serves Forward streams on m.
 func (p *Server) Register(m *wire.Mux) { m.HandleStream(wire.MethodForward, p.serve) }
@@ -100,19 +111,38 @@
 	ctx, cancel := context.WithTimeout(s.Context(), q.Head.Remaining)
 	defer cancel()
 	r := &call.Request{RequestHead: *q.Head}
-	var c *chunkReader
 	if !q.Head.WholeBody {
-		c = newChunkReader(s)
-		defer c.Close()
-		r.Stream = c
-		r.Admitted = func() error { return c.admit(ctx) }
+		return p.serveLarge(ctx, s, r)
+	}
+	a, err := p.c.Transport.Call(ctx, r)
+	if err != nil {
+		return send(s, refusal(err))
+	}
+	defer a.Body.Close()
+	return sendAnswer(s, a, nil)
+}
+
+// serveLarge runs a request whose body follows once the link has room for it.
+func (p *Server) serveLarge(ctx context.Context, s drpc.Stream, r *call.Request) error {
+	started := time.Now()
+	t, err := p.gate.acquire(ctx, r.Remaining)
+	if err != nil {
+		return send(s, refusal(err))
 	}
-	a, err := p.transport.Call(ctx, r)
+	defer t.release()
+	c := newChunkReader(s)
+	c.whole = t.release
+	defer c.Close()
+	r.Stream = c
+	r.Admitted = func() error { t.begin(); return c.admit(ctx) }
+	a, err := p.c.Transport.Call(ctx, r)
 	if err != nil {
 		return send(s, refusal(err))
 	}
 	defer a.Body.Close()
-	return sendAnswer(s, a, c)
+	n := *a
+	n.Load = func() *wire.Load { return p.gate.load(a.Load(), time.Since(started)) }
+	return sendAnswer(s, &n, c)
 }
 
 func refusal(err error) *wire.ForwardResponse {
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -17,6 +17,7 @@
 	maxLosses         = 4
 	maxUrgentReserve  = 10
 	maxRetryBurst     = 1000
+	maxLinkMbps       = 1_000_000
 	// Below the minimum, one lost packet between availability zones would cost
 	// an election; above the maximum, accepts would stand still for long.
 	minElectionTimeout = 200 * time.Millisecond
@@ -57,6 +58,9 @@
 	if c.d.Valid("UrgentReserve") && (s.UrgentReserve <= 0 || s.UrgentReserve > maxUrgentReserve) {
 		c.d.Fault("UrgentReserve", fmt.Sprintf("%v is out of range", s.UrgentReserve), "a number above 0, at most 10")
 	}
+	if c.d.Valid("LinkMbps") && (s.LinkMbps < 0 || s.LinkMbps > maxLinkMbps) {
+		c.d.Fault("LinkMbps", fmt.Sprintf("%v is out of range", s.LinkMbps), "a number from 0 to 1000000")
+	}
 	if c.d.Valid("CallerDrain") && (s.CallerDrain < 0 || s.CallerDrain > s.StopLimit) {
 		c.d.Fault("CallerDrain", fmt.Sprintf("%s is out of range", s.CallerDrain), "a duration from 0s to StopLimit")
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -86,6 +86,9 @@
 	UrgentReserve float64 `jsonc:"optional"`
 	// RetryBudget bounds the requests that are sent to a second upstream.
 	RetryBudget RetryBudget `jsonc:"optional"`
+	// LinkMbps is the rate of the VM's link in Mbit/s, by which the large bodies
+	// that arrive at the same time are bounded. Zero means unknown.
+	LinkMbps float64 `jsonc:"optional"`
 	// TLS is for connections to and from other nodes and controls.
 	TLS      TLS    `jsonc:"optional"`
 	LogLevel string `jsonc:"optional"`
