Refuse waiting requests that cannot end in time before their deadline

After a start, no slot time was known, so everything that came in the first one was taken in and became late. Change: waiting requests are judged again every 20 ms with the slot time of now, and refused as not-run as soon as they cannot end in time; a rank of which nothing has run counts a third of its target as its slot time where a request has a deadline.

--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -10,6 +10,7 @@
 func (q *Queue) Next(now time.Time) (Request, bool) {
 	n := q.advance(now)
 	q.refreshHeadroom(n)
+	q.sweepWaiting(n, now)
 	for q.running < q.limit && q.waiting > 0 {
 		it := q.pick()
 		if it == nil {
--- a/internal/queue/offer.go
+++ b/internal/queue/offer.go
@@ -71,9 +71,9 @@
 		wait = q.predictLate(n, r, it.cost)
 	}
 	w := seconds(wait)
-	if !it.Deadline.IsZero() && now.Add(w+seconds(it.cost)).After(it.Deadline) {
-		return q.refuse(errkind.New(errkind.DeadlineTooShort, "predicted wait %v and usual slot time %v exceed the remaining %v",
-			w.Round(time.Millisecond), seconds(it.cost).Round(time.Millisecond), it.Deadline.Sub(now).Round(time.Millisecond)), w)
+	if !it.Deadline.IsZero() && now.Add(max(w+seconds(it.cost), seconds(q.unknownEnd(r)))).After(it.Deadline) {
+		return q.refuse(errkind.New(errkind.DeadlineTooShort, "%s and the usual slot time %v exceed the remaining %v",
+			waitText(wait), seconds(it.cost).Round(time.Millisecond), it.Deadline.Sub(now).Round(time.Millisecond)), w)
 	}
 	if !q.makeRoom(it) {
 		return q.refuse(errkind.New(errkind.QueueFull, "rank %s has %d of %d requests waiting", r.Name, r.waiting(), q.waiting), w)
--- a/internal/queue/policy_test.go
+++ b/internal/queue/policy_test.go
@@ -26,15 +26,17 @@
 	callers map[uint64]string
 	started map[string]int // by caller
 	refused []queue.Refusal
-	waiting map[string]int           // by rank
-	longest map[string]time.Duration // wait by caller
+	// refusedAt is when a request that waited was refused.
+	refusedAt map[uint64]time.Duration
+	waiting   map[string]int           // by rank
+	longest   map[string]time.Duration // wait by caller
 }
 
 func newBench(q *queue.Queue, service map[string]time.Duration) *bench {
 	return &bench{
 		q: q, service: service, ends: map[uint64]time.Duration{}, ranks: map[uint64]string{},
 		used: map[string]time.Duration{}, waits: map[string][]time.Duration{}, arrived: map[uint64]time.Duration{},
-		callers: map[uint64]string{}, started: map[string]int{}, waiting: map[string]int{}, longest: map[string]time.Duration{},
+		callers: map[uint64]string{}, refusedAt: map[uint64]time.Duration{}, started: map[string]int{}, waiting: map[string]int{}, longest: map[string]time.Duration{},
 	}
 }
 
@@ -85,6 +87,7 @@
 	for _, f := range b.q.Refused() {
 		b.waiting[f.Request.Rank]--
 		b.refused = append(b.refused, f)
+		b.refusedAt[f.Request.ID] = b.now
 	}
 }
 
--- a/internal/queue/predict.go
+++ b/internal/queue/predict.go
@@ -14,6 +14,21 @@
 	}
 }
 
+// unknownShare is the assumed slot time of a rank of which no request has run, as
+// a share of its target. Without a guess all that comes within the first slot time
+// is taken in, however long it then has to wait.
+const unknownShare = 1.0 / 3
+
+// unknownEnd is how long a new request of a rank of which none has run is likely
+// to wait and run, in seconds, and zero for other ranks.
+func (q *Queue) unknownEnd(r *rank) float64 {
+	if r.service.n > 0 {
+		return 0
+	}
+	slots := float64(max(1, q.limit))
+	return (float64(r.waiting()+1)/slots + 1) * unknownShare * r.Target.Seconds()
+}
+
 // predict returns how long a new request of rank r is likely to wait in the
 // on-time lane, in seconds.
 func (q *Queue) predict(now float64, r *rank, caller string, cost float64) float64 {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -116,6 +116,8 @@
 	epoch      time.Time
 	now        float64 // seconds since epoch
 
+	sweptAt float64
+
 	tailExponent  float64
 	headroomAt    float64
 	headroomLimit int
