Serve sooner after all controls have stopped

Nothing logged who leads. TestSlowApplyKeepsTheLeader fails without the slices. TestRefusal changed a list of the state machine that is now shared; it changes a copy.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -22,6 +22,10 @@
 const (
 	// configGroup is the name of the group that keeps accepted versions.
 	configGroup = "config"
+	// configSnapshotEntries is the number of changes between snapshots of the config
+	// group. Applying a whole configuration takes milliseconds, and a member that
+	// restarts serves nobody until it has applied all since the snapshot.
+	configSnapshotEntries = 32
 	// raftQueue is how many messages to one member may wait. Raft repeats what
 	// is dropped.
 	raftQueue = 1024
@@ -168,7 +172,12 @@
 	if len(s.Seeds) > 0 {
 		k = []replica.Member{{Name: s.Name, Address: s.PeerListen}}
 	}
+	entries := replica.DefaultSnapshotEntries
+	if name == configGroup {
+		entries = configSnapshotEntries
+	}
 	g, err := replica.New(replica.Config{
+		SnapshotEntries: entries,
 		Group:           name,
 		Name:            s.Name,
 		Members:         k,
--- a/internal/control/refusal_test.go
+++ b/internal/control/refusal_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -29,7 +30,10 @@
 	}, reason: "needs service"},
 	{name: "other lineage", update: func(u *wire.ConfigUpdate) { u.Lineage = "M" }, reason: "update is of lineage"},
 	{name: "other start", update: func(u *wire.ConfigUpdate) { u.From += 7 }, reason: "starts at version"},
-	{name: "unknown resource", update: func(u *wire.ConfigUpdate) { u.Changes[0].Upsert[0].Kind = "Quota" }, reason: "unknown resource kind"},
+	{name: "unknown resource", update: func(u *wire.ConfigUpdate) {
+		u.Changes[0].Upsert = slices.Clone(u.Changes[0].Upsert) // the list is that of the state machine
+		u.Changes[0].Upsert[0].Kind = "Quota"
+	}, reason: "unknown resource kind"},
 	{name: "truncated", chunk: func(c *wire.ConfigChunk) { c.Data = c.Data[:len(c.Data)/2] }, reason: "unexpected EOF"},
 	{name: "lost part", chunk: func(c *wire.ConfigChunk) { c.Offset = 10 }, reason: "part at byte 10"},
 	{name: "named otherwise", update: func(u *wire.ConfigUpdate) { u.To++ }, chunk: func(c *wire.ConfigChunk) { c.To-- }, reason: "came as version"},
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -20,9 +20,12 @@
 	mu       sync.Mutex
 	commands []string
 	restored int
+	// takes is how long each command takes.
+	takes time.Duration
 }
 
 func (j *journal) Apply(_ uint64, command []byte) any {
+	time.Sleep(j.takes)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.commands = append(j.commands, string(command))
@@ -59,6 +62,7 @@
 	machines map[string]*journal
 	cut      map[string]bool
 	tune     func(*replica.Config)
+	takes    time.Duration
 	chunks   int // messages that carried data of a snapshot
 	largest  int // size of the largest message
 }
@@ -77,7 +81,7 @@
 func (c *cluster) start(names ...string) {
 	c.t.Helper()
 	for _, name := range names {
-		j := &journal{}
+		j := &journal{takes: c.takes}
 		config := replica.Config{
 			Group: "g", Name: name, Members: c.members, Log: logr.Discard(),
 			Folder: filepath.Join(c.folder, name), Peers: link{c, name},
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -36,9 +36,13 @@
 	names   map[string]string // identity to name, from messages
 	driver  string            // identity of the member that probed last
 	applied uint64
-	pending map[uint64]*proposal
-	reads   map[uint64]*read
-	nextID  uint64
+	// committed holds the entries that wait to be applied, the next of them not
+	// before applyAt.
+	committed []wire.RaftEntry
+	applyAt   time.Duration
+	pending   map[uint64]*proposal
+	reads     map[uint64]*read
+	nextID    uint64
 	// retryAt is when reads that are not confirmed are asked again; asked is the
 	// leader that was asked.
 	retryAt time.Duration
@@ -46,6 +50,8 @@
 	// lostAt is when leadership was lost with proposals pending.
 	lostAt  time.Duration
 	leading bool
+	// believed is the leadership in the newest log line.
+	believed belief
 	// diskFull is set while the last write failed for lack of space.
 	diskFull bool
 	failure  error
@@ -101,6 +107,7 @@
 		names: map[string]string{}, pending: map[uint64]*proposal{}, reads: map[uint64]*read{},
 		nextID:    c.Rand.Uint64(), // differs from the IDs of earlier processes
 		retryAt:   never,
+		applyAt:   never,
 		snapshots: snapshots{written: make(chan writtenSnapshot, 1)},
 	}
 	if s.Identity.Lineage == "" {
@@ -347,7 +354,7 @@
 	if e.node == nil || e.failure != nil {
 		return never
 	}
-	d := min(e.node.Deadline(), e.retryAt)
+	d := min(e.node.Deadline(), e.retryAt, e.applyAt)
 	if e.lostAt != 0 {
 		d = min(d, e.lostAt+2*e.c.ElectionTimeout)
 	}
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -21,26 +21,54 @@
 			e.fail(err)
 			return
 		}
-		for _, c := range r.Committed {
-			if err := e.apply(c); err != nil {
-				e.fail(err)
-				return
-			}
-		}
+		e.committed = append(e.committed, r.Committed...)
 		for _, c := range r.Reads {
 			if q := e.reads[c.ID]; q != nil {
 				q.confirmed, q.index = true, c.Index
 			}
 		}
-		e.finishReads()
 		if err != nil {
 			full++ // once more for what needs no space
 		}
 	}
+	e.applyCommitted()
+	e.finishReads()
 	e.noteRole(now)
 	e.takeSnapshot(now)
 }
 
+const (
+	// applyShare bounds the time of applying between two looks at timers and
+	// messages to a part of the heartbeat interval. A leader that applied a whole
+	// log at once after a restart would be silent for so long that it is replaced,
+	// by one that then does the same.
+	applyShare = 4
+	// applyPause leaves the processor to the connections of a VM with one core,
+	// which the runtime does not look at while a goroutine can run.
+	applyPause = time.Millisecond
+)
+
+// applyCommitted applies committed entries for a while, and at least one.
+func (e *engine) applyCommitted() {
+	start := e.clock()
+	if e.applyAt != never && start < e.applyAt {
+		return
+	}
+	e.applyAt = never
+	for len(e.committed) > 0 && e.failure == nil {
+		x := e.committed[0]
+		e.committed = e.committed[1:]
+		if err := e.apply(x); err != nil {
+			e.fail(err)
+			return
+		}
+		if now := e.clock(); now-start >= e.c.HeartbeatInterval/applyShare && len(e.committed) > 0 {
+			e.applyAt = now + applyPause
+			return
+		}
+	}
+}
+
 // save makes the state in r durable. Messages that depend on it are sent only
 // after that; those of a leader may go out between write and sync, as the leader
 // counts its own entries only once they are durable.
@@ -146,8 +174,9 @@
 	}
 }
 
-// noteRole starts the grace period of pending proposals when leadership was lost:
-// the next leader's first entries usually show what became of them.
+// noteRole logs who leads and starts the grace period of pending proposals when
+// leadership was lost: the next leader's first entries usually show what became
+// of them.
 func (e *engine) noteRole(now time.Duration) {
 	if e.node == nil {
 		return
@@ -157,4 +186,23 @@
 		e.lostAt = now
 	}
 	e.leading = leading
+	e.logRole(e.node.Status(now))
+}
+
+// belief is what a member believes of the leadership of its group.
+type belief struct {
+	role   raft.Role
+	term   uint64
+	leader string
+}
+
+// logRole writes a line when the role, the term or the leader has changed.
+func (e *engine) logRole(s raft.Status) {
+	b := belief{s.Role, s.Term, s.Leader}
+	if b == e.believed {
+		return
+	}
+	e.believed = b
+	e.c.Log.Info("leadership", "group", e.c.Group, "role", s.Role.String(), "term", s.Term,
+		"leader", e.nameOf(s.Leader), "commit", s.Commit, "lastLog", s.LastLog)
 }
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// A leader that applies a long log after a restart must go on sending heartbeats.
+// One that is silent meanwhile is replaced by the next, which has the same log to
+// apply, so that nobody serves until all have done so in turn.
+func TestSlowApplyKeepsTheLeader(t *testing.T) {
+	run(t, 3, func(t *testing.T, c *cluster) {
+		names := []string{"a", "b", "c"}
+		c.start(names...)
+		const entries, takes = 60, 40 * time.Millisecond
+		for i := range entries {
+			c.propose(fmt.Sprint("x", i))
+		}
+		term := c.leader().Status().Term
+		c.stop(names...)
+		c.takes = takes
+		c.start(names...)
+		start := time.Now()
+		if err := c.leader().ReadBarrier(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		equal(t, "elections", c.leader().Status().Term-term, 1)
+		if got, most := time.Since(start), entries*takes+2*replica.DefaultElectionTimeout; got > most {
+			t.Errorf("state served after %s, want at most %s", got, most)
+		}
+	})
+}
+
 // A follower that accepted commands would fork the log; one without the leader's
 // name would leave the caller without a place to send the command.
 func TestProposeOnFollowerNamesTheLeader(t *testing.T) {
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	e.dropReaders()
-	e.applied, e.newest, e.appliedBytes = s.Index, s.Index, 0
+	e.applied, e.newest, e.appliedBytes, e.committed = s.Index, s.Index, 0, nil
 	for i, p := range e.pending {
 		if i <= s.Index {
 			p.finish(nil, errkind.New(errkind.OutcomeUnknown, "a snapshot of another leader replaced the log"))
--- a/internal/versions/command.go
+++ b/internal/versions/command.go
@@ -135,7 +135,7 @@
 func Check(command []byte) error {
 	c, err := decode(command)
 	if a, ok := c.(Accept); ok && err == nil {
-		_, err = a.config()
+		_, err = a.config(customer.NewConfig(a.Customer))
 	}
 	return err
 }
@@ -211,29 +211,14 @@
 	return sha256.Sum256(append(b, a.File...))
 }
 
-func (a Accept) config() (*customer.Config, error) {
-	c, err := customer.NewConfig(a.Customer).WithChange(customer.Change{Customer: a.Customer, Upsert: a.Resources})
+// config returns the configuration that a makes of old, the present one of the
+// customer.
+func (a Accept) config(old *customer.Config) (*customer.Config, error) {
+	c, err := old.WithResources(a.Resources)
 	if err != nil {
 		return nil, err
 	}
-	if err := c.Check(); err != nil {
-		return nil, err
-	}
-	// A resource whose encoded name differs from its own name would be stored
-	// under one name and removed under the other.
-	got := map[[2]string]bool{}
-	for _, r := range c.Resources() {
-		got[[2]string{string(r.Kind), r.Name}] = true
-	}
-	for _, r := range a.Resources {
-		if !got[[2]string{string(r.Kind), r.Name}] {
-			return nil, errors.Errorf("%s %q is encoded under another name", r.Kind, r.Name)
-		}
-	}
-	if len(got) != len(a.Resources) {
-		return nil, errors.Errorf("%d resources have %d names", len(a.Resources), len(got))
-	}
-	return c, nil
+	return c, c.Check()
 }
 
 // Result is the outcome of a command. It can be encoded, for members that
--- a/internal/versions/snapshot.go
+++ b/internal/versions/snapshot.go
@@ -93,7 +93,7 @@
 		if c.Newest == nil {
 			return nil, errors.Errorf("customer %q without a version", c.Name)
 		}
-		n, err := Accept{Customer: c.Name, Resources: c.Resources}.config()
+		n, err := Accept{Customer: c.Name, Resources: c.Resources}.config(customer.NewConfig(c.Name))
 		if err != nil {
 			return nil, errors.Wrapf(err, "customer %q", c.Name)
 		}
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -169,7 +169,11 @@
 	if err := v.check(a); err != nil {
 		return refusal(err), nil
 	}
-	n, err := a.config()
+	old, ok := v.configs[a.Customer]
+	if !ok {
+		old = customer.NewConfig(a.Customer)
+	}
+	n, err := a.config(old)
 	if errkind.Of(err) == errkind.Outdated {
 		return Result{}, err
 	}
--- a/internal/versions/view.go
+++ b/internal/versions/view.go
@@ -233,7 +233,8 @@
 	return n
 }
 
-// trim drops the oldest versions, files and changes beyond what is kept. It
+// trim drops the oldest versions, files and changes beyond what is kept. Of whole
+// configurations only the newest keeps its text, so that snapshots stay small. It
 // replaces records in h, which no other view may hold.
 func trim(h []*record) []*record {
 	if len(h) > historyKept {
@@ -242,7 +243,7 @@
 	bytes := 0
 	for i, r := range slices.Backward(h) {
 		bytes += r.changeBytes()
-		dropFile := r.FileKept && i < len(h)-filesKept
+		dropFile := r.FileKept && i < len(h)-filesKept || r.FileKept && r.Metadata.Number > 0 && i < len(h)-1
 		dropChange := r.Change != nil && bytes > changeBytesKept
 		if !dropFile && !dropChange {
 			continue
--- a/pkg/customer/config.go
+++ b/pkg/customer/config.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -82,6 +83,11 @@
 	services map[string]Service
 	ranks    map[string]Rank
 	routes   map[string]Route
+
+	// encoded holds what Resources and Digest return, made at their first call.
+	encoded   sync.Once
+	resources []Resource
+	digest    uint64
 }
 
 // NewConfig returns an empty configuration of the named customer.
--- a/pkg/customer/resource.go
+++ b/pkg/customer/resource.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
-	"maps"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -39,8 +40,20 @@
 	Remove   []Resource `cbor:"3,keyasint,omitempty"`
 }
 
-// Resources returns all resources of c, services and ranks before routes.
+// Resources returns all resources of c, services and ranks before routes. The
+// caller must not change the list.
 func (c *Config) Resources() []Resource {
+	c.encoded.Do(c.encode)
+	return c.resources
+}
+
+// Digest returns a hash over all resources of c.
+func (c *Config) Digest() uint64 {
+	c.encoded.Do(c.encode)
+	return c.digest
+}
+
+func (c *Config) encode() {
 	l := make([]Resource, 0, len(c.services)+len(c.ranks)+len(c.routes))
 	for _, s := range c.Services() {
 		l = append(l, encode(KindService, s.Name, s))
@@ -51,7 +64,12 @@
 	for _, r := range c.Routes() {
 		l = append(l, encode(KindRoute, r.Name(), r))
 	}
-	return l
+	h := xxhash.New()
+	for _, r := range l {
+		_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d\x00", r.Kind, r.Name, len(r.Data))
+		_, _ = h.Write(r.Data)
+	}
+	c.resources, c.digest = l, h.Sum64()
 }
 
 // NewResource returns v, a Service, Rank or Route, as a resource.
@@ -65,42 +83,37 @@
 	return Resource{Kind: k, Name: name, Data: b}
 }
 
-// Digest returns a hash over all resources of c.
-func (c *Config) Digest() uint64 {
-	h := xxhash.New()
-	for _, r := range c.Resources() {
-		_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d\x00", r.Kind, r.Name, len(r.Data))
-		_, _ = h.Write(r.Data)
-	}
-	return h.Sum64()
-}
-
 // Diff returns the change from o to n. A nil o stands for a customer that does
 // not exist yet.
 func Diff(o, n *Config) Change {
 	if o == nil {
 		o = NewConfig(n.customer)
 	}
-	old := map[string]Resource{}
+	type key struct {
+		kind ResourceKind
+		name string
+	}
+	old := make(map[key]Resource, len(o.Resources()))
 	for _, r := range o.Resources() {
-		old[key(r)] = r
+		old[key{r.Kind, r.Name}] = r
 	}
 	d := Change{Customer: n.customer}
 	for _, r := range n.Resources() {
-		if p, ok := old[key(r)]; !ok || !bytes.Equal(p.Data, r.Data) {
+		k := key{r.Kind, r.Name}
+		if p, ok := old[k]; !ok || !bytes.Equal(p.Data, r.Data) {
 			d.Upsert = append(d.Upsert, r)
 		}
-		delete(old, key(r))
+		delete(old, k)
 	}
-	for _, k := range slices.Backward(slices.Sorted(maps.Keys(old))) {
-		d.Remove = append(d.Remove, Resource{Kind: old[k].Kind, Name: old[k].Name})
+	for _, r := range slices.Backward(o.Resources()) {
+		if _, ok := old[key{r.Kind, r.Name}]; ok {
+			d.Remove = append(d.Remove, Resource{Kind: r.Kind, Name: r.Name})
+		}
 	}
 	slices.SortStableFunc(d.Remove, func(a, b Resource) int { return removalOrder(a.Kind) - removalOrder(b.Kind) })
 	return d
 }
 
-func key(r Resource) string { return string(r.Kind) + "\x00" + r.Name }
-
 func removalOrder(k ResourceKind) int {
 	if k == KindRoute {
 		return 0
@@ -108,6 +121,55 @@
 	return 1
 }
 
+// WithResources returns the configuration of the same customer that holds exactly
+// the given resources. Those that c has as well are not decoded again. It does not
+// check references; call Check on the result.
+func (c *Config) WithResources(l []Resource) (*Config, error) {
+	n := NewConfig(c.customer)
+	own := c.Resources()
+	for _, r := range l {
+		i, found := slices.BinarySearchFunc(own, r, compareResources)
+		if found && bytes.Equal(own[i].Data, r.Data) {
+			n.copyFrom(c, r)
+			continue
+		}
+		if err := n.upsert(r); err != nil {
+			return nil, errors.Wrapf(err, "%s %q", r.Kind, r.Name)
+		}
+	}
+	if k := len(n.services) + len(n.ranks) + len(n.routes); k != len(l) {
+		return nil, errors.Errorf("%d resources have %d names", len(l), k)
+	}
+	return n, nil
+}
+
+// copyFrom takes the resource named by r over from o.
+func (c *Config) copyFrom(o *Config, r Resource) {
+	switch r.Kind {
+	case KindService:
+		c.services[r.Name] = o.services[r.Name]
+	case KindRank:
+		c.ranks[r.Name] = o.ranks[r.Name]
+	case KindRoute:
+		c.routes[r.Name] = o.routes[r.Name]
+	}
+}
+
+// compareResources orders resources as Resources does.
+func compareResources(a, b Resource) int {
+	return cmp.Or(cmp.Compare(kindOrder(a.Kind), kindOrder(b.Kind)), strings.Compare(a.Name, b.Name))
+}
+
+func kindOrder(k ResourceKind) int {
+	switch k {
+	case KindService:
+		return 0
+	case KindRank:
+		return 1
+	}
+	return 2
+}
+
 // WithChange returns a copy of c with d applied. It does not check references;
 // call Check on the result.
 func (c *Config) WithChange(d Change) (*Config, error) {
@@ -176,6 +238,9 @@
 
 // Check reports the first route that refers to a service or rank that c lacks.
 func (c *Config) Check() error {
+	if c.resolves() {
+		return nil
+	}
 	for _, r := range c.Routes() {
 		for _, p := range r.Parts() {
 			if _, ok := c.services[p.Service]; !ok {
@@ -188,3 +253,18 @@
 	}
 	return nil
 }
+
+// resolves reports whether each route has its services and its rank.
+func (c *Config) resolves() bool {
+	for _, r := range c.routes {
+		for _, p := range r.Parts() {
+			if _, ok := c.services[p.Service]; !ok {
+				return false
+			}
+		}
+		if _, ok := c.ranks[r.Rank]; !ok {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/customer/resource_test.go
+++ b/pkg/customer/resource_test.go
@@ -45,6 +45,10 @@
 		if err != nil || got.Digest() != n.Digest() {
 			t.Fatalf("got %v, %v, want %v", got, err, n)
 		}
+		whole, err := o.WithResources(n.Resources())
+		if err != nil || whole.Digest() != n.Digest() {
+			t.Fatalf("with all resources: got %v, %v, want %v", whole, err, n)
+		}
 		for i := range len(d.Upsert) + len(d.Remove) + 1 {
 			u := min(i, len(d.Upsert))
 			p, err := o.WithChange(customer.Change{Upsert: d.Upsert[:u], Remove: d.Remove[:i-u]})
@@ -74,3 +78,22 @@
 		t.Error("got no error, want a refusal of the name")
 	}
 }
+
+// A resource that is named twice, or encoded under another name, could not be
+// removed later.
+func TestWithResourcesRefusesNames(t *testing.T) {
+	o := customer.NewConfig("c").WithService(customer.Service{Name: "a", Slots: 1, Connections: 1})
+	r := o.Resources()[0]
+	renamed := r
+	renamed.Name = "b"
+	for name, l := range map[string][]customer.Resource{
+		"twice":              {r, r},
+		"another name":       {renamed},
+		"kind of the future": {{Kind: "Policy", Name: "a"}},
+		"no data":            {{Kind: customer.KindService, Name: "z"}},
+	} {
+		if c, err := o.WithResources(l); err == nil {
+			t.Errorf("%s: got %v, want an error", name, c)
+		}
+	}
+}
