--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -41,16 +41,26 @@
 	x.closeUnlessRead()
 	x.w.WriteHeader(a.Head.Status)
 	if err := x.copyBody(a, b[:], n, err); err != nil {
-		x.c.Log.Info("answer aborted", "requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name, "reason", err.Error())
+		x.log("answer aborted", "status", a.Head.Status, "reason", err.Error())
 		x.c.Observe(x.match, a.Head.Status, errkind.Of(err), errkind.Unknown, time.Since(x.start))
 		panic(http.ErrAbortHandler)
 	}
 	for k, v := range a.Trailer() {
 		x.w.Header()[http.TrailerPrefix+k] = v
 	}
+	x.log("request answered", "status", a.Head.Status)
 	x.c.Observe(x.match, a.Head.Status, "", "", time.Since(x.start))
 }
 
+// log writes the line that ends the request.
+func (x *exchange) log(message string, outcome ...any) {
+	took, target := time.Since(x.start), x.match.Rank.Target
+	x.c.Log.Info(message, append([]any{
+		"requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name, "caller", remoteHost(x.r),
+		"version", x.version, "tookMicros", took.Microseconds(), "late", target > 0 && took > target,
+	}, outcome...)...)
+}
+
 // whole reports whether err is nil or the end of a body.
 func whole(err error) bool { return err == nil || call.Ended(err) }
 
@@ -104,8 +114,7 @@
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(discardTime)) // unsupported only by test writers
 	}
 	status := WriteError(x.w, x.c.Dialect, x.id, err)
-	x.c.Log.Info("request refused", "requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name,
-		"kind", e.Kind, "execution", e.Execution, "reason", e.Error())
+	x.log("request refused", "status", status, "kind", e.Kind, "execution", e.Execution, "reason", e.Error())
 	x.c.Observe(x.match, status, e.Kind, e.Execution, time.Since(x.start))
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -113,6 +113,8 @@
 	id    string
 	start time.Time
 	match table.Match
+	// version is that of the table that the request was matched by.
+	version uint64
 	// upload is the body, or nil for a request without one.
 	upload *upload
 	// reserved is the part of Handler.bodies that this request holds.
@@ -132,6 +134,7 @@
 		return
 	}
 	t := h.c.Table()
+	x.version = t.Version()
 	m, ok := t.Match(r.Host, r.Method, r.URL.Path)
 	if !ok {
 		x.fail(noRoute(t, r))
@@ -143,7 +146,7 @@
 		x.fail(err)
 		return
 	}
-	x.serve(d, t.Version())
+	x.serve(d)
 }
 
 func noRoute(t *table.Table, r *http.Request) error {
@@ -154,12 +157,12 @@
 }
 
 // serve answers a checked request within d.
-func (x *exchange) serve(d time.Duration, version uint64) {
+func (x *exchange) serve(d time.Duration) {
 	ctx, cancel := context.WithTimeout(x.r.Context(), d)
 	defer cancel()
 	// Ends the writing to a caller that does not read.
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.start.Add(d + writeGrace)) // unsupported only by test writers
-	q := x.newRequest(version)
+	q := x.newRequest()
 	if hasBody(x.r) {
 		u := newUpload(x.w, x.r)
 		x.upload = u
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -93,7 +93,7 @@
 	return min(d, m.Route.Deadline), nil
 }
 
-func (x *exchange) newRequest(version uint64) *call.Request {
+func (x *exchange) newRequest() *call.Request {
 	r, m := x.r, x.match
 	return &call.Request{RequestHead: wire.RequestHead{
 		RequestID:     x.id,
@@ -103,7 +103,7 @@
 		Rank:          m.Rank.Name,
 		Caller:        remoteHost(r),
 		Attempt:       inboundAttempt(r, x.c.Dialect),
-		Version:       version,
+		Version:       x.version,
 		Execution:     string(m.Route.Execution),
 		Method:        r.Method,
 		Host:          r.Host,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -28,6 +28,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/claims"
 	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
+	"github.com/gooseberrypick/gooseberrypick/internal/replica"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
@@ -296,6 +297,8 @@
 			"raft_term":       int64(s.Term),
 			"raft_commit":     int64(s.Commit),
 			"current":         boolGauge(s.Current),
+			"leading":         boolGauge(s.Role == replica.LeaderRole),
+			"raft_applied":    int64(s.Applied),
 		} {
 			metrics.GetOrRegisterGauge(n, k.metrics).Update(v)
 		}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,11 +7,13 @@
 //	l.Info("choose upstream", "requestId", id, "upstream", name, "reason", reason)
 //
 // Lines are written by one goroutine from a bounded buffer, so that a slow disk
-// or terminal does not delay requests. When the buffer is full, lines are
-// dropped and counted.
+// or terminal does not delay requests. When the buffer is full, or a second has
+// had its share of lines, lines are dropped and counted. A line with the count
+// follows.
 package logging
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -27,6 +29,10 @@
 	// bufferBytes bounds the lines that wait to be written. At 2,000 requests/s
 	// with two lines each it covers a pause of about a second.
 	bufferBytes = 1 << 20
+	// maxLines bounds the lines of one second, so that a flood of requests does not
+	// become a flood of writes. A node at the target has 192 requests/s with about
+	// three lines each.
+	maxLines = 5000
 	// closeLimit bounds the writing of the last lines at a stop.
 	closeLimit = time.Second
 )
@@ -61,6 +67,11 @@
 	mu     sync.Mutex
 	buffer []byte
 	closed bool
+	// second is when the present share of lines began; lines counts its lines.
+	second time.Time
+	lines  int
+	// missing counts the dropped lines that no line has told yet.
+	missing int
 }
 
 // NewWriter returns a Writer over w.
@@ -91,10 +102,20 @@
 func (b *Writer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || len(b.buffer)+len(p) > bufferBytes {
+	now := time.Now()
+	if now.Sub(b.second) >= time.Second {
+		b.second, b.lines = now, 0
+	}
+	if b.closed || b.lines >= maxLines || len(b.buffer)+len(p) > bufferBytes {
 		dropped.Add(1)
+		b.missing++
 		return len(p), nil
 	}
+	b.lines++
+	if b.missing > 0 {
+		b.buffer = fmt.Appendf(b.buffer, `{"time":%q,"level":"INFO","msg":"log lines left out","lines":%d}`+"\n", now.Format(time.RFC3339Nano), b.missing)
+		b.missing = 0
+	}
 	b.buffer = append(b.buffer, p...)
 	select {
 	case b.wake <- struct{}{}:
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
 // stuck is a writer that accepts nothing until it is closed.
@@ -42,3 +44,32 @@
 		}
 	})
 }
+
+// Guards that a flood of lines stays bounded, that the log says how much it left
+// out, and that it goes on with all lines after the flood.
+func TestFloodOfLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var w bytes.Buffer
+		b := NewWriter(&w)
+		before := Dropped()
+		line := []byte("{\"msg\":\"x\"}\n")
+		const flood = 3 * maxLines
+		for range flood {
+			b.Write(line)
+		}
+		time.Sleep(time.Second)
+		b.Write(line)
+		if err := b.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := bytes.Count(w.Bytes(), line), maxLines+1; got != want {
+			t.Errorf("lines: got %d, want %d", got, want)
+		}
+		if got, want := Dropped()-before, int64(flood-maxLines); got != want {
+			t.Errorf("dropped: got %d, want %d", got, want)
+		}
+		if want := fmt.Sprintf(`"msg":"log lines left out","lines":%d}`, flood-maxLines); !strings.Contains(w.String(), want) {
+			t.Errorf("got no line with %s", want)
+		}
+	})
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -105,6 +105,14 @@
 	metrics.GetOrRegisterCounter(fmt.Sprintf("retries{service=%q}", service), m.registry).Inc(1)
 }
 
+func (m *nodeMetrics) tried(service string, own bool) {
+	zone := "other"
+	if own {
+		zone = "own"
+	}
+	metrics.GetOrRegisterCounter(fmt.Sprintf("tries{service=%q,zone=%q}", service, zone), m.registry).Inc(1)
+}
+
 func (m *nodeMetrics) applied(t *table.Table) {
 	metrics.GetOrRegisterGauge("version", m.registry).Update(int64(t.Version()))
 }
@@ -119,6 +127,12 @@
 		metrics.GetOrRegisterGauge(fmt.Sprintf("upstream_waiting{upstream=%q}", name), m.registry).Update(int64(l.Waiting))
 		metrics.GetOrRegisterGauge(fmt.Sprintf("upstream_limit{upstream=%q}", name), m.registry).Update(int64(l.Limit))
 	}
+	n.router.Budgets(func(service, rank string, left float64) {
+		metrics.GetOrRegisterGaugeFloat64(fmt.Sprintf("retry_budget{service=%q,rank=%q}", service, rank), m.registry).Update(left)
+	})
+	arriving, waiting := n.peerServer.Bodies()
+	metrics.GetOrRegisterGauge("large_bodies_arriving", m.registry).Update(int64(arriving))
+	metrics.GetOrRegisterGauge("large_bodies_waiting", m.registry).Update(int64(waiting))
 	connected := int64(0)
 	if n.distribution.Control() != "" {
 		connected = 1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,7 @@
 	controls      *controls
 	metrics       *nodeMetrics
 	ranks         *rankstats.Counters
+	router        *router.Router
 	handler       *caller.Handler
 	callers       *http.Server
 	upstreams     *http.Server
@@ -159,7 +160,7 @@
 
 func (n *Node) serversOf(now time.Time) {
 	s := n.c.Settings
-	r := router.New(router.Config{
+	n.router = router.New(router.Config{
 		Node:       s.Name,
 		Zone:       s.AvailabilityZone,
 		Registry:   n.registry,
@@ -170,13 +171,14 @@
 		SeeVersion: n.distribution.SeeVersion,
 		Budget:     retry.Config{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Retried:    n.metrics.retried,
+		Tried:      n.metrics.tried,
 
 		RetryFailures: n.c.Interface.RetryFailures,
 	})
 	n.handler = caller.New(caller.Config{
 		Table:   n.distribution.Table,
-		Router:  r,
-		Once:    &onceRunner{client: n.once, router: r},
+		Router:  n.router,
+		Once:    &onceRunner{client: n.once, router: n.router},
 		Log:     n.c.Log.WithName("caller"),
 		Observe: n.answered,
 		Dialect: n.c.Interface.Dialect,
--- a/internal/peer/gate.go
+++ b/internal/peer/gate.go
@@ -138,6 +138,13 @@
 	})
 }
 
+// Bodies returns how many large bodies arrive now and how many wait for the link.
+func (p *Server) Bodies() (arriving, waiting int) {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	return p.gate.running, len(p.gate.waiting)
+}
+
 // load returns l as requests with large bodies see it: the wait for the link
 // counts as requests ahead, each of the usual time.
 func (g *gate) load(l *wire.Load, usual time.Duration) *wire.Load {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -23,6 +23,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -85,6 +86,9 @@
 	return d.Retry
 }
 
+// Left returns the retries that each rank may make now.
+func (b *Budget) Left() map[string]float64 { return maps.Clone(b.tokens) }
+
 // Allow takes one retry of rank out of the budget if there is one.
 func (b *Budget) Allow(_ time.Time, rank string) bool {
 	// Ten additions of 0.1 are slightly less than 1 in binary.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +53,9 @@
 	RetryFailures bool
 	// Retried is called for each retry; it may be nil.
 	Retried func(service string)
+	// Tried is called for each try with whether the upstream is in the node's own
+	// availability zone; it may be nil.
+	Tried func(service string, own bool)
 }
 
 // Router routes requests. It is safe for concurrent use.
@@ -69,6 +74,9 @@
 	if c.Retried == nil {
 		c.Retried = func(string) {}
 	}
+	if c.Tried == nil {
+		c.Tried = func(string, bool) {}
+	}
 	return &Router{c: c, services: map[string]*service{}, splits: newSplits(c.Seed)}
 }
 
@@ -89,6 +97,18 @@
 	return newPursuit(ctx, r, s, m, q).run()
 }
 
+// Budgets calls f with the retries that each rank of each service has left.
+func (r *Router) Budgets(f func(service, rank string, left float64)) {
+	r.mu.RLock()
+	l := slices.Collect(maps.Values(r.services))
+	r.mu.RUnlock()
+	for _, s := range l {
+		for rank, left := range s.left() {
+			f(s.name, rank, left)
+		}
+	}
+}
+
 // largeBytes is the size from which a body counts as large for the choice of an
 // upstream.
 const largeBytes = 16 << 10
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -42,6 +42,13 @@
 	s.budget.Call(now, rank, inbound)
 }
 
+// left returns the retries that each rank may make now.
+func (s *service) left() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Left()
+}
+
 // choose picks an upstream and counts it as started.
 func (s *service) choose(c Config, m table.Match, large bool, tried map[string]bool) (try, bool) {
 	l := c.Registry.Candidates(s.name)
