--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -194,10 +194,17 @@
 		"plan of changes": {[]string{"plan", changed, toControl}, 0, `Services: 1 added, 1 changed, 2 removed
   \+ new
   ~ level-display
+      Slots: 20 -> 1
+      Connections: 100 -> 1
+      ColdStart: 2s -> 0s
   - alarm-handling
   - survey-archive
 Ranks: 0 added, 1 changed, 2 removed
   ~ operation
+      Order: 2 -> 1
+      Target: 250ms -> 1s
+      Worth: 50 -> 1
+      Floor: 0\.2 -> 0
   - archive
   - level-reading
 Routes: 0 added, 0 changed, 4 removed
--- a/internal/commands/plan.go
+++ b/internal/commands/plan.go
@@ -55,7 +55,7 @@
 		}
 		fmt.Fprintf(w, "%s: %d added, %d changed, %d removed\n", l.name, len(l.d.Added), len(l.d.Changed), len(l.d.Removed))
 		writeNames(w, "+", l.d.Added)
-		writeNames(w, "~", l.d.Changed)
+		writeChanges(w, l.d)
 		writeNames(w, "-", l.d.Removed)
 	}
 	if p.Newest != 0 && p.Services.Empty() && p.Ranks.Empty() && p.Routes.Empty() {
@@ -69,3 +69,15 @@
 		fmt.Fprintf(w, "  %s %s\n", sign, printable(n))
 	}
 }
+
+// writeChanges lists the changed names with their old and new values.
+func writeChanges(w io.Writer, d operator.Difference) {
+	for _, n := range d.Changed {
+		fmt.Fprintf(w, "  ~ %s\n", printable(n))
+		for _, v := range d.Values {
+			if v.Name == n {
+				fmt.Fprintf(w, "      %s: %s -> %s\n", v.Key, printable(v.Old), printable(v.New))
+			}
+		}
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -31,6 +31,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/replica"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
@@ -211,7 +212,7 @@
 		n, err := net.Listen("tcp", e.address)
 		if err != nil {
 			l.close()
-			return l, errors.Wrapf(err, "%s %s: cannot listen; is another process using the address", e.key, e.address)
+			return l, errkind.Wrap(err, errkind.Usage, "%s %s: cannot listen; is another process using the address", e.key, e.address)
 		}
 		*e.to = n
 	}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -111,7 +111,11 @@
 		return err
 	}
 	if err := s.admit(ctx, h); err != nil {
-		s.log.Info("node refused", "node", h.Record.Node, "reason", err.Error())
+		level := 0
+		if s.source.Lineage() == "" {
+			level = 1 // usual while a new system starts
+		}
+		s.log.V(level).Info("node refused", "node", h.Record.Node, "reason", err.Error())
 		return d.MsgSend(&wire.ControlMessage{Fault: wire.NewFault(err)}, wire.Encoding{})
 	}
 	n := &nodeStream{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,7 +257,7 @@
 		k, err := c.Listen(e.address)
 		if err != nil {
 			l.close()
-			return l, errors.Wrapf(err, "%s %s: cannot listen; is another process using the address", e.key, e.address)
+			return l, errkind.Wrap(err, errkind.Usage, "%s %s: cannot listen; is another process using the address", e.key, e.address)
 		}
 		*e.to = k
 	}
--- a/internal/operator/convert.go
+++ b/internal/operator/convert.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -72,6 +73,7 @@
 		l := lists[r.Kind]
 		if known[[2]string{string(r.Kind), r.Name}] {
 			l.Changed = append(l.Changed, r.Name)
+			l.Values = append(l.Values, changedValues(r, old, c)...)
 		} else {
 			l.Added = append(l.Added, r.Name)
 		}
@@ -85,6 +87,32 @@
 	return p
 }
 
+// changedValues lists the keys of the resource named by r that differ between o
+// and n.
+func changedValues(r customer.Resource, o, n *customer.Config) []ValueChange {
+	before, after := reflect.ValueOf(valueOf(o, r)), reflect.ValueOf(valueOf(n, r))
+	var l []ValueChange
+	for f, v := range before.Fields() {
+		if a, b := fmt.Sprint(v), fmt.Sprint(after.FieldByIndex(f.Index)); a != b {
+			l = append(l, ValueChange{Name: r.Name, Key: f.Name, Old: a, New: b})
+		}
+	}
+	return l
+}
+
+// valueOf returns the service, rank or route of c that r names.
+func valueOf(c *customer.Config, r customer.Resource) (v any) {
+	switch r.Kind {
+	case customer.KindService:
+		v, _ = c.Service(r.Name)
+	case customer.KindRank:
+		v, _ = c.Rank(r.Name)
+	case customer.KindRoute:
+		v, _ = c.Route(r.Name)
+	}
+	return v
+}
+
 // NewHistory lists the versions of v that r selects.
 func NewHistory(v *versions.View, r HistoryRequest) History {
 	h := History{Versions: []Metadata{}}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -86,6 +86,16 @@
 	Added   []string `json:",omitempty"`
 	Changed []string `json:",omitempty"`
 	Removed []string `json:",omitempty"`
+	// Values lists what changes in the names under Changed.
+	Values []ValueChange `json:",omitempty"`
+}
+
+// ValueChange is a key of a service, rank or route whose value changes.
+type ValueChange struct {
+	Name string
+	Key  string
+	Old  string
+	New  string
 }
 
 // Empty reports whether d lists nothing.
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -63,8 +63,9 @@
 	cut      map[string]bool
 	tune     func(*replica.Config)
 	takes    time.Duration
-	chunks   int // messages that carried data of a snapshot
-	largest  int // size of the largest message
+	seeds    []string // of members that start from now on
+	chunks   int      // messages that carried data of a snapshot
+	largest  int      // size of the largest message
 }
 
 func newCluster(t *testing.T, n int) *cluster {
--- a/internal/replica/seeds_test.go
+++ b/internal/replica/seeds_test.go
@@ -12,15 +12,18 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/replica"
 )
 
-// seeded is a cluster whose members are found by the seeds a, b and c.
+// seeded is a cluster whose members are found by seeds: a, b and c at first.
 type seeded struct{ *cluster }
 
 func (c seeded) start(first bool, names ...string) {
 	c.t.Helper()
+	if c.seeds == nil {
+		c.seeds = []string{"a", "b", "c"}
+	}
 	for _, n := range names {
 		c.members = []replica.Member{{Name: n, Address: n}}
 		c.tune = func(k *replica.Config) {
-			k.Seeds, k.Voters, k.FirstStart = []string{"a", "b", "c"}, 5, first
+			k.Seeds, k.Voters, k.FirstStart = c.seeds, 5, first
 		}
 		c.cluster.start(n)
 	}
