--- /dev/null
+++ b/internal/distribution/backoff_test.go
@@ -0,0 +1,48 @@
+package distribution
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/registry"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
+)
+
+// Guards that a node with a configuration finds a control that is back within the
+// pause of its settings, however long all of them were away: accepted versions
+// have to be in force soon after that.
+func TestControlsAreTriedEachSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var last time.Time
+		var longest time.Duration
+		c := New(Config{
+			Node: "n", Controls: []string{"a:1", "b:1", "c:1"}, Registry: registry.New(), Log: logr.Discard(), Seed: 1, MaxBackoff: time.Second,
+			Dial: func(context.Context, string) (net.Conn, error) {
+				now := time.Now()
+				if !last.IsZero() {
+					longest = max(longest, now.Sub(last))
+				}
+				last = now
+				return nil, errors.New("connection refused")
+			},
+		})
+		b, err := table.New(1, map[string]*customer.Config{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.table.Store(b)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		c.Run(ctx)
+		if most := time.Second; longest > most || longest == 0 {
+			t.Errorf("longest pause: got %s, want at most %s", longest, most)
+		}
+	})
+}
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -15,6 +15,7 @@
 package distribution
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -53,7 +54,9 @@
 	// leaveLimitAlone is the bound for a node without a control.
 	leaveLimitAlone = time.Second
 	minBackoff      = 500 * time.Millisecond
-	maxBackoff      = 5 * time.Second
+	// DefaultMaxBackoff spreads the nodes of a large fleet when all controls come
+	// back.
+	DefaultMaxBackoff = 5 * time.Second
 	// maxFirstBackoff is the longest backoff of a node without a configuration.
 	maxFirstBackoff = 250 * time.Millisecond
 )
@@ -70,6 +73,9 @@
 	Registry    *registry.Registry
 	Log         logr.Logger
 	Seed        uint64
+	// MaxBackoff is the longest pause between two tries to reach a control; zero
+	// means DefaultMaxBackoff.
+	MaxBackoff time.Duration
 	// Applied is called after a new table is in force; it may be nil.
 	Applied func(*table.Table)
 	// Ranks returns the counts by rank; it may be nil.
@@ -104,6 +110,7 @@
 
 // New returns a Client without configuration.
 func New(c Config) *Client {
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
 	n := &Client{c: c, changed: make(chan struct{}, 1), left: make(chan struct{}), random: rand.New(rand.NewPCG(c.Seed, c.Incarnation))}
 	n.record = wire.NodeRecord{
 		Node:             c.Node,
@@ -190,7 +197,7 @@
 // Run keeps a stream open until ctx ends.
 func (n *Client) Run(ctx context.Context) {
 	address := ""
-	backoff := minBackoff
+	backoff := min(minBackoff, n.c.MaxBackoff)
 	for ctx.Err() == nil {
 		next := n.next(ctx, address)
 		if next == "" {
@@ -207,8 +214,8 @@
 		n.c.Log.Info("stream to control ended", "control", address, "reason", err.Error())
 		// A control that welcomes nodes and fails soon after is no better than
 		// one that refuses them.
-		if time.Since(start) > maxBackoff {
-			backoff = minBackoff
+		if time.Since(start) > n.c.MaxBackoff {
+			backoff = min(minBackoff, n.c.MaxBackoff)
 		}
 		n.sleep(ctx, n.spread(backoff))
 		backoff = min(backoff*2, n.longestBackoff())
@@ -220,7 +227,7 @@
 	if n.Table().Version() == 0 {
 		return maxFirstBackoff
 	}
-	return maxBackoff
+	return n.c.MaxBackoff
 }
 
 // next returns the control to connect to after the stream to another one ended.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,7 @@
 		Registry:         n.registry,
 		Log:              c.Log.WithName("distribution"),
 		Seed:             uint64(now.UnixNano()),
+		MaxBackoff:       c.Settings.ReconnectLimit,
 		Applied:          n.metrics.applied,
 		Ranks:            n.ranks.Sample,
 	})
--- a/internal/replica/seats_test.go
+++ b/internal/replica/seats_test.go
@@ -120,8 +120,8 @@
 }
 
 func (s *seats) cutOff(name string, cut bool) {
-	s.cluster.mu.Lock()
-	defer s.cluster.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.cut[name] = cut
 }
 
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -18,6 +18,9 @@
 	maxUrgentReserve  = 10
 	maxRetryBurst     = 1000
 	maxLinkMbps       = 1_000_000
+	// Below the minimum, nodes keep controls that are starting from doing so.
+	minReconnectLimit = 100 * time.Millisecond
+	maxReconnectLimit = time.Minute
 	// Below the minimum, one lost packet between availability zones would cost
 	// an election; above the maximum, accepts would stand still for long.
 	minElectionTimeout = 200 * time.Millisecond
@@ -58,6 +61,9 @@
 	if c.d.Valid("UrgentReserve") && (s.UrgentReserve <= 0 || s.UrgentReserve > maxUrgentReserve) {
 		c.d.Fault("UrgentReserve", fmt.Sprintf("%v is out of range", s.UrgentReserve), "a number above 0, at most 10")
 	}
+	if c.d.Valid("ReconnectLimit") && (s.ReconnectLimit < minReconnectLimit || s.ReconnectLimit > maxReconnectLimit) {
+		c.d.Fault("ReconnectLimit", fmt.Sprintf("%s is out of range", s.ReconnectLimit), "a duration from 100ms to 1m")
+	}
 	if c.d.Valid("LinkMbps") && (s.LinkMbps < 0 || s.LinkMbps > maxLinkMbps) {
 		c.d.Fault("LinkMbps", fmt.Sprintf("%v is out of range", s.LinkMbps), "a number from 0 to 1000000")
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -36,6 +36,9 @@
 	DefaultRetryShare  = 0.1
 	DefaultRetryBurst  = 10
 	DefaultCallerDrain = 500 * time.Millisecond
+	// DefaultReconnectLimit spreads the nodes of a large fleet when all controls
+	// come back.
+	DefaultReconnectLimit = 5 * time.Second
 	// DefaultElectionTimeout leaves room for a slow sync of a busy disk, during
 	// which a control sends and hears nothing.
 	DefaultElectionTimeout = time.Second
@@ -71,6 +74,8 @@
 	// count: all controls have the port ControlPort in their PeerListen.
 	Seeds       []string `jsonc:"optional,max=100"`
 	ControlPort int      `jsonc:"optional"`
+	// ReconnectLimit is the longest pause between two tries to reach a control.
+	ReconnectLimit time.Duration `jsonc:"optional"`
 	// Interface is how callers, upstreams and the platform are spoken to.
 	Interface Interface `jsonc:"optional"`
 	// Service is the service of the upstream beside the node. With the interface
@@ -193,7 +198,7 @@
 func ParseNode(file string, data []byte) (*Node, error) {
 	s := &Node{
 		LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, RetryBudget: RetryBudget{Share: DefaultRetryShare, Burst: DefaultRetryBurst},
-		CallerDrain: DefaultCallerDrain, UrgentReserve: DefaultUrgentReserve,
+		CallerDrain: DefaultCallerDrain, ReconnectLimit: DefaultReconnectLimit, UrgentReserve: DefaultUrgentReserve,
 	}
 	d := jsonc.Parse(file, data)
 	d.Decode(s)
