--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -151,6 +151,9 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	status := e.HTTPStatus()
+	if d.Execution == "" && e.Execution == errkind.NotRun && status == http.StatusBadGateway {
+		status = http.StatusServiceUnavailable // only the status tells that it may be sent again
+	}
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(Problem{Kind: e.Kind, Reason: e.Error(), RequestId: id, Execution: e.Execution}) // the caller has gone
 	return status
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/standin"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -170,3 +172,29 @@
 		t.Errorf("got %v, %v, want 200", a, err)
 	}
 }
+
+// Guards that callers learn by the status alone that a request has not run where
+// no header says so: after 502 work that runs once at most is not sent again.
+func TestStatusWithoutExecutionHeader(t *testing.T) {
+	platform := dialect.Own()
+	platform.Execution = ""
+	for _, c := range []struct {
+		name string
+		d    *dialect.Dialect
+		err  error
+		want int
+	}{
+		{"own, not connected", dialect.Own(), errkind.New(errkind.ConnectFailed, "x"), 502},
+		{"not connected", platform, errkind.New(errkind.ConnectFailed, "x"), 503},
+		{"connection lost", platform, errkind.New(errkind.UpstreamFailed, "x"), 502},
+		{"no time left, not sent", platform, errkind.New(errkind.DeadlineExceeded, "x").WithExecution(errkind.NotRun), 503},
+		{"no time left, sent", platform, errkind.New(errkind.DeadlineExceeded, "x"), 504},
+		{"refused, and an earlier try may have run", platform, errkind.New(errkind.QueueFull, "x").WithExecution(errkind.Unknown), 502},
+		{"no route", platform, errkind.New(errkind.NoRoute, "x"), 404},
+	} {
+		w := httptest.NewRecorder()
+		if got := WriteError(w, c.d, "id", c.err); got != c.want || w.Code != c.want {
+			t.Errorf("%s: got %d, %d written, want %d", c.name, got, w.Code, c.want)
+		}
+	}
+}
