Choose again without a retry where a node had no slot for the request

Cause: a request that the node beside the chosen upstream turned away, before the upstream got anything, took a retry out of the budget, which bounds what arrives at upstreams; in floods most of these ended as 'retry budget empty' although other nodes had slots. Change: up to two such choices in a request cost nothing; refusals say whether the request arrived at the upstream. TestNodesThatTurnAway fails without the change.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -94,7 +94,10 @@
 	Load *wire.Load
 	// After is when a slot is likely to be free, or zero.
 	After time.Duration
-	Err   error
+	// Arrived says that the request was sent to the upstream, or may have been. A
+	// request that did not arrive has put no load on it.
+	Arrived bool
+	Err     error
 }
 
 // Error implements error.
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -225,7 +225,7 @@
 	if e.Execution != errkind.NotRun {
 		e = e.WithExecution(errkind.Unknown)
 	}
-	return &call.LoadError{Load: m.Load, After: m.RetryAfter, Err: e}
+	return &call.LoadError{Load: m.Load, After: m.RetryAfter, Arrived: m.Arrived, Err: e}
 }
 
 // cause returns the error of the request's body where it made err.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -150,7 +150,7 @@
 	f := &wire.ForwardResponse{Refusal: wire.NewFault(err)}
 	var l *call.LoadError
 	if errors.As(err, &l) {
-		f.Load, f.RetryAfter = l.Load, l.After
+		f.Load, f.RetryAfter, f.Arrived = l.Load, l.After, l.Arrived
 	}
 	return f
 }
--- a/internal/router/failure_test.go
+++ b/internal/router/failure_test.go
@@ -18,12 +18,13 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
-// answers is a transport whose first answers have the given statuses. It refuses
-// a request for lack of capacity in place of a status full, and breaks off after
-// it was sent in place of a status cut.
+// answers is a transport whose first answers have the given statuses. In place of
+// the status full, the node beside the upstream refuses the request, in place of
+// rejected the upstream does, and in place of cut the connection breaks after the
+// request was sent.
 type answers struct{ statuses []int }
 
-const full, cut = -1, -2
+const full, cut, rejected = -1, -2, -3
 
 func (a *answers) Call(_ context.Context, r *call.Request) (*call.Response, error) {
 	s := 200
@@ -33,6 +34,8 @@
 	switch s {
 	case full:
 		return nil, &call.LoadError{After: 2 * time.Second, Err: errkind.New(errkind.QueueFull, "full")}
+	case rejected:
+		return nil, &call.LoadError{Arrived: true, Err: errkind.New(errkind.QueueFull, "busy")}
 	case cut:
 		return nil, errkind.New(errkind.UpstreamFailed, "connection reset")
 	}
@@ -143,3 +146,31 @@
 		})
 	}
 }
+
+// A node without a free slot must not cost a retry, since the upstream got
+// nothing; one that the upstream itself refused counts there as an arrival.
+func TestNodesThatTurnAway(t *testing.T) {
+	for name, c := range map[string]struct {
+		statuses []int
+		want     int // status, or zero for an error
+	}{
+		"turned away by a node":               {[]int{full}, 200},
+		"turned away by all nodes":            {[]int{full, full}, 0},
+		"rejected by the upstream":            {[]int{rejected}, 0},
+		"turned away, then a failed upstream": {[]int{full, 500}, 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &answers{statuses: c.statuses}
+			r, m := twoUpstreams(l, true, customer.Once, 2)
+			retries := 0
+			r.c.Retried = func(string) { retries++ }
+			got, err := send(t, r, m) // no call has earned a retry yet
+			if got != c.want || (err == nil) != (c.want > 0) {
+				t.Errorf("got status %d, %v, want %d", got, err, c.want)
+			}
+			if retries != 0 {
+				t.Errorf("retries taken: got %d, want 0", retries)
+			}
+		})
+	}
+}
--- a/internal/router/pursuit.go
+++ b/internal/router/pursuit.go
@@ -26,6 +26,9 @@
 	admitted  bool
 	tries     int
 	redirects int
+	// elsewhere counts the nodes that turned the request away before it reached
+	// their upstream.
+	elsewhere int
 	tried     map[string]bool
 	// last is the error of the latest try.
 	last error
@@ -85,6 +88,13 @@
 			"upstream", t.name, "reason", err.Error())
 		return true
 	}
+	if p.elsewhere < maxElsewhere && !p.admitted && isTurnedAway(err) {
+		p.elsewhere++
+		p.tries--
+		p.c.Log.Info("choose again", "requestId", p.request.RequestID, "route", p.match.Name, "rank", p.match.Rank.Name,
+			"upstream", t.name, "reason", err.Error())
+		return true
+	}
 	d := p.service.retry(p.match, p.request, err, p.inbound, p.tries, remaining(p.ctx), p.admitted)
 	p.c.Log.Info("try failed", "requestId", p.request.RequestID, "route", p.match.Name, "rank", p.match.Rank.Name,
 		"upstream", t.name, "kind", errkind.Of(err), "retry", d.Retry, "reason", d.Reason, "cause", err.Error())
@@ -144,6 +154,20 @@
 	return e.Kind == errkind.Leaving && e.Execution == errkind.NotRun
 }
 
+// maxElsewhere bounds the choices that a busy node turned away. In a flood of the
+// whole service, more of them cost work and find nothing.
+const maxElsewhere = 2
+
+// isTurnedAway reports whether err says that a node had no slot for the request
+// in time. It takes nothing out of the retry budget, since the upstream got
+// nothing.
+func isTurnedAway(err error) bool {
+	var l *call.LoadError
+	e := errkind.From(err)
+	return errors.As(err, &l) && !l.Arrived && e.Execution == errkind.NotRun &&
+		(e.Kind == errkind.QueueFull || e.Kind == errkind.DeadlineTooShort)
+}
+
 // afterTry returns the error of a request whose latest try ended in err. Once a
 // try may have run, so may have the request, whatever became of later tries.
 func afterTry(last, err error) error {
@@ -159,7 +183,7 @@
 	e := errkind.From(err).WithExecution(x)
 	var l *call.LoadError
 	if errors.As(err, &l) {
-		return &call.LoadError{Load: l.Load, After: l.After, Err: e}
+		return &call.LoadError{Load: l.Load, After: l.After, Arrived: l.Arrived, Err: e}
 	}
 	return e
 }
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -158,7 +158,7 @@
 	a, err := w.client.Do(ctx, r)
 	if err != nil {
 		w.release(id, s, outcomeOf(0, err))
-		return nil, err
+		return nil, &call.LoadError{Arrived: true, Err: err}
 	}
 	n := *a
 	n.Body = call.ObserveBody(a.Body, func(err error) { w.release(id, s, outcomeOf(a.Head.Status, err)) })
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -53,6 +53,8 @@
 	Load *Load `cbor:"6,keyasint,omitempty"`
 	// RetryAfter comes with a Refusal and is when a slot is likely to be free.
 	RetryAfter time.Duration `cbor:"7,keyasint,omitempty"`
+	// Arrived comes with a Refusal of a request that was sent to the upstream.
+	Arrived bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ResponseHead starts the upstream's answer.
