--- a/internal/router/pursuit.go
+++ b/internal/router/pursuit.go
@@ -81,15 +81,7 @@
 		p.tried = map[string]bool{}
 	}
 	p.tried[t.name] = true
-	if p.redirects < maxRedirects && !p.admitted && isRedirect(err) {
-		p.redirects++
-		p.tries--
-		p.c.Log.Info("choose again", "requestId", p.request.RequestID, "route", p.match.Name, "rank", p.match.Rank.Name,
-			"upstream", t.name, "reason", err.Error())
-		return true
-	}
-	if p.elsewhere < maxElsewhere && !p.admitted && isTurnedAway(err) {
-		p.elsewhere++
+	if !p.admitted && p.choosesAgain(err) {
 		p.tries--
 		p.c.Log.Info("choose again", "requestId", p.request.RequestID, "route", p.match.Name, "rank", p.match.Rank.Name,
 			"upstream", t.name, "reason", err.Error())
@@ -104,6 +96,20 @@
 	return d.Retry
 }
 
+// choosesAgain reports whether a choice that put no load on any upstream is
+// followed by another one at no cost, and counts it.
+func (p *pursuit) choosesAgain(err error) bool {
+	switch {
+	case isRedirect(err) && p.redirects < maxRedirects:
+		p.redirects++
+	case isTurnedAway(err) && p.elsewhere < maxElsewhere:
+		p.elsewhere++
+	default:
+		return false
+	}
+	return true
+}
+
 // end returns what the tries have brought: an upstream's own answer goes before
 // an error of the system.
 func (p *pursuit) end() (*call.Response, error) {
