Stop the control of the trial system after its nodes

Cause: Ctrl-C of 'dev' ended after 8 s with an error about requests in flight, also where there were none: the control stopped together with the nodes, each of which then waited for a control to confirm that it leaves. Change: the control runs until the nodes have stopped.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -17,6 +17,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -136,10 +137,24 @@
 // Run serves until ctx ends.
 func (s *System) Run(ctx context.Context) error {
 	g, serving := errgroup.WithContext(ctx)
-	g.Go(func() error { return s.control.Run(serving) })
+	// The control stops last: nodes that stop tell it so and wait for the answer.
+	controlling, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	g.Go(func() error { return s.control.Run(controlling) })
+	var nodes sync.WaitGroup
 	for _, n := range s.nodes {
-		g.Go(func() error { return n.Run(serving) })
+		nodes.Add(1)
+		g.Go(func() error {
+			defer nodes.Done()
+			return n.Run(serving)
+		})
 	}
+	g.Go(func() error {
+		<-serving.Done()
+		nodes.Wait()
+		stopControl()
+		return nil
+	})
 	for _, w := range s.workers {
 		g.Go(func() error { w.announcer.Run(serving); return nil })
 		g.Go(func() error { return ignoreClosed(w.server.Serve(w.listener)) })
--- /dev/null
+++ b/internal/dev/dev_test.go
@@ -0,0 +1,71 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// page collects what the system prints.
+type page struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (p *page) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text.Write(b)
+}
+
+func (p *page) String() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text.String()
+}
+
+// freeBlock returns the first of some ports below the range of ephemeral ones. The
+// port before it is held, so that other tests take other blocks.
+func freeBlock(t *testing.T) int {
+	const first, size, blocks = 10000, 64, 300
+	for range 100 {
+		b := first + rand.IntN(blocks)*size
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", b))
+		if err == nil {
+			t.Cleanup(func() { l.Close() })
+			return b + 1
+		}
+	}
+	t.Fatal("no free block of ports")
+	return 0
+}
+
+// Guards that Ctrl-C ends the system without an error: nodes that stop must still
+// reach the control, or each of them waits for it until its limit.
+func TestStopWithoutError(t *testing.T) {
+	out := &page{}
+	s, err := New(Config{BasePort: freeBlock(t), Folder: t.TempDir(), Log: logr.Discard(), Out: out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	for end := time.Now().Add(startLimit); !strings.Contains(out.String(), "Stop with Ctrl-C"); time.Sleep(pollInterval) {
+		if time.Now().After(end) {
+			t.Fatal("the system did not start")
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Errorf("got %v, want no error", err)
+	}
+}
