--- a/internal/control/cutoff_test.go
+++ b/internal/control/cutoff_test.go
@@ -143,3 +143,21 @@
 		})
 	}
 }
+
+// A node whose control lost its majority must find the one that has it within the
+// two seconds in which an accepted version is to be in force, also where the other
+// controls it knows are away.
+func TestNodeFindsControlAmongThoseAway(t *testing.T) {
+	run(t, []string{"a", "b", "c", "d"}, func(w *world) {
+		w.accept(newCustomer("x", 1))
+		n := w.startAt("abcd")
+		w.crashControl("b")
+		w.crashControl("c")
+		w.controls["a"].source.current.Store(false)
+		for _, other := range []string{"b", "c", "d"} {
+			w.net.cut("a", other)
+		}
+		w.accept(newCustomer("x", 2), "d")
+		w.within(2*time.Second, "at version 2", func() bool { return n.Table().Version() == 2 })
+	})
+}
--- a/internal/distribution/probe.go
+++ b/internal/distribution/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -24,33 +25,28 @@
 // is cut off still serves its side of a partition, so the node stays with it
 // until it has found a better one.
 type probe struct {
-	others []string
-	pause  time.Duration
-	next   time.Time
+	pause time.Duration
+	next  time.Time
 }
 
-// probeOthers asks the next control when it is time to.
+// probeOthers asks some of the other controls when it is time to. They are asked
+// together, so that those that are away cost no time.
 func (s *session) probeOthers(ctx context.Context, now time.Time) {
 	n := s.client
+	longest := min(maxProbePause, 2*n.c.MaxBackoff)
 	if s.probe == nil {
-		s.probe = &probe{pause: minProbePause, next: now}
+		s.probe = &probe{pause: min(minProbePause, longest), next: now}
 	}
 	p := s.probe
 	if now.Before(p.next) {
 		return
 	}
-	if len(p.others) == 0 {
-		p.others = n.shuffled()
-	}
-	a := p.others[0]
-	p.others = p.others[1:]
 	p.next = now.Add(n.jitter(p.pause))
-	p.pause = min(2*p.pause, maxProbePause)
-	if a == s.address {
-		return
-	}
+	p.pause = min(2*p.pause, longest)
+	l := slices.DeleteFunc(n.shuffled(), func(a string) bool { return a == s.address })
 	go func() {
-		if !n.isBetter(ctx, a) {
+		a := n.firstCurrent(ctx, l[:min(len(l), askedAtOnce)])
+		if a == "" {
 			return
 		}
 		select {
