--- a/internal/distribution/backoff_test.go
+++ b/internal/distribution/backoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,11 +21,14 @@
 // have to be in force soon after that.
 func TestControlsAreTriedEachSecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex // several controls are asked at once
 		var last time.Time
 		var longest time.Duration
 		c := New(Config{
 			Node: "n", Controls: []string{"a:1", "b:1", "c:1"}, Registry: registry.New(), Log: logr.Discard(), Seed: 1, MaxBackoff: time.Second,
 			Dial: func(context.Context, string) (net.Conn, error) {
+				mu.Lock()
+				defer mu.Unlock()
 				now := time.Now()
 				if !last.IsZero() {
 					longest = max(longest, now.Sub(last))
