Log the time left at each choice of an upstream

The lines could not tell a request that came back after a refusal from a new one, so hypotheses about late reads could not be told apart.

Change: choose upstream has remainingMicros.

--- a/internal/node/observe_test.go
+++ b/internal/node/observe_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 
@@ -107,6 +108,22 @@
 	})
 }
 
+// Guards that the lines tell a request that comes back with less time from a new one.
+func TestChoiceLineHasTheTimeLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var l log
+		m := newMesh(t)
+		m.log = funcr.NewJSON(l.add, funcr.Options{})
+		m.start("n")
+		m.serve("n", "levels-1", http.HandlerFunc(new(counter).echo))
+		for _, left := range []time.Duration{900 * time.Millisecond, 250 * time.Millisecond} {
+			id := left.String()
+			m.do("HTTP/1.1", "n", "GET", "/", nil, upstream.HeaderRequestID, id, upstream.HeaderDeadline, id)
+			equal(t, "remainingMicros", l.line(id, "choose upstream")["remainingMicros"], any(float64(left.Microseconds())))
+		}
+	})
+}
+
 // Guards that callers cannot create metrics, whatever they send.
 func TestCallersCreateNoMetrics(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/router/pursuit.go
+++ b/internal/router/pursuit.go
@@ -59,7 +59,7 @@
 		}
 		p.tries++
 		p.request.Attempt = p.inbound + p.tries - 1
-		p.logChoice(p.match, p.request, t)
+		p.logChoice(p.ctx, p.match, p.request, t)
 		p.c.Tried(p.match.Route.Service, t.candidate.AvailabilityZone == p.c.Zone)
 		a, err := p.call(p.ctx, p.service, p.match, p.request, t)
 		if err == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,9 +115,10 @@
 
 func isLarge(q *call.Request) bool { return q.Stream != nil || len(q.Body) >= largeBytes }
 
-func (r *Router) logChoice(m table.Match, q *call.Request, t try) {
+func (r *Router) logChoice(ctx context.Context, m table.Match, q *call.Request, t try) {
 	r.c.Log.Info("choose upstream", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
-		"upstream", t.name, "availabilityZone", t.candidate.AvailabilityZone, "attempt", q.Attempt, "reason", t.reason)
+		"upstream", t.name, "availabilityZone", t.candidate.AvailabilityZone, "attempt", q.Attempt,
+		"remainingMicros", remaining(ctx).Microseconds(), "reason", t.reason)
 }
 
 // call sends q to the chosen upstream.
