Count the target of a request from its caller's first attempt

Cause: a refused caller comes back after a third of its time, mostly too late for its target. The queue counted the target from the arrival of this second request, took it for on time, and gave it a slot before new requests. Time spent at the entry node and at the gate for large bodies was lost in the same way.

Change: the time that a caller gives tells how long it has waited, compared with what callers of the route usually give. The owner node counts the target from there, so that requests which cannot meet it wait in the late lane. The closing log line and the counters of answers in target count alike.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -43,22 +43,23 @@
 	x.w.WriteHeader(a.Head.Status)
 	if err := x.copyBody(a, b[:], n, err); err != nil {
 		x.log("answer aborted", "status", a.Head.Status, "reason", err.Error())
-		x.c.Observe(x.match, a.Head.Status, errkind.Of(err), errkind.Unknown, time.Since(x.start))
+		x.c.Observe(x.match, a.Head.Status, errkind.Of(err), errkind.Unknown, time.Since(x.asked))
 		panic(http.ErrAbortHandler)
 	}
 	for k, v := range a.Trailer() {
 		x.w.Header()[http.TrailerPrefix+k] = v
 	}
 	x.log("request answered", "status", a.Head.Status)
-	x.c.Observe(x.match, a.Head.Status, "", "", time.Since(x.start))
+	x.c.Observe(x.match, a.Head.Status, "", "", time.Since(x.asked))
 }
 
 // log writes the line that ends the request.
 func (x *exchange) log(message string, outcome ...any) {
-	took, target := time.Since(x.start), x.match.Rank.Target
+	took, target := time.Since(x.asked), x.match.Rank.Target
 	x.c.Log.Info(message, append([]any{
 		"requestId", x.id, "route", x.match.Name, "rank", x.match.Rank.Name, "caller", remoteHost(x.r),
-		"version", x.version, "tookMicros", took.Microseconds(), "late", target > 0 && took > target,
+		"version", x.version, "tookMicros", time.Since(x.start).Microseconds(),
+		"waitedMicros", x.start.Sub(x.asked).Microseconds(), "late", target > 0 && took > target,
 	}, outcome...)...)
 }
 
@@ -120,7 +121,7 @@
 	}
 	status := WriteError(x.w, x.c.Dialect, x.id, err)
 	x.log("request refused", "status", status, "kind", e.Kind, "execution", e.Execution, "reason", e.Error())
-	x.c.Observe(x.match, status, e.Kind, e.Execution, time.Since(x.start))
+	x.c.Observe(x.match, status, e.Kind, e.Execution, time.Since(x.asked))
 }
 
 // Problem is the body of an answer that the system makes itself.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -25,6 +25,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/internal/waited"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
@@ -64,7 +65,8 @@
 	Router Router
 	Once   OnceRunner
 	Log    logr.Logger
-	// Observe is called after each request.
+	// Observe is called after each request with the time since its caller first
+	// asked.
 	Observe func(m table.Match, status int, kind errkind.Kind, x errkind.Execution, took time.Duration)
 	// Dialect is spoken with callers; nil means the own one.
 	Dialect *dialect.Dialect
@@ -82,6 +84,7 @@
 	requests atomic.Int64
 	bodies   atomic.Int64
 	leaving  atomic.Pointer[time.Time] // nil while the process goes on
+	waited   *waited.Estimator[string] // by route
 	// ending is done when the process is about to end.
 	ending context.Context
 	end    context.CancelCauseFunc
@@ -101,7 +104,7 @@
 	if c.Dialect == nil {
 		c.Dialect = dialect.Own()
 	}
-	h := &Handler{c: c}
+	h := &Handler{c: c, waited: waited.New[string]()}
 	h.ending, h.end = context.WithCancelCause(context.Background())
 	return h
 }
@@ -130,6 +133,8 @@
 	r     *http.Request
 	id    string
 	start time.Time
+	// asked is when the caller first asked, as far as that is known.
+	asked time.Time
 	match table.Match
 	// version is that of the table that the request was matched by.
 	version uint64
@@ -141,7 +146,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Handler: h, w: w, r: r, id: requestID(r, h.c.Dialect), start: time.Now()}
+	now := time.Now()
+	x := &exchange{Handler: h, w: w, r: r, id: requestID(r, h.c.Dialect), start: now, asked: now}
 	w.Header().Set(h.c.Dialect.RequestID, x.id)
 	if h.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -16,7 +16,6 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
-	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -61,7 +60,7 @@
 	if x.id == "" {
 		return 0, errkind.New(errkind.BadRequest, "the request has no %s header of 1 to %d bytes", x.c.Dialect.RequestID, maxRequestIDBytes)
 	}
-	return deadline(r, m, x.c.Dialect)
+	return x.deadline()
 }
 
 func dotSegments(path string) bool {
@@ -76,10 +75,12 @@
 	return false
 }
 
-// deadline returns the time left for r: the shorter of the route's deadline and
-// the caller's header.
-func deadline(r *http.Request, m table.Match, s *dialect.Dialect) (time.Duration, error) {
-	v := r.Header.Get(s.Deadline)
+// deadline returns the time left for the request: the shorter of the route's
+// deadline and the caller's header. The header also tells how long the caller has
+// waited.
+func (x *exchange) deadline() (time.Duration, error) {
+	s, m := x.c.Dialect, x.match
+	v := x.r.Header.Get(s.Deadline)
 	if v == "" {
 		return m.Route.Deadline, nil
 	}
@@ -90,12 +91,13 @@
 	if d <= 0 {
 		return 0, errkind.New(errkind.DeadlineTooShort, "no time is left: %s is %s", s.Deadline, v)
 	}
+	x.asked = x.start.Add(-x.waited.Observe(m.Name, d))
 	return min(d, m.Route.Deadline), nil
 }
 
 func (x *exchange) newRequest() *call.Request {
 	r, m := x.r, x.match
-	return &call.Request{RequestHead: wire.RequestHead{
+	return &call.Request{Asked: x.asked, RequestHead: wire.RequestHead{
 		RequestID:     x.id,
 		Origin:        x.c.Origin,
 		Customer:      m.Customer,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -130,6 +130,7 @@
 		return send(s, refusal(err))
 	}
 	defer t.release()
+	r.Waited += time.Since(started)
 	c := newChunkReader(s)
 	c.whole = t.release
 	defer c.Close()
--- a/internal/queue/expire.go
+++ b/internal/queue/expire.go
@@ -55,7 +55,7 @@
 		return true
 	}
 	e := errkind.New(errkind.DeadlineTooShort, "waited %v and has %v left, less than %s and the usual slot time %v",
-		now.Sub(it.Arrived).Round(time.Millisecond), it.Deadline.Sub(now).Round(time.Millisecond), waitText(wait), seconds(it.cost).Round(time.Millisecond))
+		now.Sub(it.offered).Round(time.Millisecond), it.Deadline.Sub(now).Round(time.Millisecond), waitText(wait), seconds(it.cost).Round(time.Millisecond))
 	q.refused = append(q.refused, Refusal{Request: it.Request, Err: e, RetryAfter: minRetry})
 	q.drop(it)
 	return false
--- a/internal/queue/lane.go
+++ b/internal/queue/lane.go
@@ -1,5 +1,7 @@
 package queue
 
+import "time"
+
 // item is one request that waits or runs.
 type item struct {
 	Request
@@ -9,6 +11,7 @@
 	est     *estimate
 	seq     uint64
 	cost    float64 // expected slot time in seconds, fixed while it waits
+	offered time.Time
 	started float64 // seconds since the queue's epoch, when it runs
 	running bool
 
--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -20,7 +20,7 @@
 		cost := q.cost(n, it.rank, it.est, it.Cost.Seconds())
 		if !it.Deadline.IsZero() && now.Add(seconds(cost)).After(it.Deadline) {
 			e := errkind.New(errkind.DeadlineTooShort, "waited %v and has %v left, less than the usual slot time %v",
-				now.Sub(it.Arrived).Round(time.Millisecond), it.Deadline.Sub(now).Round(time.Millisecond), seconds(cost).Round(time.Millisecond))
+				now.Sub(it.offered).Round(time.Millisecond), it.Deadline.Sub(now).Round(time.Millisecond), seconds(cost).Round(time.Millisecond))
 			q.refused = append(q.refused, Refusal{Request: it.Request, Err: e, RetryAfter: minRetry})
 			q.drop(it)
 			continue
@@ -70,7 +70,7 @@
 	it.lane.start(it)
 	q.running++
 	q.waiting--
-	it.rank.waited.add(n, max(0, now.Sub(it.Arrived).Seconds()))
+	it.rank.waited.add(n, max(0, now.Sub(it.offered).Seconds()))
 }
 
 // Wake returns when Next is worth another call although nothing else happened:
--- a/internal/queue/offer.go
+++ b/internal/queue/offer.go
@@ -17,8 +17,8 @@
 func (q *Queue) Offer(now time.Time, req Request) Verdict {
 	n := q.advance(now)
 	r := q.rankOf(req.Rank)
-	if req.Arrived.IsZero() {
-		req.Arrived = now
+	if req.Asked.IsZero() {
+		req.Asked = now
 	}
 	if q.items[req.ID] != nil {
 		return Verdict{Outcome: Refused, Err: errkind.New(errkind.Internal, "request ID %d is already in use", req.ID).WithExecution(errkind.NotRun)}
@@ -34,6 +34,7 @@
 	}
 	q.refreshHeadroom(n)
 	it := q.newItem(req)
+	it.offered = now
 	it.rank, it.est, it.cost = r, est, cost
 	if q.startsAtOnce(r) {
 		r.onTime.add(it)
@@ -103,7 +104,7 @@
 	if s := it.cost + lateDeviations*it.rank.service.dev; s < it.rank.Target.Seconds() {
 		least = s
 	}
-	return t.Add(seconds(least)).Sub(it.Arrived) > it.rank.Target
+	return t.Add(seconds(least)).Sub(it.Asked) > it.rank.Target
 }
 
 // makeRoom finds a place for it, displacing other work if needed.
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -197,7 +197,7 @@
 	w.nextID++
 	id := w.nextID
 	w.queue.SetLimit(now, w.limiter.Limit(now))
-	v := w.queue.Offer(now, queue.Request{ID: id, Rank: r.Rank, Caller: r.Caller, Route: r.Route, Arrived: now, Deadline: deadline})
+	v := w.queue.Offer(now, queue.Request{ID: id, Rank: r.Rank, Caller: r.Caller, Route: r.Route, Asked: now.Add(-r.Waited), Deadline: deadline})
 	var c chan error
 	switch v.Outcome {
 	case queue.Refused:
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -37,6 +37,9 @@
 	Route string `cbor:"18,keyasint,omitempty"`
 	// Origin is the service of the VM where the request began.
 	Origin string `cbor:"19,keyasint,omitempty"`
+	// Waited is how long the caller has waited since it first asked, as far as
+	// that is known.
+	Waited time.Duration `cbor:"20,keyasint,omitempty"`
 }
 
 // ForwardResponse is what the owner node sends back: Admitted where the body is
