Let callers that an upstream turned away come back within their target

Cause: such a refusal carried no time, so the answer said one second.

Change: half of the time that is left to start within the target, and one second where nothing of it is left.

--- a/internal/queue/offer.go
+++ b/internal/queue/offer.go
@@ -97,14 +97,16 @@
 // lateAt reports whether it is likely to miss its rank's target when it starts
 // at t.
 func (q *Queue) lateAt(it *item, t time.Time) bool {
-	if !it.rank.usableTarget() {
-		return false
-	}
+	return it.rank.usableTarget() && t.After(q.latestStart(it))
+}
+
+// latestStart is when it must start to be likely to meet its rank's target.
+func (q *Queue) latestStart(it *item) time.Time {
 	least := it.cost
 	if s := it.cost + lateDeviations*it.rank.service.dev; s < it.rank.Target.Seconds() {
 		least = s
 	}
-	return t.Add(seconds(least)).Sub(it.Asked) > it.rank.Target
+	return it.Asked.Add(it.rank.Target - seconds(least))
 }
 
 // makeRoom finds a place for it, displacing other work if needed.
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -158,7 +158,7 @@
 	a, err := w.client.Do(ctx, r)
 	if err != nil {
 		w.release(id, s, outcomeOf(0, err))
-		return nil, &call.LoadError{Arrived: true, Err: err}
+		return nil, &call.LoadError{Arrived: true, Err: err, After: w.comeBack(r, arrived, err)}
 	}
 	n := *a
 	n.Body = call.ObserveBody(a.Body, func(err error) { w.release(id, s, outcomeOf(a.Head.Status, err)) })
@@ -166,6 +166,21 @@
 	return &n, nil
 }
 
+func queueRequest(r *call.Request, arrived time.Time) queue.Request {
+	return queue.Request{Rank: r.Rank, Caller: r.Caller, Route: r.Route, Asked: arrived.Add(-r.Waited)}
+}
+
+// comeBack returns when the caller of r should ask again where the upstream had
+// no room for it, and zero after any other error.
+func (w *worker) comeBack(r *call.Request, arrived time.Time, err error) time.Duration {
+	if errkind.Of(err) != errkind.QueueFull {
+		return 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.ComeBack(time.Now(), queueRequest(r, arrived))
+}
+
 func (w *worker) log(r *call.Request, message string, wait time.Duration, reason string) {
 	w.c.Log.Info(message, "requestId", r.RequestID, "route", r.Route, "rank", r.Rank, "upstream", r.Upstream,
 		"waitMicros", wait.Microseconds(), "reason", reason)
@@ -197,7 +212,9 @@
 	w.nextID++
 	id := w.nextID
 	w.queue.SetLimit(now, w.limiter.Limit(now))
-	v := w.queue.Offer(now, queue.Request{ID: id, Rank: r.Rank, Caller: r.Caller, Route: r.Route, Asked: now.Add(-r.Waited), Deadline: deadline})
+	q := queueRequest(r, now)
+	q.ID, q.Deadline = id, deadline
+	v := w.queue.Offer(now, q)
 	var c chan error
 	switch v.Outcome {
 	case queue.Refused:
