Fail connections whose peer is silent for half a second

Callers saw reads end with their deadline after an upstream or a node vanished without a reset: power loss, partition, a dark upstream.

Cause: a request written to such a connection, or waiting for a new one, had no bound but its deadline; only after eight usual latencies without an answer was the upstream suspected, and keep-alive probes come after 5 s.

Change: connections to nodes and upstreams carry TCP_USER_TIMEOUT of 0.5 s, and must be accepted within it. It is lifted while a body is streamed, since it also counts while a peer does not read.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,13 +149,13 @@
 		Table:   n.distribution.Table,
 		Log:     c.Log.WithName("upstream"),
 		Observe: n.metrics.queued,
-		Dial:    c.Dial,
+		Dial:    wire.WithSilenceLimit(c.Dial, wire.RequestSilence),
 		Dialect: c.Interface.Dialect,
 
 		TailExponent: c.Settings.UrgentReserve,
 	})
 	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n)
-	n.peers = peer.NewClient(inner)
+	n.peers = peer.NewClient(wire.WithSilenceLimit(inner, wire.RequestSilence))
 	n.peerServer = peer.NewServer(peer.ServerConfig{Transport: n.local, LinkMbps: c.Settings.LinkMbps})
 	n.controls = &controls{pool: wire.NewPool(inner), addresses: c.Settings.Control, preferred: n.distribution.Control}
 	n.once = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -46,6 +46,11 @@
 }
 
 func (x *exchange) start() (*call.Response, error) {
+	if !x.head.WholeBody {
+		if err := wire.LimitSilence(x.conn.Transport(), 0); err != nil {
+			return nil, x.transportError(err, "prepare connection")
+		}
+	}
 	s, err := x.conn.NewStream(x.ctx, wire.MethodForward, wire.Encoding{})
 	if err != nil {
 		return nil, x.transportError(err, "open stream")
@@ -206,13 +211,21 @@
 		if x.sending != nil {
 			_ = x.body.Close() // ends a Read that waits for the caller
 		}
-		x.release(x.clean && x.stream.CloseSend() == nil && x.drained())
+		x.release(x.clean && x.stream.CloseSend() == nil && x.drained() && x.limitSilence() == nil)
 		if x.sending != nil {
 			<-x.sending
 		}
 	})
 }
 
+// limitSilence sets again the limit that was lifted for the body.
+func (x *exchange) limitSilence() error {
+	if x.head.WholeBody {
+		return nil
+	}
+	return wire.LimitSilence(x.conn.Transport(), wire.RequestSilence)
+}
+
 // drained reads the end of the stream, so that the connection is free.
 func (x *exchange) drained() bool {
 	var m wire.ForwardResponse
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -56,6 +57,10 @@
 			return err
 		}
 	} else {
+		if err := wire.LimitSilence(x.conn, 0); err != nil {
+			x.end(false)
+			return errkind.Wrap(err, errkind.ConnectFailed, "prepare connection to upstream")
+		}
 		q.Body = io.NopCloser(x.stream)
 		x.written = make(chan struct{})
 		go func() {
@@ -139,7 +144,7 @@
 // on it, and closes it otherwise.
 func (x *exchange) end(complete bool) {
 	x.once.Do(func() {
-		if watched := x.stop(); watched && complete && x.sentWhole() && !x.answer.Close && x.r.Buffered() == 0 {
+		if watched := x.stop(); watched && complete && x.sentWhole() && !x.answer.Close && x.r.Buffered() == 0 && x.limitSilence() == nil {
 			x.pool.put(x.connection)
 			return
 		}
@@ -150,6 +155,14 @@
 	})
 }
 
+// limitSilence sets again the limit that was lifted for the body.
+func (x *exchange) limitSilence() error {
+	if x.stream == nil {
+		return nil
+	}
+	return wire.LimitSilence(x.conn, wire.RequestSilence)
+}
+
 // sentWhole reports whether the request was sent to its end.
 func (x *exchange) sentWhole() bool {
 	if x.written == nil {
--- /dev/null
+++ b/internal/wire/silence.go
@@ -0,0 +1,64 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall does not
+// name.
+const tcpUserTimeout = 18
+
+// RequestSilence is the limit on the way of a request. It leaves room for one
+// retransmission, and time to try another process within usual targets.
+const RequestSilence = 500 * time.Millisecond
+
+// WithSilenceLimit returns a Dialer whose connections fail when the peer does not
+// acknowledge what was sent within limit. Without it a request to a process that
+// has vanished without a reset, or behind a partition, waits for its deadline. A
+// peer must also accept the connection within limit.
+//
+// The limit counts while a peer does not read, too. LimitSilence lifts it for
+// transfers that may pause.
+func WithSilenceLimit(d Dialer, limit time.Duration) Dialer {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		c, err := d(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		if err := LimitSilence(c, limit); err != nil {
+			c.Close()
+			return nil, err
+		}
+		return c, nil
+	}
+}
+
+// LimitSilence sets how long the peer of c may leave sent data unacknowledged;
+// zero lifts the limit. It does nothing on connections other than TCP.
+func LimitSilence(c any, limit time.Duration) error {
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok { // TLS
+		return LimitSilence(t.NetConn(), limit)
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	s, err := t.SyscallConn()
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	var failed error
+	if err := s.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
+	}); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.Wrap(failed, "limit the silence of a peer")
+}
