Allow for the backlog of thin links in the limit on silence

On a grown deployment 101 tries of three nodes failed to connect within 0.5 s while uploads filled links of 5.53 Mbit/s: a connection behind a long queue on the link passed for a silent peer.

Cause: one limit for all links.

Change: the limit between nodes is longer by the time that a MiB takes on the VM's own link: 2.0 s in all at 5.53 Mbit/s, 0.51 s at 1,000 Mbit/s. Upstreams are on the same VM and keep 0.5 s.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,11 +21,15 @@
 
 // Client calls other nodes.
 type Client struct {
-	pool *wire.Pool
+	pool    *wire.Pool
+	silence time.Duration
 }
 
-// NewClient returns a Client that connects with d.
-func NewClient(d wire.Dialer) *Client { return &Client{pool: wire.NewPool(d)} }
+// NewClient returns a Client that connects with d, and whose connections fail
+// when a node is silent for the given time.
+func NewClient(d wire.Dialer, silence time.Duration) *Client {
+	return &Client{pool: wire.NewPool(wire.WithSilenceLimit(d, silence)), silence: silence}
+}
 
 // Close closes the idle connections.
 func (c *Client) Close() error { return c.pool.Close() }
@@ -40,7 +44,7 @@
 	}
 	x := &exchange{
 		ctx: ctx, request: r, head: r.RequestHead, body: r.Stream,
-		conn: conn, release: func(clean bool) { c.pool.Put(address, conn, clean) },
+		conn: conn, silence: c.silence, release: func(clean bool) { c.pool.Put(address, conn, clean) },
 	}
 	x.head.Remaining -= min(x.head.Remaining/marginShare, maxMargin)
 	if len(r.Body) > call.InlineBodyBytes {
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
@@ -24,6 +25,7 @@
 	head    wire.RequestHead
 	body    io.ReadCloser
 	conn    *drpcconn.Conn
+	silence time.Duration // that of the connection
 	stream  drpc.Stream
 	release func(clean bool)
 	once    sync.Once
@@ -223,7 +225,7 @@
 	if x.head.WholeBody {
 		return nil
 	}
-	return wire.LimitSilence(x.conn.Transport(), wire.RequestSilence)
+	return wire.LimitSilence(x.conn.Transport(), x.silence)
 }
 
 // drained reads the end of the stream, so that the connection is free.
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -13,9 +13,23 @@
 // name.
 const tcpUserTimeout = 18
 
-// RequestSilence is the limit on the way of a request. It leaves room for one
-// retransmission, and time to try another process within usual targets.
-const RequestSilence = 500 * time.Millisecond
+const (
+	// RequestSilence is the limit on the way of a request. It leaves room for one
+	// retransmission, and time to try another process within usual targets.
+	RequestSilence = 500 * time.Millisecond
+	// linkBacklog is what may wait for a link before a packet. On a thin link the
+	// limit is longer by the time that it takes.
+	linkBacklog = 1 << 20
+)
+
+// LinkSilence is the limit for requests that cross a link of the given rate; zero
+// stands for an unknown one.
+func LinkSilence(linkMbps float64) time.Duration {
+	if linkMbps <= 0 {
+		return RequestSilence
+	}
+	return RequestSilence + time.Duration(8*linkBacklog/(linkMbps*1e6)*float64(time.Second))
+}
 
 // WithSilenceLimit returns a Dialer whose connections fail when the peer does not
 // acknowledge what was sent within limit. Without it a request to a process that
--- a/internal/wire/silence_test.go
+++ b/internal/wire/silence_test.go
@@ -76,6 +76,17 @@
 	}
 }
 
+// Guards that a thin link whose queue is long does not pass for a silent peer.
+func TestLinkSilence(t *testing.T) {
+	for mbps, want := range map[float64]time.Duration{
+		0: RequestSilence, 8.388608: RequestSilence + time.Second, 8388.608: RequestSilence + time.Millisecond,
+	} {
+		if got := LinkSilence(mbps); got != want {
+			t.Errorf("%v Mbit/s: got %v, want %v", mbps, got, want)
+		}
+	}
+}
+
 // Guards that a connection that is not accepted within the limit is given up
 // while the request has time for another process.
 func TestSilentDial(t *testing.T) {
