--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- wire.Serve(ctx, l, m, wire.ServeOptions{}) }()
-	c := NewClient(n.Dial)
+	c := NewClient(n.Dial, time.Second)
 	t.Cleanup(func() {
 		c.Close()
 		cancel()
