Charge no retry for a node that cannot be reached

Callers got 503 because the retry budget was empty where the chosen node could not be connected to, although no upstream had got anything.

Cause: only nodes that answered with a refusal were passed over without charge.

Change: a failed connection counts alike, at most two of both for a request.

Result: the new case of TestNodesThatTurnAway failed (connection refused, no second choice) and passes.

--- a/internal/router/failure_test.go
+++ b/internal/router/failure_test.go
@@ -20,11 +20,11 @@
 
 // answers is a transport whose first answers have the given statuses. In place of
 // the status full, the node beside the upstream refuses the request, in place of
-// rejected the upstream does, and in place of cut the connection breaks after the
-// request was sent.
+// rejected the upstream does, in place of cut the connection breaks after the
+// request was sent, and in place of away the node cannot be reached.
 type answers struct{ statuses []int }
 
-const full, cut, rejected = -1, -2, -3
+const full, cut, rejected, away = -1, -2, -3, -4
 
 func (a *answers) Call(_ context.Context, r *call.Request) (*call.Response, error) {
 	s := 200
@@ -38,6 +38,8 @@
 		return nil, &call.LoadError{Arrived: true, Err: errkind.New(errkind.QueueFull, "busy")}
 	case cut:
 		return nil, errkind.New(errkind.UpstreamFailed, "connection reset")
+	case away:
+		return nil, errkind.New(errkind.ConnectFailed, "connection refused").WithExecution(errkind.NotRun)
 	}
 	return &call.Response{
 		Head: wire.ResponseHead{RequestID: r.RequestID, Status: s, ContentLength: 4}, Body: io.NopCloser(strings.NewReader("body")),
@@ -147,8 +149,8 @@
 	}
 }
 
-// A node without a free slot must not cost a retry, since the upstream got
-// nothing; one that the upstream itself refused counts there as an arrival.
+// A node that has no free slot or cannot be reached must not cost a retry, since
+// the upstream got nothing; one that the upstream itself refused counts there as an arrival.
 func TestNodesThatTurnAway(t *testing.T) {
 	for name, c := range map[string]struct {
 		statuses []int
@@ -156,6 +158,8 @@
 	}{
 		"turned away by a node":               {[]int{full}, 200},
 		"turned away by all nodes":            {[]int{full, full}, 0},
+		"a node that cannot be reached":       {[]int{away}, 200},
+		"no node can be reached":              {[]int{away, away}, 0},
 		"rejected by the upstream":            {[]int{rejected}, 0},
 		"turned away, then a failed upstream": {[]int{full, 500}, 500},
 	} {
--- a/internal/router/pursuit.go
+++ b/internal/router/pursuit.go
@@ -27,7 +27,7 @@
 	tries     int
 	redirects int
 	// elsewhere counts the nodes that turned the request away before it reached
-	// their upstream.
+	// their upstream, or that could not be reached.
 	elsewhere int
 	tried     map[string]bool
 	// last is the error of the latest try.
@@ -102,7 +102,7 @@
 	switch {
 	case isRedirect(err) && p.redirects < maxRedirects:
 		p.redirects++
-	case isTurnedAway(err) && p.elsewhere < maxElsewhere:
+	case (isTurnedAway(err) || isUnreached(err)) && p.elsewhere < maxElsewhere:
 		p.elsewhere++
 	default:
 		return false
@@ -160,7 +160,7 @@
 	return e.Kind == errkind.Leaving && e.Execution == errkind.NotRun
 }
 
-// maxElsewhere bounds the choices that a busy node turned away. In a flood of the
+// maxElsewhere bounds the choices that a busy or lost node turned away. In a flood of the
 // whole service, more of them cost work and find nothing.
 const maxElsewhere = 2
 
@@ -174,6 +174,14 @@
 		(e.Kind == errkind.QueueFull || e.Kind == errkind.DeadlineTooShort)
 }
 
+// isUnreached reports whether err says that no connection to the chosen node was
+// made, which has put no load on its upstream either.
+func isUnreached(err error) bool {
+	var l *call.LoadError
+	e := errkind.From(err)
+	return e.Kind == errkind.ConnectFailed && e.Execution == errkind.NotRun && !errors.As(err, &l)
+}
+
 // afterTry returns the error of a request whose latest try ended in err. Once a
 // try may have run, so may have the request, whatever became of later tries.
 func afterTry(last, err error) error {
