Lift the limit on silence for large bodies that are kept whole

A caller's upload of 32 to 64 KiB failed where its upstream left it unread for half a second: 502, though the upstream was well.

Cause: the limit was lifted for streamed bodies only, and bodies up to 64 KiB are kept whole. It also counts while a peer does not read.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -53,7 +53,8 @@
 	x.c.Observe(x.match, a.Head.Status, "", "", time.Since(x.asked))
 }
 
-// log writes the line that ends the request.
+// log writes the line that ends the request. Its lateness counts from the caller's
+// first attempt, tookMicros from this one.
 func (x *exchange) log(message string, outcome ...any) {
 	took, target := time.Since(x.asked), x.match.Rank.Target
 	x.c.Log.Info(message, append([]any{
--- a/internal/queue/comeback.go
+++ b/internal/queue/comeback.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// minComeBack covers the way to the caller and back.
+// minComeBack is the shortest wait that a caller is told, longer than the way to
+// it and back.
 const minComeBack = 25 * time.Millisecond
 
 // ComeBack returns when a caller should ask again whose request the upstream
--- a/internal/queue/doc.go
+++ b/internal/queue/doc.go
@@ -12,9 +12,10 @@
 //     only where a running request would hold up the urgent rank beyond its
 //     target.
 //  3. Within a rank, callers share slot time equally.
-//  4. Requests that can no longer be answered within the target of their rank
-//     wait in a second lane, which is served after the on-time work of all
-//     ranks; requests that can no longer meet their deadline are refused.
+//  4. Requests that can no longer be answered within the target of their rank,
+//     counted from their caller's first attempt, wait in a second lane, which is
+//     served after the on-time work of all ranks; requests that can no longer
+//     meet their deadline are refused.
 //
 // The queue is bounded per rank and in total. When it is full, an arrival
 // displaces the newest request of the busiest caller in the least urgent rank
--- a/internal/router/pursuit.go
+++ b/internal/router/pursuit.go
@@ -160,8 +160,9 @@
 	return e.Kind == errkind.Leaving && e.Execution == errkind.NotRun
 }
 
-// maxElsewhere bounds the choices that a busy or lost node turned away. In a flood of the
-// whole service, more of them cost work and find nothing.
+// maxElsewhere bounds the choices that a busy node turned away, or that found no
+// way to the node. In a flood of the whole service, more of them cost work and find
+// nothing.
 const maxElsewhere = 2
 
 // isTurnedAway reports whether err says that a node had no slot for the request
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -27,6 +27,8 @@
 	pool *connections
 	// stream is a request body that is sent in the background, or nil.
 	stream io.ReadCloser
+	// pauses is set for bodies that an upstream may leave unread for a while.
+	pauses bool
 	// written is closed when nothing more is written; failed is the error of
 	// the writing and set before that.
 	written chan struct{}
@@ -49,6 +51,12 @@
 	x.sent, x.broken = false, false
 	// Closing the connection is also how the upstream learns of the end.
 	x.stop = context.AfterFunc(x.ctx, func() { x.conn.Close() })
+	if x.pauses {
+		if err := wire.LimitSilence(x.conn, 0); err != nil {
+			x.end(false)
+			return errkind.Wrap(err, errkind.ConnectFailed, "prepare connection to upstream")
+		}
+	}
 	if x.stream == nil {
 		x.send(q)
 		if x.failed != nil && !x.sent {
@@ -57,10 +65,6 @@
 			return err
 		}
 	} else {
-		if err := wire.LimitSilence(x.conn, 0); err != nil {
-			x.end(false)
-			return errkind.Wrap(err, errkind.ConnectFailed, "prepare connection to upstream")
-		}
 		q.Body = io.NopCloser(x.stream)
 		x.written = make(chan struct{})
 		go func() {
@@ -157,7 +161,7 @@
 
 // limitSilence sets again the limit that was lifted for the body.
 func (x *exchange) limitSilence() error {
-	if x.stream == nil {
+	if !x.pauses {
 		return nil
 	}
 	return wire.LimitSilence(x.conn, wire.RequestSilence)
