Run pipelined idempotent requests of a caller at the same time

Change: the connection wrapper of package caller tells requests apart and, while a response is outstanding, passes idempotent ones without a body to the same http.Server as connections of their own; responses are written in order. What may run once, and all behind it, waits. While a node drains, only the last response of a connection closes it.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -39,7 +39,7 @@
 		// some HTTP/2 clients wait for as many bytes.
 		x.w.Header().Del("Content-Length")
 	}
-	x.closeUnlessRead()
+	x.setConnection()
 	x.w.WriteHeader(a.Head.Status)
 	if err := x.copyBody(a, b[:], n, err); err != nil {
 		x.log("answer aborted", "status", a.Head.Status, "reason", err.Error())
@@ -97,12 +97,16 @@
 	}
 }
 
-// closeUnlessRead tells an HTTP/1.1 caller whose request body was not read to its end
-// that the connection is closed after this response. It also prevents net/http from
+// setConnection tells the caller that the connection is closed after this response if the
+// node drains, unless later requests of the connection are in progress, or if the request
+// body was not read to its end on HTTP/1.1. The latter also prevents net/http from
 // reading parts of the body that belong to the upstream. An upload that was closed just
 // before its end was read has stopped all reads on the connection, which would cancel
 // the next request on it.
-func (x *exchange) closeUnlessRead() {
+func (x *exchange) setConnection() {
+	if x.drainEnd.Load() != nil && (x.conn == nil || x.conn.seal()) {
+		x.w.Header().Set("Connection", "close")
+	}
 	if u := x.upload; u != nil && (!u.ended.Load() || u.closed.Load()) && x.r.ProtoMajor == 1 {
 		x.w.Header().Set("Connection", "close")
 	}
@@ -115,7 +119,7 @@
 		e = errkind.Wrap(err, errkind.Leaving, "%v", context.Cause(x.stopCtx)).WithExecution(e.Execution)
 		err = e
 	}
-	x.closeUnlessRead()
+	x.setConnection()
 	if x.upload == nil && hasBody(x.r) {
 		// net/http reads the rest of the body before it sends the response.
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(discardTime)) // unsupported only by test writers
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -6,7 +6,11 @@
 //
 //	h := caller.New(caller.Config{Table: tables.Load, Router: r, AtMostOnce: o, Log: l})
 //	s := caller.NewServer(h)
-//	err := s.Serve(caller.NewListener(listener, caller.MaxConnections))
+//	err := s.Serve(caller.NewListener(listener, caller.MaxConnections, h))
+//
+// Idempotent requests without a body that a caller sends on one HTTP/1.1 connection before
+// the first is answered run at the same time, up to 16 for each connection and MaxPipelined
+// for the node; see conn for the rule and its reason.
 //
 // Every error response that the node itself sends has the header
 // Gooseberrypick-Execution and a JSON body. The exceptions are the responses of
@@ -44,6 +48,11 @@
 	// writeGrace is the time after the deadline in which the response that reports
 	// it can be written to a caller that reads slowly.
 	writeGrace = time.Second
+	// MaxPipelined bounds the requests in progress at one node that were started ahead of
+	// an unanswered one of the same connection.
+	MaxPipelined = 1024
+	// pipelinedPoll is the interval at which WaitPipelined looks.
+	pipelinedPoll = 10 * time.Millisecond
 	// discardTime is how long the body of a refused request may take to arrive, so
 	// that the connection can be reused.
 	discardTime = time.Second
@@ -83,8 +92,11 @@
 	c             Config
 	inFlight      atomic.Int64
 	bufferedBytes atomic.Int64
-	drainEnd      atomic.Pointer[time.Time]    // nil until the node drains
-	priorWait     *priorwait.Estimator[string] // by route
+	// pipelined is the number of requests in progress that were started ahead of an
+	// unanswered one.
+	pipelined atomic.Int64
+	drainEnd  atomic.Pointer[time.Time]    // nil until the node drains
+	priorWait *priorwait.Estimator[string] // by route
 	// stopCtx is canceled by CancelRequests.
 	stopCtx context.Context
 	stop    context.CancelCauseFunc
@@ -128,9 +140,12 @@
 // exchange is one request of a caller and its response.
 type exchange struct {
 	*Handler
-	w     http.ResponseWriter
-	r     *http.Request
-	id    string
+	w    http.ResponseWriter
+	r    *http.Request
+	conn requestConn // nil if the listener is not one of NewListener
+	id   string
+	// start is when the request had arrived, which is before it was served if earlier
+	// requests of its connection had to be answered first.
 	start time.Time
 	// firstSent is when the caller first sent the request, as far as that is known.
 	firstSent time.Time
@@ -146,11 +161,12 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	x := &exchange{Handler: h, w: w, r: r, id: requestID(r, h.c.Dialect), start: now, firstSent: now}
-	w.Header().Set(h.c.Dialect.RequestID, x.id)
-	if h.drainEnd.Load() != nil {
-		w.Header().Set("Connection", "close")
+	k, _ := r.Context().Value(connKey{}).(requestConn)
+	if k != nil && r.ProtoMajor == 1 {
+		now = k.received()
 	}
+	x := &exchange{Handler: h, w: w, r: r, conn: k, id: requestID(r, h.c.Dialect), start: now, firstSent: now}
+	w.Header().Set(h.c.Dialect.RequestID, x.id)
 	defer h.inFlight.Add(-1)
 	if n := h.inFlight.Add(1); n > h.c.MaxRequests {
 		x.fail(errkind.New(errkind.QueueFull, "%d requests are under way at this node", n))
@@ -164,6 +180,7 @@
 		return
 	}
 	x.match = m
+	x.pipeline()
 	d, err := x.validate()
 	if err != nil {
 		x.fail(err)
@@ -172,6 +189,22 @@
 	x.serve(d)
 }
 
+// pipeline lets requests behind an idempotent one start. One that was started ahead waits
+// for its turn if the route has become one that may run only once since then.
+func (x *exchange) pipeline() {
+	idempotent := x.match.Route.Execution == customer.Idempotent
+	switch c := x.conn.(type) {
+	case *conn:
+		if idempotent && x.r.ProtoMajor == 1 && !x.r.Close && !hasBody(x.r) {
+			c.allowAhead()
+		}
+	case *pipelinedConn:
+		if !idempotent {
+			c.waitTurn()
+		}
+	}
+}
+
 func noRoute(t *table.Table, r *http.Request) error {
 	if t.Version() == 0 {
 		return errkind.New(errkind.NotReady, "this node has no configuration yet")
@@ -179,12 +212,48 @@
 	return errkind.New(errkind.NoRoute, "no route matches %s %s%s in version %d", r.Method, r.Host, r.URL.Path, t.Version())
 }
 
-// serve handles a valid request within d.
+// mayRunAhead reports whether the request, which has no body, may be started while an
+// earlier one of its connection has not been answered. Only idempotent ones may, because a
+// response that closes the connection tells the caller that all behind it were not read.
+func (h *Handler) mayRunAhead(r *http.Request) bool {
+	if h.drainEnd.Load() != nil || h.pipelined.Load() >= MaxPipelined || !r.ProtoAtLeast(1, 1) || r.Close || r.Header.Get("Expect") != "" {
+		return false
+	}
+	m, ok := h.c.Table().Match(r.Host, r.Method, r.URL.Path)
+	return ok && m.Route.Execution == customer.Idempotent
+}
+
+// reserveResponse counts n bytes of a response that waits for earlier ones, if the limit
+// allows.
+func (h *Handler) reserveResponse(n int64) bool {
+	if h.bufferedBytes.Add(n) <= h.c.MaxBodyBytes {
+		return true
+	}
+	h.bufferedBytes.Add(-n)
+	return false
+}
+
+// WaitPipelined waits until no request is in progress that was started ahead of an
+// unanswered one. Once draining has started, none is started any more. It is called
+// before http.Server.Shutdown, which closes connections with each response.
+func (h *Handler) WaitPipelined(ctx context.Context) {
+	t := time.NewTicker(pipelinedPoll)
+	defer t.Stop()
+	for h.pipelined.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// serve handles a valid request within d of its start.
 func (x *exchange) serve(d time.Duration) {
 	if end := x.drainEnd.Load(); end != nil {
-		d = min(d, time.Until(*end))
+		d = min(d, end.Sub(x.start))
 	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), d)
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.start.Add(d))
 	defer cancel()
 	defer context.AfterFunc(x.stopCtx, cancel)()
 	// Stops writing to a caller that does not read.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -54,9 +54,10 @@
 		t.Fatal(err)
 	}
 	c.Table, c.Log = func() *table.Table { return b }, logr.Discard()
-	s := NewServer(New(c))
+	h := New(c)
+	s := NewServer(h)
 	done := make(chan error)
-	go func() { done <- s.Serve(NewListener(l, limit)) }()
+	go func() { done <- s.Serve(NewListener(l, limit, h)) }()
 	t.Cleanup(func() { s.Close(); <-done })
 }
 
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -92,6 +92,9 @@
 		return 0, errkind.New(errkind.DeadlineTooShort, "no time is left: %s is %s", s.Deadline, v)
 	}
 	x.firstSent = x.start.Add(-x.priorWait.Observe(m.Name, d))
+	if time.Since(x.start) >= d {
+		return 0, errkind.New(errkind.DeadlineTooShort, "no time is left: the request waited for earlier ones of its connection")
+	}
 	return min(d, m.Route.Deadline), nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,6 +194,7 @@
 		Origin:     s.Service,
 	})
 	n.callers = caller.NewServer(n.handler)
+	n.listeners.caller = caller.NewListener(n.listeners.caller, caller.MaxConnections, n.handler)
 	announcements := n.announcements.Handler()
 	if f := n.c.Interface.Announcements; f != nil {
 		announcements = f(n.announcements)
@@ -266,7 +267,6 @@
 		}
 		*e.to = k
 	}
-	l.caller = caller.NewListener(l.caller, caller.MaxConnections)
 	l.upstream = wire.LimitListener(l.upstream, maxLocalConnections)
 	l.admin = wire.LimitListener(l.admin, maxLocalConnections)
 	return l, nil
@@ -417,6 +417,7 @@
 	g.Go(func() error {
 		// Callers keep connecting until they see that the node is not ready.
 		time.Sleep(min(n.c.Settings.CallerDrain, limit/2) - time.Since(start))
+		n.handler.WaitPipelined(ctx)
 		return n.callers.Shutdown(ctx)
 	})
 	g.Go(func() error { return n.peerServer.Drain(ctx) })
