--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +22,9 @@
 	RenewWithin = 5 * time.Second
 	// maxAnnouncementBytes bounds the body of an announcement.
 	maxAnnouncementBytes = 16 << 10
+	// maxConnections bounds the connections, and thus the slots, of one upstream: no
+	// address accepts more from one VM.
+	maxConnections = 1 << 16
 	// maxUpstreams bounds the upstreams of one node.
 	maxUpstreams = 64
 	// idleWaitLimit bounds how long the response to a Leaving announcement waits for
@@ -124,10 +127,6 @@
 		writeError(w, errkind.Wrap(err, errkind.BadRequest, "announcement is not the expected JSON object"))
 		return
 	}
-	if err := n.validate(); err != nil {
-		writeError(w, err)
-		return
-	}
 	if err := a.Put(time.Now(), r.PathValue("name"), n); err != nil {
 		writeError(w, err)
 		return
@@ -144,11 +143,11 @@
 	if n.Service == "" {
 		return errkind.New(errkind.BadRequest, "Service is missing; expected the name of a service")
 	}
-	if h, p, err := net.SplitHostPort(n.Address); err != nil || net.ParseIP(h) == nil || p == "" || p == "0" {
-		return errkind.New(errkind.BadRequest, "Address %q; expected an IP address and a port", n.Address)
+	if a, err := netip.ParseAddrPort(n.Address); err != nil || a.Port() == 0 {
+		return errkind.New(errkind.BadRequest, "Address %q; expected an IP address and a port from 1 to 65535", n.Address)
 	}
-	if n.Slots < 1 || n.Connections < n.Slots {
-		return errkind.New(errkind.BadRequest, "Slots %d, Connections %d; expected at least 1 slot and as many connections", n.Slots, n.Connections)
+	if n.Slots < 1 || n.Connections < n.Slots || n.Connections > maxConnections {
+		return errkind.New(errkind.BadRequest, "Slots %d, Connections %d; expected at least 1 slot, as many connections, and at most %d", n.Slots, n.Connections, maxConnections)
 	}
 	switch n.State {
 	case wire.Starting, wire.Serving, wire.Leaving:
@@ -157,9 +156,12 @@
 	return errkind.New(errkind.BadRequest, "State %q; expected Starting, Serving or Leaving", n.State)
 }
 
-// Put stores an announcement and notifies the subscriber of any change. It ignores
-// outdated announcements.
+// Put stores an announcement and notifies the subscriber of any change. It refuses
+// invalid announcements and ignores outdated ones.
 func (a *Announcements) Put(now time.Time, name string, n Announcement) error {
+	if err := n.validate(); err != nil {
+		return err
+	}
 	a.notifyMu.Lock()
 	defer a.notifyMu.Unlock()
 	a.mu.Lock()
