--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -127,6 +127,10 @@
 		writeError(w, errkind.Wrap(err, errkind.BadRequest, "announcement is not the expected JSON object"))
 		return
 	}
+	if err := n.Validate(); err != nil {
+		writeError(w, err)
+		return
+	}
 	if err := a.Put(time.Now(), r.PathValue("name"), n); err != nil {
 		writeError(w, err)
 		return
@@ -139,7 +143,8 @@
 	writeJSON(w, http.StatusOK, Renewal{RenewWithin: RenewWithin.String()})
 }
 
-func (n Announcement) validate() error {
+// Validate reports what is wrong with an announcement.
+func (n Announcement) Validate() error {
 	if n.Service == "" {
 		return errkind.New(errkind.BadRequest, "Service is missing; expected the name of a service")
 	}
@@ -156,12 +161,9 @@
 	return errkind.New(errkind.BadRequest, "State %q; expected Starting, Serving or Leaving", n.State)
 }
 
-// Put stores an announcement and notifies the subscriber of any change. It refuses
-// invalid announcements and ignores outdated ones.
+// Put stores a valid announcement and notifies the subscriber of any change. It ignores
+// outdated announcements.
 func (a *Announcements) Put(now time.Time, name string, n Announcement) error {
-	if err := n.validate(); err != nil {
-		return err
-	}
 	a.notifyMu.Lock()
 	defer a.notifyMu.Unlock()
 	a.mu.Lock()
