Report slot times of owner nodes to entry nodes

Cause: upstreams of one service of the large site differ in speed by more than two to one, and an entry node sees each of them every few seconds only, so its own estimates never tell a slow one from a long request. Below the load at which requests wait, it preferred the emptier of two upstreams instead of the faster. Change: answers carry the owner node's mean slot time of the route and its mean share of slots in use; package balance compares slot times with the mean of all and gives load weight only where requests wait. Package policybench has a large service with upstreams of different speed.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -35,6 +35,12 @@
 	maxLocalSlowdown = 1.2
 	// noWaitLoad is the load per slot below which requests do not wait.
 	noWaitLoad = 0.7
+	// spreadWeight is how much a request at an upstream with all slots in use is expected to
+	// slow down the others there. It spreads requests over equally fast upstreams.
+	spreadWeight = 0.1
+	// fullSlotsWait is the expected wait at an upstream without a free slot, in mean times of
+	// a request.
+	fullSlotsWait = 1
 	// remotePenalty is the factor by which an upstream of another zone must be
 	// better. It accounts for the latency between zones and prevents flapping.
 	remotePenalty = 1.25
@@ -56,6 +62,11 @@
 	Waiting   int
 	Limit     int
 	QueueWait time.Duration
+	// SlotTime is the mean time that requests of the answer's route hold a slot, over
+	// all entry nodes, or zero if unknown.
+	SlotTime time.Duration
+	// Busy is the moving mean of the share of slots in use.
+	Busy float64
 }
 
 // Result is the result of one try.
@@ -124,7 +135,8 @@
 	estimates map[string]*estimate
 	routes    map[string]*meanLatency
 	ranks     map[string]*meanLatency
-	sweepAt   int // number of estimates from which forgetIdle scans them
+	slotTimes map[string]*meanLatency // as reported, by route
+	sweepAt   int                     // number of estimates from which forgetIdle scans them
 	drawn     [maxDraws]int
 }
 
@@ -162,7 +174,8 @@
 	c.Draws = min(cmp.Or(c.Draws, DefaultDraws), maxDraws)
 	return &Balancer{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)),
-		estimates: map[string]*estimate{}, routes: map[string]*meanLatency{}, ranks: map[string]*meanLatency{}, sweepAt: minSweepSize,
+		estimates: map[string]*estimate{}, routes: map[string]*meanLatency{}, ranks: map[string]*meanLatency{},
+		slotTimes: map[string]*meanLatency{}, sweepAt: minSweepSize,
 	}
 }
 
@@ -197,6 +210,7 @@
 	if o.Load != nil {
 		e.load, e.loadAt = *o.Load, now
 		v.waiting, v.waitingAt = o.Load.Waiting, now
+		b.observePace(now, e, o)
 	}
 	switch o.Result {
 	case OK:
@@ -236,6 +250,24 @@
 	e.slowdownAt = now
 }
 
+// observePace updates the upstream's pace, its slot time relative to the mean of all
+// upstreams, from a report of its owner node. In a large fleet an entry node sees too few
+// answers of each upstream to tell a slow one from a long request; the owner node sees all.
+func (b *Balancer) observePace(now time.Time, e *estimate, o Outcome) {
+	s := o.Load.SlotTime.Seconds()
+	if s <= 0 {
+		return
+	}
+	u := meanOf(b.slotTimes, o.Route)
+	u.add(s)
+	v := min(s/u.seconds, maxSlowdown)
+	if e.paceAt.IsZero() {
+		e.pace = v
+	}
+	e.pace = e.currentPace(now) + (v-e.currentPace(now))*paceWeight
+	e.paceAt = now
+}
+
 // forgetIdle drops the estimates of upstreams that are no longer used. It scans them
 // only when their number has doubled, so its cost is amortized.
 func (b *Balancer) forgetIdle(now time.Time) {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -268,3 +268,51 @@
 		}
 	}
 }
+
+// Reports of slot times must move requests to the faster upstream until it is loaded, and
+// must lose their weight once they are old.
+func TestReportedSlotTimes(t *testing.T) {
+	l := candidates(2)
+	l[1].Zone = "a"
+	s := balance.NewSet(l)
+	report := func(busy float64) func(string) (balance.Outcome, bool) {
+		return func(n string) (balance.Outcome, bool) {
+			o, _ := succeeds(n)
+			o.Load = &balance.Load{Limit: 10, SlotTime: 10 * time.Millisecond}
+			if n == "u0" {
+				o.Load.SlotTime, o.Load.Busy = 6*time.Millisecond, busy
+			}
+			return o, true
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		busy  float64
+		age   time.Duration
+		least int
+		most  int
+	}{
+		{"faster and idle", 0.2, 0, 190, 200},
+		{"faster and full", 1, 0, 0, 150},
+		{"faster by an old report", 0.2, 10 * time.Minute, 4, 6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newSimulation(t)
+			for range 20 { // both are known
+				for _, n := range []string{"u0", "u1"} {
+					o, _ := report(c.busy)(n)
+					r.b.Started(at(r.now), n, "")
+					r.b.Finished(at(r.now), n, o)
+				}
+			}
+			r.now += c.age
+			if c.age > 0 {
+				r.choose(10, s, balance.Query{Zone: "a"}, func(string) (balance.Outcome, bool) { return balance.Outcome{}, false })
+			} else {
+				r.choose(200, s, balance.Query{Zone: "a"}, report(c.busy))
+			}
+			atLeast(t, "requests at the faster", r.chosen["u0"], c.least)
+			atMost(t, "requests at the faster", r.chosen["u0"], c.most)
+		})
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // scoredCandidate is a drawn candidate with its score.
 type scoredCandidate struct {
@@ -11,12 +14,6 @@
 	ok       bool
 }
 
-// acrossZones returns the score for comparing candidates of different zones. Below
-// noWaitLoad a request does not wait, so a lower load is no advantage.
-func (o scoredCandidate) acrossZones() float64 {
-	return o.score * max(o.load, noWaitLoad) / o.load
-}
-
 // Choose returns the upstream for one request, or false if the set has none except
 // excluded ones.
 func (b *Balancer) Choose(now time.Time, s *Set, q Query) (Choice, bool) {
@@ -35,7 +32,7 @@
 	switch {
 	case probe >= 0 && !local.ok:
 		return Choice{s.all[probe], ReasonProbe}, true
-	case local.ok && remote.ok && remote.acrossZones()*q.penalty() < local.acrossZones():
+	case local.ok && remote.ok && remote.score*q.penalty() < local.score:
 		return Choice{s.all[remote.index], ReasonRemote}, true
 	case local.ok:
 		return Choice{s.all[local.index], ReasonLocal}, true
@@ -123,13 +120,15 @@
 	return e.suspect
 }
 
-// evaluate returns the candidate with its score.
+// evaluate returns the candidate with its score. Load weighs more than speed: reports are
+// old, and with equal weights all entry nodes overload the fastest upstreams.
 func (b *Balancer) evaluate(now time.Time, e *estimate, index int, c *Candidate, rank string) scoredCandidate {
 	if e == nil {
 		e = &estimate{slowdown: 1}
 	}
-	o := scoredCandidate{index: index, load: (e.ahead(now, rank) + 1) / e.slots(now, c), slowdown: e.currentSlowdown(now), ok: true}
-	o.score = o.load * o.slowdown * (1 + (shedPenalty-1)*decay(e.shedShare, now.Sub(e.shedAt), failureHalfLife))
+	n := e.slots(now, c)
+	o := scoredCandidate{index: index, load: (e.ahead(now, rank) + 1) / n, slowdown: e.relativeTime(now), ok: true}
+	o.score = timeAtLoad(max(o.load, e.busy(now))) * math.Sqrt(o.slowdown) * (1 + (shedPenalty-1)*decay(e.shedShare, now.Sub(e.shedAt), failureHalfLife))
 	return o
 }
 
@@ -157,3 +156,11 @@
 	}
 	return Choice{}, false
 }
+
+// timeAtLoad returns the expected time of a request at an upstream with the given load per
+// slot, relative to that at an idle one. Below noWaitLoad a request does not wait, so a lower
+// load is no advantage.
+func timeAtLoad(load float64) float64 {
+	x := max(0, load-noWaitLoad) / (1 - noWaitLoad)
+	return (1 + spreadWeight*min(load, 1) + fullSlotsWait*min(x, 1)*min(x, 1)) * max(1, load)
+}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -33,6 +33,13 @@
 	// bounds.
 	slowdownWeight = 0.1
 	maxSlowdown    = 20
+	// paceWeight is the weight of one report in the pace. paceHalfLife is the half-life
+	// with which the pace returns to 1 without reports: long against the time between
+	// two answers of one upstream to one entry node of a large fleet.
+	paceWeight   = 0.2
+	paceHalfLife = 30 * time.Second
+	// busyHalfLife is the half-life of the reported share of slots in use.
+	busyHalfLife = 3 * time.Second
 )
 
 // rankLoad is the load of an upstream as it affects one rank.
@@ -54,6 +61,9 @@
 	slowdown   float64 // latency relative to the mean over all upstreams; 1 is the mean
 	slowdownAt time.Time
 
+	pace   float64 // slot time relative to the mean over all upstreams, as reported
+	paceAt time.Time
+
 	failureShare   float64 // moving share of failures
 	failureShareAt time.Time
 
@@ -83,6 +93,29 @@
 	return 1 + decay(e.slowdown-1, now.Sub(e.slowdownAt), slowdownHalfLife)
 }
 
+// currentPace returns the reported pace at now, or 1 without reports.
+func (e *estimate) currentPace(now time.Time) float64 {
+	if e.paceAt.IsZero() {
+		return 1
+	}
+	return 1 + decay(e.pace-1, now.Sub(e.paceAt), paceHalfLife)
+}
+
+// relativeTime returns the expected time of a request relative to the mean over all
+// upstreams: the reported pace, or what this node observed if that is slower.
+func (e *estimate) relativeTime(now time.Time) float64 {
+	own := e.currentSlowdown(now)
+	if e.paceAt.IsZero() || own > 1 {
+		return max(own, e.currentPace(now))
+	}
+	return e.currentPace(now)
+}
+
+// busy returns the reported share of slots in use.
+func (e *estimate) busy(now time.Time) float64 {
+	return decay(e.load.Busy, now.Sub(e.loadAt), busyHalfLife)
+}
+
 // rankLoad returns the load of the named rank, adding it if missing.
 func (e *estimate) rankLoad(rank string) *rankLoad {
 	for i := range e.rankLoads {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -65,6 +65,11 @@
 	// failedShare is the share of failures and timeouts in a window from which the
 	// limit is halved.
 	failedShare = 0.5
+	// busyWeight is the weight of one request in the moving mean of the slots in use.
+	busyWeight = 0.05
+	// minReportedSamples is the number of requests of a route from which its mean slot
+	// time tells upstreams apart.
+	minReportedSamples = 8
 )
 
 // Start identifies a running request. Started returns it, Finished takes it.
@@ -89,6 +94,7 @@
 	routes         map[string]*route
 	window         window
 	probe          probe
+	busy           float64 // moving mean of the share of slots in use
 }
 
 // window counts the outcomes since its start.
@@ -167,8 +173,22 @@
 	return Start{at: now, inFlight: l.inFlight, route: r}
 }
 
+// SlotTime returns the moving mean of the time that requests of the named route hold a
+// slot, or zero if too few have completed.
+func (l *Limiter) SlotTime(name string) time.Duration {
+	r := l.routes[name]
+	if r == nil || r.n < minReportedSamples {
+		return 0
+	}
+	return time.Duration(r.meanTime * float64(time.Second))
+}
+
+// Busy returns the moving mean of the share of slots in use.
+func (l *Limiter) Busy() float64 { return l.busy }
+
 // Finished records the end of a request and updates the limit.
 func (l *Limiter) Finished(now time.Time, s Start, o Outcome) {
+	l.busy += (float64(l.inFlight)/float64(l.config.Slots) - l.busy) * busyWeight
 	l.inFlight = max(0, l.inFlight-1)
 	s.route.inFlight--
 	w := &l.window
--- a/internal/policybench/bounds_test.go
+++ b/internal/policybench/bounds_test.go
@@ -105,3 +105,27 @@
 		}
 	}
 }
+
+// Entry nodes of a large service must find the fast upstreams, although each of them sees
+// few answers of each, and must not overload them once most slots are in use.
+func TestFastUpstreamsOfALargeService(t *testing.T) {
+	for _, c := range []struct {
+		load float64
+		// lessLate is the least share of late calls that reports must avoid.
+		lessLate float64
+	}{{0.3, 0.2}, {0.5, 0.2}, {0.8, -0.1}} {
+		t.Run(fmt.Sprint("load ", c.load), func(t *testing.T) {
+			t.Parallel()
+			s := policybench.Large().WithLoad("level", c.load)
+			informed := policybench.Run(s, policybench.Production, 1).Rank("level")
+			blind := policybench.Run(s, policybench.Blind, 1).Rank("level")
+			got, want := 100-informed.InTarget(), (100-blind.InTarget())*(1-c.lessLate)
+			if got > want {
+				t.Errorf("got %.2f%% of the calls late, want at most %.2f%%: %.2f%% are late without reports", got, want, 100-blind.InTarget())
+			}
+			if got, want := informed.Refused, informed.Calls/1000; got > want {
+				t.Errorf("got %d of %d calls refused, want at most %d", got, informed.Calls, want)
+			}
+		})
+	}
+}
--- a/internal/policybench/owner.go
+++ b/internal/policybench/owner.go
@@ -191,6 +191,9 @@
 	if !o.lost {
 		l := o.scheduler.Load(o.sim.loop.now, t.call.work.Name)
 		r.load = &balance.Load{InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait}
+		if !o.sim.policy.blind {
+			r.load.SlotTime, r.load.Busy = o.limiter.SlotTime(t.call.work.Name), o.limiter.Busy()
+		}
 	}
 	o.sim.loop.after(t.latency, func() { o.sim.handleReply(t, r) })
 }
--- a/internal/policybench/policy.go
+++ b/internal/policybench/policy.go
@@ -20,6 +20,9 @@
 	// unboundedRetries retries without a budget, also after each target that passes
 	// without an answer.
 	unboundedRetries bool
+	// blind withholds from entry nodes what owner nodes measure of their upstreams
+	// over time: the slot time and the share of slots in use.
+	blind bool
 }
 
 // The compared policies.
@@ -27,13 +30,16 @@
 	Production = Policy{Name: "ours", adaptive: true, newScheduler: func(r []queue.Rank, n int) scheduler {
 		return queue.New(queue.Config{Ranks: r, Limit: n})
 	}}
+	Blind           = Policy{Name: "ours without slot times of owner nodes", adaptive: true, blind: true, newScheduler: Production.newScheduler}
 	FirstInFirstOut = Policy{Name: "first in, first out", newScheduler: newSimpleQueue(false)}
 	StrictPriority  = Policy{Name: "strict priority", newScheduler: newSimpleQueue(true)}
 	RoundRobin      = Policy{Name: "round robin, unbounded retries", roundRobin: true, unboundedRetries: true, newScheduler: newSimpleQueue(false)}
 )
 
 // Policies lists the compared policies.
-func Policies() []Policy { return []Policy{Production, FirstInFirstOut, StrictPriority, RoundRobin} }
+func Policies() []Policy {
+	return []Policy{Production, Blind, FirstInFirstOut, StrictPriority, RoundRobin}
+}
 
 // scheduler orders the requests of one upstream. queue.Queue implements it.
 type scheduler interface {
--- a/internal/policybench/scenario.go
+++ b/internal/policybench/scenario.go
@@ -54,6 +54,12 @@
 	// from the normal callers.
 	FloodCaller string
 	Fault       Fault
+	// Slowest is the slot time of the slowest upstream relative to the fastest; zero
+	// means that all are equal. The mean over all upstreams stays that of the workload.
+	Slowest float64
+	// OtherEntries is the number of entry nodes for each upstream besides its own node:
+	// those beside the upstreams of other services.
+	OtherEntries int
 	// WarmUp is the time with normal load before the flood and the measurement,
 	// Measured the duration of the measurement. A fault starts after a third of
 	// Measured and lasts for a third.
@@ -149,6 +155,31 @@
 	}
 }
 
+// Large returns a service of 96 upstreams with 16 slots each that differ in speed. An entry
+// node has about one request in three seconds for each upstream of its availability zone.
+func Large() Scenario {
+	return Scenario{
+		Name: "large 96×16", Workers: 96, Slots: 16, ZoneLatency: 1400 * time.Microsecond,
+		Zones: []string{"innsbruck-a", "innsbruck-b", "kufstein"},
+		Workloads: []Workload{
+			{rank("level", 1, time.Second, 0.4), 10, 3 * time.Second, 470 * time.Millisecond, 0.5, true},
+		},
+		Slowest: 2.4, OtherEntries: 2,
+		WarmUp: 10 * time.Second, Measured: 20 * time.Second,
+	}
+}
+
+// speedFactor returns the slot time of upstream i relative to the mean.
+func (s Scenario) speedFactor(i int) float64 {
+	if s.Slowest == 0 || s.Workers < 2 {
+		return 1
+	}
+	// The step spreads fast and slow upstreams over the zones.
+	const step = 37
+	position := float64(i*step%s.Workers) / float64(s.Workers-1)
+	return (1 + (s.Slowest-1)*position) * 2 / (1 + s.Slowest)
+}
+
 // Scenarios returns all scenarios of the table.
 func Scenarios() []Scenario {
 	var l []Scenario
@@ -171,6 +202,7 @@
 			s.WithFlood(low, 5).WithFault(Lost, "one node lost"),
 		)
 	}
+	l = append(l, Large())
 	alone := Pichler().WithRanks("level")
 	return append(l, alone, alone.WithFlood("level", 2), alone.WithFlood("level", 5))
 }
--- a/internal/policybench/sim.go
+++ b/internal/policybench/sim.go
@@ -105,18 +105,20 @@
 		o := &owner{
 			sim: m, name: name, zone: zone, scheduler: m.policy.newScheduler(ranks, s.Slots),
 			limiter:  limit.New(limit.Config{Slots: s.Slots}),
-			upstream: &upstream{loop: &m.loop, slots: s.Slots},
+			upstream: &upstream{loop: &m.loop, slots: s.Slots, factor: s.speedFactor(i)},
 			tries:    map[uint64]*try{},
 			usage:    map[string]*usage{},
 		}
 		m.owners[name] = o
 		m.names = append(m.names, name)
 		l = append(l, balance.Candidate{Name: name, Node: name, Zone: zone, Slots: s.Slots, State: wire.Serving})
-		m.entries = append(m.entries, &entry{
-			zone:     zone,
-			balancer: balance.New(balance.Config{Seed: seed + uint64(i)}),
-			budget:   retry.New(retry.Config{}),
-		})
+		for k := range 1 + s.OtherEntries {
+			m.entries = append(m.entries, &entry{
+				zone:     zone,
+				balancer: balance.New(balance.Config{Seed: seed + uint64(i+k*s.Workers)}),
+				budget:   retry.New(retry.Config{}),
+			})
+		}
 		if m.policy.adaptive {
 			o.updateLimit()
 		}
--- a/internal/policybench/upstream.go
+++ b/internal/policybench/upstream.go
@@ -16,6 +16,7 @@
 type upstream struct {
 	loop        *loop
 	slots       int
+	factor      float64 // slot time relative to the mean
 	running     int
 	queued      []*job
 	stalled     bool
@@ -27,6 +28,7 @@
 const failureLatency = time.Millisecond
 
 func (u *upstream) run(j *job) {
+	j.left = time.Duration(float64(j.left) * u.factor)
 	if u.failing {
 		j.left = failureLatency
 	}
--- a/internal/upstream/local.go
+++ b/internal/upstream/local.go
@@ -111,7 +111,7 @@
 	defer l.mu.RUnlock()
 	m := make(map[string]*wire.Load, len(l.workers))
 	for n, w := range l.workers {
-		m[n] = w.load(now, "")
+		m[n] = w.load(now, "", "")
 	}
 	return m
 }
@@ -123,7 +123,7 @@
 		l.mu.RLock()
 		w := l.workers[name]
 		l.mu.RUnlock()
-		if w == nil || w.load(time.Now(), "").InFlight == 0 {
+		if w == nil || w.load(time.Now(), "", "").InFlight == 0 {
 			return
 		}
 		select {
@@ -145,7 +145,7 @@
 		if !ok {
 			l = &call.LoadError{Err: err}
 		}
-		l.Load = w.load(time.Now(), r.Rank)
+		l.Load = w.load(time.Now(), r.Rank, r.Route)
 		return nil, l
 	}
 	return a, nil
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -165,7 +165,7 @@
 	}
 	n := *a
 	n.Body = call.ObserveBody(a.Body, func(err error) { w.release(id, s, outcomeOf(a.Head.Status, err)) })
-	n.Load = func() *wire.Load { return w.load(time.Now(), r.Rank) }
+	n.Load = func() *wire.Load { return w.load(time.Now(), r.Rank, r.Route) }
 	return &n, nil
 }
 
@@ -262,14 +262,15 @@
 	w.dispatch(now)
 }
 
-// load returns the load of the upstream as seen by requests of the given rank.
-func (w *worker) load(now time.Time, rank string) *wire.Load {
+// load returns the load of the upstream as seen by requests of the given rank and route.
+func (w *worker) load(now time.Time, rank, route string) *wire.Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l := w.queue.Load(now, rank)
 	return &wire.Load{
 		InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait,
-		Version: w.c.Table().Version(),
+		Version:  w.c.Table().Version(),
+		SlotTime: w.limiter.SlotTime(route), BusyPercent: int(100 * w.limiter.Busy()),
 	}
 }
 
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -87,4 +87,9 @@
 	QueueWait time.Duration `cbor:"4,keyasint"`
 	// Version is the configuration version in force at the owner node.
 	Version uint64 `cbor:"5,keyasint"`
+	// SlotTime is the moving mean of the time that requests of the answer's route hold
+	// a slot, over all entry nodes, or zero if unknown.
+	SlotTime time.Duration `cbor:"6,keyasint,omitempty"`
+	// BusyPercent is the moving mean of the slots in use, in percent.
+	BusyPercent int `cbor:"7,keyasint,omitempty"`
 }
