Keep the retry delay of an overloaded upstream after one that is gone

Cause: when the upstreams that are left refuse a request, the free tries go on to one that is gone, and its error, with a delay of at most 100 ms, replaced the refusal that says when there is a slot. Ruled out: that entry nodes prefer the upstream that is gone, and that others had slots; see docs/incidents/2026-12-05-callers-told-to-return-too-early.md. Change: an upstream that has left or cannot be reached does not replace an error that carries a retry delay.

--- a/internal/caller/pipelined_test.go
+++ b/internal/caller/pipelined_test.go
@@ -109,7 +109,7 @@
 }
 
 // pipeliningConfig returns a Config with the routes of pipelining to u.
-func pipeliningConfig(t *testing.T, u *slowUpstream) Config {
+func pipeliningConfig(t testing.TB, u *slowUpstream) Config {
 	t.Helper()
 	k := customer.NewConfig("pichler").
 		WithService(customer.Service{Name: "levels", Slots: 1, Connections: 1}).
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -77,7 +77,9 @@
 
 // recordFailure records a failed try and reports whether another one follows.
 func (p *dispatch) recordFailure(t try, err error) bool {
-	p.lastErr = mergeErrors(p.lastErr, err)
+	if !hasRetryDelay(p.lastErr) || !isStaleChoice(err) && !isUnreachable(err) {
+		p.lastErr = mergeErrors(p.lastErr, err)
+	}
 	if p.tried == nil {
 		p.tried = map[string]bool{}
 	}
@@ -185,6 +187,13 @@
 	return e.Kind == errkind.ConnectFailed && e.Execution == errkind.NotRun && !errors.As(err, &l)
 }
 
+// hasRetryDelay reports whether err states when a slot is likely to be free. The absence of
+// another upstream does not replace it: callers would return before there is a slot.
+func hasRetryDelay(err error) bool {
+	var l *call.LoadError
+	return errors.As(err, &l) && l.After > 0
+}
+
 // mergeErrors returns the error of a request whose latest try failed with err. Once
 // a try may have run, the request may have run, whatever the result of later tries.
 func mergeErrors(last, err error) error {
--- a/internal/router/failure_test.go
+++ b/internal/router/failure_test.go
@@ -20,11 +20,11 @@
 
 // scriptedTransport responds with the given statuses in order, and then with 200.
 // For the constants below it returns an error instead: the owner node or the upstream
-// has no capacity, the connection breaks after the request was sent, or the node
-// cannot be reached.
+// has no capacity, the connection breaks after the request was sent, the node cannot be
+// reached, or the upstream has left its node.
 type scriptedTransport struct{ statuses []int }
 
-const nodeBusy, connectionLost, upstreamBusy, unreachable = -1, -2, -3, -4
+const nodeBusy, connectionLost, upstreamBusy, unreachable, departed = -1, -2, -3, -4, -5
 
 func (a *scriptedTransport) Call(_ context.Context, r *call.Request) (*call.Response, error) {
 	s := 200
@@ -38,6 +38,8 @@
 		return nil, &call.LoadError{Arrived: true, Err: errkind.New(errkind.QueueFull, "busy")}
 	case connectionLost:
 		return nil, errkind.New(errkind.UpstreamFailed, "connection reset")
+	case departed:
+		return nil, errkind.New(errkind.Leaving, "not attached")
 	case unreachable:
 		return nil, errkind.New(errkind.ConnectFailed, "connection refused").WithExecution(errkind.NotRun)
 	}
@@ -115,6 +117,23 @@
 	}
 }
 
+// Guards that callers are told when an overloaded upstream has a slot for them, although
+// the upstream that was tried after it is gone. They would return too early.
+func TestRetryDelayOfAnOverloadedUpstream(t *testing.T) {
+	for name, gone := range map[string]int{"has left": departed, "cannot be reached": unreachable} {
+		for order, statuses := range map[string][]int{"last": {nodeBusy, gone}, "first": {gone, nodeBusy}} {
+			t.Run(name+" "+order, func(t *testing.T) {
+				r, m := twoUpstreams(&scriptedTransport{statuses: statuses}, true, customer.Once, 2)
+				_, err := send(t, r, m)
+				var l *call.LoadError
+				if !errors.As(err, &l) || l.After != 2*time.Second || errkind.From(err).Execution != errkind.NotRun {
+					t.Errorf("got %v, want not-run with a retry delay of 2s", err)
+				}
+			})
+		}
+	}
+}
+
 // Guards that requests that must not run twice are never retried after an upstream
 // has failed, and that others are not retried more often than their route and the
 // retry budget allow.
