Read the runs of the call chain under their lock in its test

The failing chain takes its whole deadline of 2 s. The last try of link 1 has 10 ms left; it was refused before, since its owner node knew a slot time of 17 ms, and now goes to another upstream, which runs it until the deadline. The caller is then answered while that run goes on. Ruled out: a request that was abandoned by a closed connection; the trace shows status 504 at the deadline. Change: the test takes the lock; its checks are the same.

--- a/internal/node/chain_test.go
+++ b/internal/node/chain_test.go
@@ -103,6 +103,9 @@
 		}
 		c.fail, c.runs = true, [chainLength + 1]int{}
 		equal(t, "complete answer", c.do("HTTP/1.1", "n1", "GET", "/link-1", nil).complete(), false)
+		// At the deadline, the caller is answered while the last run may still be in progress.
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		retries := 0
 		for i := 1; i <= chainLength; i++ {
 			if got, most := c.runs[i], 1+2*i; got > most {
