--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -30,7 +30,8 @@
 type testCase func(c *caseRun) ([]string, error)
 
 var cases = map[string]testCase{
-	"silent-control-connections": silentControlConnections,
+	"late-heartbeat-after-restart": lateHeartbeatAfterRestart,
+	"silent-control-connections":   silentControlConnections,
 }
 
 // caseRun is the environment of one run.
