Show that an upload reaches a draining worker late

A review case: a request that holds a slot waits for the first part of its body and is then sent, although the worker began to drain meanwhile.

--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]testCase{
 	"late-heartbeat-after-restart": lateHeartbeatAfterRestart,
 	"silent-control-connections":   silentControlConnections,
+	"slow-upload":                  slowUploadToDrainingWorker,
 }
 
 // caseRun is the environment of one run.
