--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -30,6 +30,7 @@
 type testCase func(c *caseRun) ([]string, error)
 
 var cases = map[string]testCase{
+	"encoded-path":                 encodedPath,
 	"late-heartbeat-after-restart": lateHeartbeatAfterRestart,
 	"silent-control-connections":   silentControlConnections,
 	"slow-upload":                  slowUploadToDrainingWorker,
