--- a/review/platform/late_heartbeat.go
+++ b/review/platform/late_heartbeat.go
@@ -20,6 +20,7 @@
 	services := []string{"trueque", "trueque", "catalogo"}
 	err := c.start(options{services: services, routes: []route{
 		{Name: "r-swap", Prefix: "/swap/", Kind: "non_idempotent", TimeoutMs: 1500, SloMs: 800, Service: "trueque", Attempts: 2},
+		{Name: "r-look", Prefix: "/look/", Kind: "idempotent", TimeoutMs: 1200, SloMs: 500, Service: "trueque", Attempts: 2},
 	}})
 	if err != nil {
 		return nil, err
@@ -31,7 +32,11 @@
 	streamed := make(chan struct{})
 	go func() {
 		defer close(streamed)
-		k.stream(25*time.Millisecond, stop, func() { k.send("POST", "/swap/", "swap", 3*time.Second) })
+		// The node tries an upstream that has just failed again with reads first.
+		k.stream(50*time.Millisecond, stop, func() {
+			k.send("GET", "/look/", "", 2500*time.Millisecond)
+			k.send("POST", "/swap/", "swap", 3*time.Second)
+		})
 	}()
 	time.Sleep(2 * time.Second)
 
