--- a/review/platform/machine.go
+++ b/review/platform/machine.go
@@ -19,7 +19,6 @@
 	drainBound        = 2 * time.Second
 	stabilityWindow   = 3 * time.Second
 	restartDelay      = 500 * time.Millisecond
-	configApplyBound  = 2 * time.Second
 )
 
 // machine is one machine with one process of the system.
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -31,7 +31,6 @@
 
 var cases = map[string]testCase{
 	"encoded-path":                 encodedPath,
-	"invalid-config":               invalidConfigs,
 	"late-heartbeat-after-restart": lateHeartbeatAfterRestart,
 	"silent-control-connections":   silentControlConnections,
 	"slow-upload":                  slowUploadToDrainingWorker,
