Show that uploads are passed on after their clients have left

A review case: an upload that waits for a slot is not read, so the close behind it is not seen, and it reaches a worker seconds later.

--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]testCase{
 	"encoded-path":                 encodedPath,
 	"late-heartbeat-after-restart": lateHeartbeatAfterRestart,
+	"left-upload":                  uploadOfClientThatLeft,
 	"silent-control-connections":   silentControlConnections,
 	"slow-upload":                  slowUploadToDrainingWorker,
 }
