Withdraw large uploads whose callers leave while they wait

Cause: a body above 64 KiB is read only once a node beside an upstream has admitted the request, and net/http watches a connection for its close only from the end of the body on. So nothing saw the close while the upload waited.

Ruled out: a slow cancellation between nodes; the logs show it 14 ms after the body was first read.

Change: the body is read ahead while the request waits, up to 512 KiB and within the memory for bodies; beyond that the kernel is asked for the close. A request that was read ahead, or that arrived together with the close, is not started any more, and a connection whose buffer is full is watched too.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -30,6 +30,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/priorwait"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
@@ -152,6 +153,8 @@
 	match     table.Match
 	// version is the version of the routing table that matched the request.
 	version uint64
+	// cancel ends the context of the request.
+	cancel func()
 	// upload is the request body, or nil for a request without one.
 	upload *upload
 	// reserved is the part of Handler.bufferedBytes that this request holds.
@@ -180,6 +183,10 @@
 		return
 	}
 	x.match = m
+	if k != nil && k.callerLeft() {
+		x.fail(errkind.New(errkind.Canceled, "caller closed the connection before the request was read").WithExecution(errkind.NotRun))
+		return
+	}
 	x.pipeline()
 	d, err := x.validate()
 	if err != nil {
@@ -255,6 +262,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.start.Add(d))
 	defer cancel()
+	x.cancel = cancel
 	defer context.AfterFunc(x.stopCtx, cancel)()
 	// Stops writing to a caller that does not read.
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.start.Add(d + writeGrace)) // unsupported only by test writers
@@ -269,6 +277,7 @@
 			u.finish()
 		}()
 	}
+	defer x.watchCaller()()
 	defer x.release()
 	if err := x.readBody(ctx, q); err != nil {
 		x.fail(err)
@@ -283,6 +292,26 @@
 	x.respond(a)
 }
 
+// watchCaller withdraws the request once the caller has closed the connection, until the
+// returned function is called. net/http does so only from the end of the request body on,
+// which is not read while a large body waits to be admitted.
+func (x *exchange) watchCaller() (stop func()) {
+	if x.upload == nil || x.conn == nil {
+		return func() {}
+	}
+	return wire.WatchPeerClosed(x.conn, func() { x.withdraw("connection was closed", nil) })
+}
+
+// withdraw cancels the request of a caller that has left.
+func (x *exchange) withdraw(reason string, err error) {
+	v := []any{"requestId", x.id, "route", x.match.Name, "tookMicros", time.Since(x.start).Microseconds(), "reason", reason}
+	if err != nil {
+		v = append(v, "cause", err.Error())
+	}
+	x.c.Log.Info("caller left", v...)
+	x.cancel()
+}
+
 func (x *exchange) run(ctx context.Context, q *call.Request) (*call.Response, error) {
 	if x.match.Route.Execution != customer.AtMostOnce {
 		return x.c.Router.Route(ctx, x.match, q)
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
 const (
@@ -37,6 +39,8 @@
 	// received returns when the request had arrived, which is before it was parsed if
 	// it was held until earlier ones were answered.
 	received() time.Time
+	// callerLeft reports whether the caller has closed the connection.
+	callerLeft() bool
 	// seal reports whether the response may close the connection, which it may unless
 	// later requests have been started. If it may, none will be.
 	seal() bool
@@ -196,7 +200,7 @@
 		return c.readErr
 	}
 	if len(c.held) >= maxHeldBytes {
-		c.cond.Wait()
+		c.awaitRoom()
 		return nil
 	}
 	if len(c.held) == 0 {
@@ -211,6 +215,18 @@
 	return err
 }
 
+// awaitRoom waits until held bytes have been taken or the caller closes the connection,
+// which no Read shows meanwhile.
+func (c *conn) awaitRoom() {
+	defer wire.WatchPeerClosed(c.Conn, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.readErr = io.EOF
+		c.cond.Broadcast()
+	})()
+	c.cond.Wait()
+}
+
 // receive reads from the caller without holding the lock. It returns 0 and no error if it
 // was woken.
 func (c *conn) receive(b []byte) (int, error) {
@@ -338,6 +354,13 @@
 	return c.arrived
 }
 
+// callerLeft implements requestConn.
+func (c *conn) callerLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readErr != nil || wire.PeerClosed(c.Conn)
+}
+
 // seal implements requestConn.
 func (c *conn) seal() bool {
 	c.mu.Lock()
@@ -378,6 +401,9 @@
 	return c.SetWriteDeadline(t)
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the write side. net/http calls it before it drains a connection.
 func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/caller/pipelined.go
+++ b/internal/caller/pipelined.go
@@ -175,6 +175,9 @@
 // received implements requestConn.
 func (p *pipelinedConn) received() time.Time { return p.arrived }
 
+// callerLeft implements requestConn.
+func (p *pipelinedConn) callerLeft() bool { return p.c.callerLeft() }
+
 // seal implements requestConn.
 func (p *pipelinedConn) seal() bool {
 	p.c.mu.Lock()
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -150,9 +150,24 @@
 		return errkind.New(errkind.TooLarge, "the body exceeds %d bytes, the limit on routes that run at most once", AtMostOnceBodyBytes)
 	}
 	q.WholeBody, q.Stream, q.ContentLength = false, u, size
+	x.readAhead(u, size)
 	return nil
 }
 
+// readAhead lets u, which has size bytes or an unknown number, be read while the request
+// waits for an owner node, if the memory for bodies allows. A caller that waits for 100
+// Continue sends nothing before.
+func (x *exchange) readAhead(u *upload, size int64) {
+	n := int64(maxReadAhead)
+	if size >= 0 {
+		n = min(n, size)
+	}
+	if x.conn == nil || x.r.ProtoMajor != 1 || x.r.Header.Get("Expect") != "" || !x.reserveMore(n) {
+		return
+	}
+	u.startReadAhead(int(n), func(err error) { x.withdraw("request body was cut off", err) })
+}
+
 // bufferBody reads up to limit+1 bytes, so that readBody can detect a longer body.
 func (x *exchange) bufferBody(ctx context.Context, u *upload, limit int64) ([]byte, error) {
 	size, capacity := x.r.ContentLength, x.r.ContentLength
@@ -182,6 +197,16 @@
 	return x.bufferedBytes.Add(n) <= x.c.MaxBodyBytes
 }
 
+// reserveMore counts another n bytes, if they are within the limit.
+func (x *exchange) reserveMore(n int64) bool {
+	if x.bufferedBytes.Add(n) > x.c.MaxBodyBytes {
+		x.bufferedBytes.Add(-n)
+		return false
+	}
+	x.reserved += n
+	return true
+}
+
 func (x *exchange) release() { x.bufferedBytes.Add(-x.reserved) }
 
 func remoteHost(r *http.Request) string {
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -45,6 +45,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection that c wraps.
+func (c *limitConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side. net/http calls it before it drains a connection.
 func (c *limitConn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
