Send no request to an upstream that was canceled before

Callers saw: a request of a caller that had left took a slot of an upstream all the same, if the cancellation arrived together with the request and an idle connection was at hand.

Cause: the worker of an upstream looked for the end of a request only while it waited for a slot or for a connection; with both at hand it was written first and canceled after.

Change: the end is looked for once more right before the request is written. The slot is given back and the error states not-run, which is true.

--- a/internal/upstream/retry_after_test.go
+++ b/internal/upstream/retry_after_test.go
@@ -20,15 +20,21 @@
 // startRefusing starts an upstream that refuses every request, and returns a Local for
 // it whose requests have a target of 400 ms.
 func startRefusing(t *testing.T) *Local {
+	return startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+}
+
+// startUpstream starts an upstream with four slots that runs h, and returns a Local for it
+// whose requests have a target of 400 ms.
+func startUpstream(t *testing.T, h http.HandlerFunc) *Local {
 	network := standin.NewNetwork()
 	l, err := network.Listen("u:80")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Not-Run", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	})}
+	s := &http.Server{Handler: h}
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	c := customer.NewConfig("pichler").
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -158,6 +158,10 @@
 			return nil, errkind.Wrap(err, call.ContextErrorKind(ctx, errkind.Canceled), "entry node did not send the body").WithExecution(errkind.NotRun)
 		}
 	}
+	if ctx.Err() != nil {
+		w.release(id, s, limit.Canceled)
+		return nil, errkind.New(call.ContextErrorKind(ctx, errkind.Canceled), "request ended before it was sent to the upstream").WithExecution(errkind.NotRun)
+	}
 	a, err := w.client.Do(ctx, r)
 	if err != nil {
 		w.release(id, s, outcomeOf(0, err))
