Receive bodies ahead at owner nodes, so that cancellations are seen

Callers saw: an upload that they had given up kept its slot at an upstream that did not read it, until its deadline.

Cause: drpc delivers one message at a time; while a chunk waits for the upstream nothing behind it is read, and neither the cancellation of the stream nor the close of the connection is seen.

Change: up to 8 chunks of 32 KiB are received before the upstream reads them. The bodies in flight are bounded by the slots of the upstream.

Test: TestCancellationBehindUnreadBody fails without the change (the request ended with its deadline after 10 s, want it canceled after 1 s).

--- a/internal/peer/chunks.go
+++ b/internal/peer/chunks.go
@@ -13,6 +13,10 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
+// maxChunksAhead is the number of chunks that are received before the upstream reads them.
+// Only the connection behind them shows that the entry node has canceled the request.
+const maxChunksAhead = 8
+
 var errBodyClosed = errors.New("request body is no longer read")
 
 // chunkReader reads a streamed request body. A goroutine receives the chunks, so
@@ -35,7 +39,7 @@
 }
 
 func newChunkReader(s drpc.Stream) *chunkReader {
-	return &chunkReader{stream: s, chunks: make(chan chunk), closed: make(chan struct{})}
+	return &chunkReader{stream: s, chunks: make(chan chunk, maxChunksAhead), closed: make(chan struct{})}
 }
 
 // admit allows the entry node to send the body and waits for the first chunk.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -282,3 +282,35 @@
 		}
 	})
 }
+
+// Guards against requests that go on at an owner node after the entry node has canceled
+// them: the cancellation lies behind a body that the upstream does not read.
+func TestCancellationBehindUnreadBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan error, 1)
+		c, _ := startServer(t, func(ctx context.Context, r *call.Request) (*call.Response, error) {
+			if err := r.OnAdmitted(); err != nil {
+				return nil, err
+			}
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return nil, ctx.Err()
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		start := time.Now()
+		_, err := c.Call(ctx, "owner:3", &call.Request{
+			RequestHead: wire.RequestHead{RequestID: "u", Method: "POST", Remaining: 10 * time.Second},
+			Stream:      io.NopCloser(zeros(200 << 10)),
+		})
+		if errkind.Of(err) != errkind.DeadlineExceeded {
+			t.Errorf("got %v, want the caller's deadline", err)
+		}
+		if got := <-ended; !errors.Is(got, context.Canceled) {
+			t.Errorf("the request ended with %v, want it canceled", got)
+		}
+		if got := time.Since(start); got > 1500*time.Millisecond {
+			t.Errorf("the request ended after %s, want it within half a second after the cancellation", got)
+		}
+	})
+}
