Count the time on the way between nodes against the deadline

Cause: the owner node took the time left from the request head as if it had just been sent. On a busy link the head waits for seconds, and its cancellation waits behind it.

Change: entry nodes stamp heads with their steady clock.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -23,12 +23,13 @@
 type Client struct {
 	pool           *wire.Pool
 	tcpUserTimeout time.Duration
+	clock          *sendClock
 }
 
 // NewClient returns a Client that connects with d. A connection fails if the node
 // does not acknowledge sent data within tcpUserTimeout.
 func NewClient(d wire.Dialer, tcpUserTimeout time.Duration) *Client {
-	return &Client{pool: wire.NewPool(wire.WithTCPUserTimeout(d, tcpUserTimeout)), tcpUserTimeout: tcpUserTimeout}
+	return &Client{pool: wire.NewPool(wire.WithTCPUserTimeout(d, tcpUserTimeout)), clock: newSendClock(), tcpUserTimeout: tcpUserTimeout}
 }
 
 // Close closes the idle connections.
@@ -44,7 +45,7 @@
 	}
 	x := &exchange{
 		ctx: ctx, request: r, head: r.RequestHead, body: r.Stream,
-		conn: conn, tcpUserTimeout: c.tcpUserTimeout, release: func(reusable bool) { c.pool.Put(address, conn, reusable) },
+		conn: conn, clock: c.clock, tcpUserTimeout: c.tcpUserTimeout, release: func(reusable bool) { c.pool.Put(address, conn, reusable) },
 	}
 	x.head.Remaining -= min(x.head.Remaining/deadlineMarginShare, maxDeadlineMargin)
 	if len(r.Body) > call.InlineBodyBytes {
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -25,6 +25,7 @@
 	head           wire.RequestHead
 	body           io.ReadCloser
 	conn           *drpcconn.Conn
+	clock          *sendClock
 	tcpUserTimeout time.Duration // that of the connection
 	stream         drpc.Stream
 	release        func(reusable bool)
@@ -60,6 +61,7 @@
 	x.stream = s
 	// With an inline body, the request may run as soon as the head arrives.
 	x.mayHaveRun = x.head.WholeBody
+	x.head.SendClock, x.head.SentAt = x.clock.now()
 	if err := s.MsgSend(&wire.ForwardRequest{Head: &x.head}, wire.Encoding{}); err != nil {
 		return nil, x.transportError(err, "send request")
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -22,6 +22,9 @@
 // addition to its other traffic. It sends nothing to its upstream before the first
 // chunk of such a body has arrived: until then, the entry node may have given up and
 // reported that the request did not run.
+//
+// The time that a request was on the way counts against its deadline: it may have waited
+// for a busy link, with its cancellation behind it. See transitEstimator.
 package peer
 
 import (
@@ -50,6 +53,7 @@
 type Server struct {
 	c         ServerConfig
 	transfers *transferLimiter
+	transit   *transitEstimator
 	mu        sync.Mutex // orders startRequest and Refuse
 	refusing  bool
 	inFlight  sync.WaitGroup
@@ -57,7 +61,7 @@
 
 // NewServer returns a Server.
 func NewServer(c ServerConfig) *Server {
-	return &Server{c: c, transfers: newTransferLimiter(maxTransfersOn(c.LinkMbps))}
+	return &Server{c: c, transfers: newTransferLimiter(maxTransfersOn(c.LinkMbps)), transit: newTransitEstimator()}
 }
 
 // Register serves Forward streams on m.
@@ -104,8 +108,11 @@
 	if q.Head == nil {
 		return send(s, refusal(errkind.New(errkind.BadRequest, "stream does not start with a request head")))
 	}
+	delay := p.transit.observe(time.Now(), q.Head.SendClock, q.Head.SentAt)
+	q.Head.Remaining -= delay
+	q.Head.Waited += delay
 	if q.Head.Remaining <= 0 {
-		return send(s, refusal(errkind.New(errkind.DeadlineTooShort, "no time is left")))
+		return send(s, refusal(errkind.New(errkind.DeadlineTooShort, "no time is left after %s on the way", delay.Round(time.Millisecond))))
 	}
 	if err := p.startRequest(); err != nil {
 		return send(s, refusal(err))
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -40,6 +40,10 @@
 	// Waited is the time since the caller first sent the request, earlier attempts
 	// included, as far as it is known.
 	Waited time.Duration `cbor:"20,keyasint,omitempty"`
+	// SendClock identifies a steady clock of the entry node, and SentAt is the time on it
+	// at which the head was sent.
+	SendClock uint64        `cbor:"21,keyasint,omitempty"`
+	SentAt    time.Duration `cbor:"22,keyasint,omitempty"`
 }
 
 // ForwardResponse is a message from the owner node: Admitted if it expects the body,
