Send only bodies up to 16 KiB along with the request head

Callers saw: with an overloaded archive, lookups reached its owner nodes up to 4.56 s late, and 3,157 of 6,015 alarm acknowledgements that needed them failed.

Cause: a body up to 32 KiB was sent with the head to one owner node after the other, although each refused it. About a quarter of the uploads is that small, and in an overload they filled the links of the nodes that get them.

Change: bodies above 16 KiB wait for their admission. Most other requests still travel in one message.

Test: TestRefusedBodiesAreNotSent fails without the change (25,683 bytes sent, want at most 1 KiB).

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -27,8 +27,9 @@
 	// so that it can be sent again.
 	WholeBodyBytes = 64 << 10
 	// InlineBodyBytes is the size of the largest body that is sent along with the
-	// request head, before the owner node has admitted the request.
-	InlineBodyBytes = 32 << 10
+	// request head, before the owner node has admitted the request. Nodes that refuse a
+	// request have received such a body for nothing.
+	InlineBodyBytes = 16 << 10
 	// ChunkBytes is the size of one chunk of a streamed body.
 	ChunkBytes = 32 << 10
 )
--- a/internal/peer/transfers_test.go
+++ b/internal/peer/transfers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -183,3 +184,27 @@
 		}
 	}
 }
+
+// Guards against bodies that take the link of one owner node after the other although
+// these refuse them: nothing of a body is sent before the request has been admitted.
+func TestRefusedBodiesAreNotSent(t *testing.T) {
+	for _, size := range []int{call.InlineBodyBytes + 1, 25 << 10, 60 << 10} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &link{}
+				c := startServerOverLink(t, l, func(context.Context, *call.Request) (*call.Response, error) {
+					return nil, errkind.New(errkind.QueueFull, "no slot")
+				})
+				_, err := c.Call(t.Context(), "owner:3", &call.Request{RequestHead: wire.RequestHead{
+					RequestID: "r", Method: "POST", Remaining: time.Second, WholeBody: true, Body: make([]byte, size), ContentLength: int64(size),
+				}})
+				if errkind.Of(err) != errkind.QueueFull {
+					t.Errorf("got %v, want the refusal", err)
+				}
+				if got := l.sent.Load(); got > 1<<10 {
+					t.Errorf("sent to the owner node: got %d bytes, want at most 1 KiB", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/peer/transit_test.go
+++ b/internal/peer/transit_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/standin"
-	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 // link carries the bytes of the connections that it wraps after a delay.
