Admit the next body while the rest of one arrives

Cause: on a thin link one body is admitted at a time, the next one only after its last chunk, so that a round trip passes without bodies.

Change: the next one is admitted once at most 32 KiB of each that may arrive are due. A body of unknown length counts until its end, as before.

Test: TestNextBodyIsAdmittedBeforeTheEnd.

--- a/internal/peer/chunks.go
+++ b/internal/peer/chunks.go
@@ -29,6 +29,8 @@
 	next   chunk
 	// ended is set once the complete body has been read.
 	ended atomic.Bool
+	// onChunk is called with the size of each chunk that has been received.
+	onChunk func(n int)
 	// onEnd is called once no more of the body will be received.
 	onEnd func()
 }
@@ -50,6 +52,7 @@
 	go func() {
 		for {
 			k := c.receive()
+			c.onChunk(len(k.data))
 			if k.err != nil {
 				c.onEnd()
 			}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -136,14 +136,14 @@
 // capacity for it.
 func (p *Server) serveLarge(ctx context.Context, s drpc.Stream, r *call.Request) error {
 	started := time.Now()
-	t, err := p.transfers.acquire(ctx, r.Remaining)
+	t, err := p.transfers.acquire(ctx, r.Remaining, r.ContentLength)
 	if err != nil {
 		return send(s, refusal(err))
 	}
 	defer t.release()
 	r.Waited += time.Since(started)
 	c := newChunkReader(s)
-	c.onEnd = t.release
+	c.onChunk, c.onEnd = t.received, t.release
 	defer c.Close()
 	r.Stream = c
 	r.OnAdmitted = func() error { t.start(); return c.admit(ctx) }
--- a/internal/peer/transfers.go
+++ b/internal/peer/transfers.go
@@ -25,6 +25,9 @@
 	maxTransferTime = time.Second
 	// transferSmoothing is the weight of a new measurement in the moving averages.
 	transferSmoothing = 0.1
+	// overlapBytes is how much of a body may still be due, for each that may arrive, when
+	// the next one is admitted. It covers the round trip until that one arrives.
+	overlapBytes = call.ChunkBytes
 	// minTransferRetry is the shortest retry delay for a refused body.
 	minTransferRetry = 50 * time.Millisecond
 )
@@ -44,6 +47,7 @@
 	mu           sync.Mutex
 	limit        int
 	running      int
+	due          int64       // bytes of the running transfers that have not arrived
 	waiting      []*transfer // first come, first served
 	meanTransfer float64     // moving average, seconds from the admission to the last chunk
 	meanService  float64     // moving average, seconds from the grant to the response
@@ -57,16 +61,19 @@
 	started   time.Time
 	timer     *time.Timer
 	once      sync.Once
+	released  bool
+	due       int64 // bytes that have not arrived; of an unknown number, all until the end
 }
 
 func newTransferLimiter(limit int) *transferLimiter {
 	return &transferLimiter{limit: limit, meanTransfer: initialTransferTime.Seconds()}
 }
 
-// acquire returns once the body may be sent. It refuses a request at once if its
-// body cannot be received and the request answered within the remaining time.
-func (g *transferLimiter) acquire(ctx context.Context, remaining time.Duration) (*transfer, error) {
-	t, wait := g.enqueue(remaining)
+// acquire returns once a body of the given size, or of an unknown one, may be sent. It
+// refuses a request at once if its body cannot be received and the request answered within
+// the remaining time.
+func (g *transferLimiter) acquire(ctx context.Context, remaining time.Duration, size int64) (*transfer, error) {
+	t, wait := g.enqueue(remaining, size)
 	if t == nil {
 		return nil, &call.LoadError{
 			Err:   errkind.New(errkind.QueueFull, "the link is busy for %s with the bodies of other requests", wait.Round(time.Millisecond)),
@@ -83,14 +90,17 @@
 }
 
 // enqueue returns nil and the predicted wait if that is too long.
-func (g *transferLimiter) enqueue(remaining time.Duration) (*transfer, time.Duration) {
+func (g *transferLimiter) enqueue(remaining time.Duration, size int64) (*transfer, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wait := g.predictWait()
 	if wait+time.Duration(max(g.meanTransfer, g.meanService)*float64(time.Second)) > remaining {
 		return nil, wait
 	}
-	t := &transfer{limiter: g, granted: make(chan struct{})}
+	t := &transfer{limiter: g, granted: make(chan struct{}), due: size}
+	if size <= 0 {
+		t.due = unknownSize
+	}
 	g.waiting = append(g.waiting, t)
 	g.grantWaiting()
 	return t, 0
@@ -109,11 +119,15 @@
 	return time.Duration(g.meanTransfer * float64(time.Second))
 }
 
+// unknownSize stands for the size of a body without a length. Many of them can be added.
+const unknownSize = 1 << 40
+
 func (g *transferLimiter) grantWaiting() {
-	for g.running < g.limit && len(g.waiting) > 0 {
+	for len(g.waiting) > 0 && (g.running < g.limit || g.due < int64(g.limit)*overlapBytes) {
 		t := g.waiting[0]
 		g.waiting = slices.Delete(g.waiting, 0, 1)
 		g.running++
+		g.due += t.due
 		t.grantedAt = time.Now()
 		close(t.granted)
 	}
@@ -127,6 +141,20 @@
 	t.timer = time.AfterFunc(maxTransferTime, t.release)
 }
 
+// received records that n bytes of the body have arrived.
+func (t *transfer) received(n int) {
+	g := t.limiter
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.released || t.due >= unknownSize {
+		return
+	}
+	k := min(int64(n), t.due)
+	t.due -= k
+	g.due -= k
+	g.grantWaiting()
+}
+
 // recordResponse updates meanService once the upstream has responded.
 func (t *transfer) recordResponse() {
 	t.limiter.mu.Lock()
@@ -145,7 +173,9 @@
 			g.waiting = slices.Delete(g.waiting, i, i+1)
 			return
 		}
+		t.released = true
 		g.running--
+		g.due -= t.due
 		if t.timer != nil {
 			t.timer.Stop()
 			g.meanTransfer += (time.Since(t.started).Seconds() - g.meanTransfer) * transferSmoothing
--- a/internal/peer/transfers_test.go
+++ b/internal/peer/transfers_test.go
@@ -117,6 +117,54 @@
 	})
 }
 
+// Guards against a link that stands idle between two bodies, and against one that carries
+// more than a chunk beside a body: small requests would wait behind it.
+func TestNextBodyIsAdmittedBeforeTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTransferLimiter(1)
+		acquire := func(size int64) chan *transfer {
+			c := make(chan *transfer, 1)
+			go func() {
+				k, err := g.acquire(t.Context(), time.Hour, size)
+				if err != nil {
+					t.Errorf("acquire: %v", err)
+				}
+				c <- k
+			}()
+			synctest.Wait()
+			return c
+		}
+		granted := func(name string, c chan *transfer, want bool) {
+			t.Helper()
+			synctest.Wait()
+			if got := len(c) == 1; got != want {
+				t.Errorf("%s: admitted: got %v, want %v", name, got, want)
+			}
+		}
+		first := <-acquire(60 << 10)
+		second, third := acquire(20<<10), acquire(20<<10)
+		granted("60 KiB of the first are due", second, false)
+		first.received(20 << 10)
+		granted("40 KiB of the first are due", second, false)
+		first.received(20 << 10)
+		granted("20 KiB of the first are due", second, true)
+		granted("40 KiB of two are due", third, false)
+		first.release()
+		granted("20 KiB of the second are due", third, true)
+		(<-second).release()
+		(<-third).release()
+		unknown := <-acquire(-1)
+		last := acquire(10 << 10)
+		unknown.received(1 << 20)
+		granted("an unknown number is due", last, false)
+		unknown.release()
+		granted("nothing is due", last, true)
+		if got := g.due; got != 10<<10 {
+			t.Errorf("bytes due: got %d, want 10 KiB", got)
+		}
+	})
+}
+
 // Guards that a body that cannot arrive in time is refused at once as not-run, with a
 // retry delay, and that it does not count towards the limit afterwards.
 func TestLargeBodyWithoutTime(t *testing.T) {
