--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -137,6 +138,73 @@
 	})
 }
 
+// Guards against requests that are passed on late in a stop and cut off at its end. Their
+// callers use connections that were open before; each request gets its answer or is not
+// passed on.
+func TestLateRequestsOfStoppingNode(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// before is the number of requests sent when the stop begins, and after when the
+		// late one is sent.
+		before int
+		after  time.Duration
+	}{
+		{"connected before", 0, 4 * time.Second},
+		{"connected before, at once", 0, 100 * time.Millisecond},
+		{"behind a request in progress", 1, 500 * time.Millisecond},
+		{"after a request in progress", 1, 1200 * time.Millisecond},
+		{"behind several requests in progress", 3, 700 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, "n2")
+				m.stopLimit = 6 * time.Second
+				m.start("n1")
+				var ran atomic.Int64
+				m.serve("n2", "n2-up", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					ran.Add(1)
+					time.Sleep(time.Second)
+					io.WriteString(w, "ok")
+				}))
+				c, err := m.net.Dial(t.Context(), "n1:1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				send := func() { fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: %s\r\n\r\n", host) }
+				answered := make(chan int64)
+				go func() {
+					n, r := int64(0), bufio.NewReader(c)
+					for ; ; n++ {
+						a, err := http.ReadResponse(r, nil)
+						if err != nil {
+							break
+						}
+						if b, err := io.ReadAll(a.Body); err != nil || string(b) != "ok" {
+							t.Errorf("got status %d, %q, %v, want the upstream's answer", a.StatusCode, b, err)
+						}
+					}
+					answered <- n
+				}()
+				for range tt.before {
+					go send()
+				}
+				time.Sleep(10 * time.Millisecond)
+				stopped := make(chan error, 1)
+				go func() { stopped <- m.stops["n1"]() }()
+				time.Sleep(tt.after)
+				go send()
+				if err := <-stopped; err != nil {
+					t.Error(err)
+				}
+				if got, want := <-answered, ran.Load(); got != want {
+					t.Errorf("got %d answers, want one for each of the %d requests that were passed on", got, want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a node without callers that stops before it has finished the
 // requests that other nodes sent to its upstream.
 func TestStopWaitsForOtherNodes(t *testing.T) {
