--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -12,6 +12,10 @@
 // the first is answered run at the same time, up to 16 for each connection and MaxPipelined
 // for the node; see conn for the rule and its reason.
 //
+// A request is withdrawn once its caller closes the connection or its sending side. To see
+// that, a large body is read ahead while the request waits for an owner node; where that
+// does not reach the end of the body, the kernel is asked for the close.
+//
 // Every error response that the node itself sends has the header
 // Gooseberrypick-Execution and a JSON body. The exceptions are the responses of
 // net/http to messages that are not HTTP and to headers above 64 KiB.
