Leave half of the memory for bodies to those that must be buffered

Callers would see: in a flood of uploads small requests are refused, because the uploads that wait are read ahead into the same 32 MiB.

Cause: reading ahead, which is new, could take all of the limit for bodies.

Test: TestReadAheadLeavesRoomForOtherBodies fails without the change (1 request started, want 2).

Result: the tests of internal/caller and internal/node pass.

--- a/internal/caller/leave_test.go
+++ b/internal/caller/leave_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -116,6 +117,29 @@
 	})
 }
 
+// Guards against small bodies that are refused because uploads that wait are read ahead.
+func TestReadAheadLeavesRoomForOtherBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := standin.NewNetwork(), newWaitingRouter()
+		l, _ := n.Listen("node:1")
+		serve(t, l, 2, Config{Router: r, MaxBodyBytes: 100_000})
+		for _, size := range []int{90_000, 20_000} {
+			c, err := n.Dial(t.Context(), "node:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			go fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nGooseberrypick-Deadline: 5s\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+			go io.Copy(io.Discard, c)
+			synctest.Wait()
+		}
+		if got := len(r.started); got != 2 {
+			t.Errorf("got %d requests started, want the upload and the small one", got)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Guards that a request whose caller stays is not taken for one whose caller has left.
 func TestCallerStaysWhileRequestWaits(t *testing.T) {
 	l, r := listenTCP(t), newWaitingRouter()
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -162,7 +162,7 @@
 	if size >= 0 {
 		n = min(n, size)
 	}
-	if x.conn == nil || x.r.ProtoMajor != 1 || x.r.Header.Get("Expect") != "" || !x.reserveMore(n) {
+	if x.conn == nil || x.r.ProtoMajor != 1 || x.r.Header.Get("Expect") != "" || !x.reserveAhead(n) {
 		return
 	}
 	u.startReadAhead(int(n), func(err error) { x.withdraw("request body was cut off", err) })
@@ -197,9 +197,10 @@
 	return x.bufferedBytes.Add(n) <= x.c.MaxBodyBytes
 }
 
-// reserveMore counts another n bytes, if they are within the limit.
-func (x *exchange) reserveMore(n int64) bool {
-	if x.bufferedBytes.Add(n) > x.c.MaxBodyBytes {
+// reserveAhead counts another n bytes that are read ahead, if they leave half of the limit
+// for bodies that have to be buffered.
+func (x *exchange) reserveAhead(n int64) bool {
+	if x.bufferedBytes.Add(n) > x.c.MaxBodyBytes/2 {
 		x.bufferedBytes.Add(-n)
 		return false
 	}
--- a/internal/caller/upload.go
+++ b/internal/caller/upload.go
@@ -13,7 +13,7 @@
 )
 
 // maxReadAhead bounds the part of a body that is read before it is asked for. It is more
-// than most bodies have, and allows 85 of them within MaxBodyBytes.
+// than most bodies have, and allows 42 of them within half of MaxBodyBytes.
 const maxReadAhead = 384 << 10
 
 var errUploadEnded = errors.New("the request ended before its body was read")
