Check API keys and share slots between accounts

Change: accounts are resources of a configuration. Nodes know digests of keys only, answer 401 before the body is read, and pass on the name of the account. The order of an account goes before that of the route. The queue of an upstream shares slots between callers by weight, which is the limit of an account. The limits for callers are a resource too; nodes do not follow them yet.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -192,6 +192,10 @@
 		return
 	}
 	x.pipeline()
+	if err := x.authenticate(t); err != nil {
+		x.fail(err)
+		return
+	}
 	d, err := x.validate()
 	if err != nil {
 		x.fail(err)
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -16,6 +16,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
+	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -63,6 +64,24 @@
 	return x.deadline()
 }
 
+// authenticate finds the account of the caller's API key. The key is removed from the
+// request, so that it ends at this node. More than one key counts as an unknown one.
+func (x *exchange) authenticate(t *table.Table) error {
+	h, name := x.r.Header, x.c.Dialect.Credential
+	key := ""
+	if l := h[name]; len(l) == 1 {
+		key = l[0]
+	}
+	delete(h, name)
+	delete(h, x.c.Dialect.Account)
+	m, ok := t.Authenticate(x.match, key)
+	if !ok {
+		return errkind.New(errkind.Unauthorized, "route %q needs the API key of an account in %s", m.Name, name)
+	}
+	x.match = m
+	return nil
+}
+
 func hasDotSegments(path string) bool {
 	if !strings.Contains(path, "/.") {
 		return false
@@ -100,13 +119,19 @@
 
 func (x *exchange) newRequest() *call.Request {
 	r, m := x.r, x.match
+	flow := remoteHost(r)
+	if m.Account.Name != "" {
+		flow = m.Account.Name
+	}
 	return &call.Request{FirstSent: x.firstSent, RequestHead: wire.RequestHead{
 		RequestID:     x.id,
 		Origin:        x.c.Origin,
 		Customer:      m.Customer,
 		Service:       m.Route.Service,
 		Rank:          m.Rank.Name,
-		Caller:        remoteHost(r),
+		Caller:        flow,
+		Weight:        m.Weight,
+		Account:       m.Account.Name,
 		Attempt:       inboundAttempt(r, x.c.Dialect),
 		Version:       x.version,
 		Execution:     string(m.Route.Execution),
--- a/internal/commands/plan.go
+++ b/internal/commands/plan.go
@@ -48,7 +48,10 @@
 	for _, l := range []struct {
 		name string
 		d    operator.Difference
-	}{{"Services", p.Services}, {"Ranks", p.Ranks}, {"Routes", p.Routes}} {
+	}{{"Services", p.Services}, {"Ranks", p.Ranks}, {"Accounts", p.Accounts}, {"Routes", p.Routes}} {
+		if l.d.Empty() && l.name == "Accounts" {
+			continue // most customers have none
+		}
 		if l.d.Empty() {
 			fmt.Fprintf(w, "%s: no change\n", l.name)
 			continue
@@ -58,7 +61,7 @@
 		writeChanges(w, l.d)
 		writeNames(w, "-", l.d.Removed)
 	}
-	if p.Newest != 0 && p.Services.Empty() && p.Ranks.Empty() && p.Routes.Empty() {
+	if p.Newest != 0 && p.Services.Empty() && p.Ranks.Empty() && p.Accounts.Empty() && p.Routes.Empty() {
 		fmt.Fprint(w, "\nThe file changes nothing that is in force.\n")
 	}
 	fmt.Fprintf(w, "\nBase: %d\nTo accept:\n  %s\n", p.Base, next)
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -42,6 +42,9 @@
 // IsCurrent implements configSource.
 func (c *configStore) IsCurrent() bool { return c.group.Status().Current }
 
+// Leader implements configSource.
+func (c *configStore) Leader() string { return c.group.Status().Leader.Name }
+
 // Members implements configSource.
 func (c *configStore) Members() []wire.RaftMember { return c.group.Status().Members }
 
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -56,8 +56,9 @@
 	m.HandleStream(wire.MethodSubscribe, f.streams.Subscribe)
 	wire.HandleUnary(m, wire.MethodRegistrySync, f.registrySync.handleSync)
 	wire.HandleUnary(m, wire.MethodControlState, func(context.Context, *wire.Empty) (*wire.ControlState, error) {
+		leader, _ := f.directory.address(f.source.Leader()) // empty if unknown
 		return &wire.ControlState{
-			Lineage: f.source.Lineage(), Committed: f.source.Current().Version(), Current: f.source.IsCurrent(),
+			Lineage: f.source.Lineage(), Committed: f.source.Current().Version(), Current: f.source.IsCurrent(), Leader: leader,
 		}, nil
 	})
 }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -35,6 +35,7 @@
 
 func (s *testSource) Lineage() string { return s.lineage.Load().(string) }
 func (s *testSource) IsCurrent() bool { return s.current.Load() }
+func (s *testSource) Leader() string  { return "" }
 
 func (s *testSource) Members() []wire.RaftMember { return nil }
 
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -44,6 +44,8 @@
 	Lineage() string
 	// IsCurrent reports whether this member is in contact with a majority of the members.
 	IsCurrent() bool
+	// Leader returns the name of the leader, or an empty string.
+	Leader() string
 	// Members returns the membership of the config group.
 	Members() []wire.RaftMember
 	ReadBarrier(ctx context.Context) error
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -21,6 +21,8 @@
 	HeaderRequestID = "Gooseberrypick-Request-Id"
 	HeaderAttempt   = "Gooseberrypick-Attempt"
 	HeaderExecution = "Gooseberrypick-Execution"
+	HeaderKey       = "Gooseberrypick-Key"
+	HeaderAccount   = "Gooseberrypick-Account"
 	// ReservedPrefix is the prefix of all headers of the default dialect.
 	ReservedPrefix = "Gooseberrypick-"
 )
@@ -48,6 +50,12 @@
 	// Caller is the header that tells an upstream the service of the VM that originated
 	// the request.
 	Caller string
+	// Credential is the header with the API key of the caller's account. It is not passed
+	// on.
+	Credential string
+	// Account is the header that tells an upstream the account of the caller, whatever the
+	// caller sent in it.
+	Account string
 	// ExpectedInstance is the header with the name of the only upstream that may run the
 	// request.
 	ExpectedInstance string
@@ -83,6 +91,8 @@
 		},
 		Attempt:        HeaderAttempt,
 		Execution:      HeaderExecution,
+		Credential:     HeaderKey,
+		Account:        HeaderAccount,
 		ReservedPrefix: ReservedPrefix,
 		FormatRetryAfter: func(d time.Duration) string {
 			return strconv.Itoa(int(max(1, (d+time.Second-1)/time.Second)))
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -277,6 +277,16 @@
 	return l
 }
 
+// Controls returns the addresses of all controls, the connected one first and the others
+// in random order.
+func (n *Client) Controls() []string {
+	l := n.shuffledControls()
+	if i := slices.Index(l, n.Control()); i > 0 {
+		l[0], l[i] = l[i], l[0]
+	}
+	return l
+}
+
 // SetControls replaces the configured controls. An open stream is not closed.
 func (n *Client) SetControls(l []string) {
 	n.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,7 @@
 	peerServer    *peer.Server
 	claims        *idempotency.Client
 	controls      *controls
+	leader        *leaderClient
 	metrics       *nodeMetrics
 	ranks         *rankstats.Counters
 	router        *router.Router
@@ -161,6 +162,7 @@
 	n.peers = peer.NewClient(peerDialer, wire.LinkTCPUserTimeout(c.Settings.LinkMbps))
 	n.peerServer = peer.NewServer(peer.ServerConfig{Transport: n.local, LinkMbps: c.Settings.LinkMbps})
 	n.controls = &controls{pool: wire.NewPool(peerDialer), addresses: c.Settings.Control, preferred: n.distribution.Control}
+	n.leader = &leaderClient{pool: n.controls.pool, controls: n.distribution.Controls}
 	n.claims = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
 	n.newServers(now)
 	return n, nil
--- a/internal/operator/convert.go
+++ b/internal/operator/convert.go
@@ -67,11 +67,14 @@
 		}
 	}
 	lists := map[customer.ResourceKind]*Difference{
-		customer.KindService: &p.Services, customer.KindRank: &p.Ranks, customer.KindRoute: &p.Routes,
+		customer.KindService: &p.Services, customer.KindRank: &p.Ranks, customer.KindAccount: &p.Accounts, customer.KindRoute: &p.Routes,
 	}
 	d := customer.Diff(old, c)
 	for _, r := range d.Upsert {
 		l := lists[r.Kind]
+		if l == nil {
+			continue // only whole configurations have limits
+		}
 		if known[[2]string{string(r.Kind), r.Name}] {
 			l.Changed = append(l.Changed, r.Name)
 			l.Values = append(l.Values, changedValues(r, old, c)...)
@@ -80,7 +83,9 @@
 		}
 	}
 	for _, r := range d.Remove {
-		lists[r.Kind].Removed = append(lists[r.Kind].Removed, r.Name)
+		if l := lists[r.Kind]; l != nil {
+			l.Removed = append(l.Removed, r.Name)
+		}
 	}
 	for _, l := range lists {
 		slices.Sort(l.Removed)
@@ -101,13 +106,15 @@
 	return l
 }
 
-// resourceValue returns the service, rank or route of c that r names.
+// resourceValue returns the service, rank, account or route of c that r names.
 func resourceValue(c *customer.Config, r customer.Resource) (v any) {
 	switch r.Kind {
 	case customer.KindService:
 		v, _ = c.Service(r.Name)
 	case customer.KindRank:
 		v, _ = c.Rank(r.Name)
+	case customer.KindAccount:
+		v, _ = c.Account(r.Name)
 	case customer.KindRoute:
 		v, _ = c.Route(r.Name)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -112,6 +112,7 @@
 	Newest   uint64
 	Services Difference
 	Ranks    Difference
+	Accounts Difference
 	Routes   Difference
 }
 
--- a/internal/queue/doc.go
+++ b/internal/queue/doc.go
@@ -11,7 +11,8 @@
 //     slots free for the recent demand of the ranks above it (headroom), but
 //     only where its running requests would delay the urgent rank beyond its
 //     target.
-//  3. Within a rank, callers share slot time equally.
+//  3. Within a rank, callers share slot time in proportion to their weights, so that
+//     the burst of one caller does not take what the others need.
 //  4. Requests that can no longer be answered within the target of their rank,
 //     counted from their caller's first attempt, wait in the rank's late queue,
 //     which is served after the on-time requests of all ranks. Requests that can
--- a/internal/queue/fair_queue.go
+++ b/internal/queue/fair_queue.go
@@ -18,6 +18,13 @@
 	prev, next *item
 }
 
+func (it *item) weight() float64 {
+	if it.Weight > 0 {
+		return it.Weight
+	}
+	return 1
+}
+
 // flow holds the waiting requests of one caller in one fairQueue, in arrival order.
 type flow struct {
 	caller     string
@@ -25,6 +32,7 @@
 	n          int
 	running    int
 	work       float64
+	weight     float64
 	// tag is the start tag of the caller's next request: the virtual time up to
 	// which the caller has used its share.
 	tag              float64
@@ -62,7 +70,10 @@
 	}
 }
 
-// fairQueue shares slot time equally between callers by start-time fair queueing.
+// excess returns the number of waiting requests for each unit of weight.
+func (f *flow) excess() float64 { return float64(f.n) / f.weight }
+
+// fairQueue shares slot time between callers by weighted start-time fair queueing.
 type fairQueue struct {
 	late      bool
 	flows     map[string]*flow
@@ -71,6 +82,7 @@
 	virtual   float64
 	waiting   int
 	work      float64
+	weights   float64 // sum over the flows with waiting requests
 }
 
 func newFairQueue(late bool) *fairQueue {
@@ -88,8 +100,8 @@
 		},
 		byWaiting: heap[*flow]{
 			less: func(a, b *flow) bool {
-				if a.n != b.n {
-					return a.n > b.n
+				if x, y := a.excess(), b.excess(); x != y {
+					return x > y
 				}
 				return a.caller < b.caller
 			},
@@ -105,6 +117,9 @@
 		l.flows[it.Caller] = f
 	}
 	it.queue, it.flow = l, f
+	if f.n == 0 {
+		f.weight = it.weight()
+	}
 	f.add(it)
 	l.waiting++
 	l.work += it.cost
@@ -113,6 +128,7 @@
 		return
 	}
 	f.tag = max(f.tag, l.virtual)
+	l.weights += f.weight
 	l.byTag.push(f)
 	l.byWaiting.push(f)
 }
@@ -126,6 +142,9 @@
 	if f.n == 0 {
 		l.byTag.remove(f.byTag)
 		l.byWaiting.remove(f.byWaiting)
+		if l.weights -= f.weight; l.byTag.len() == 0 {
+			l.weights = 0 // drops rounding errors
+		}
 		l.forgetIdleFlows()
 		return
 	}
@@ -135,13 +154,13 @@
 
 // start removes it and charges its caller with the expected slot time.
 func (l *fairQueue) start(it *item) {
-	f, n := it.flow, l.byTag.len()
+	f, n := it.flow, max(l.weights, it.flow.weight) // rounding errors may lower the sum
 	l.virtual = max(l.virtual, f.tag)
 	// Virtual time also advances with the slot time handed out. Otherwise a
 	// stream of new callers would keep it from advancing, and a caller that was
 	// served once would never be served again.
-	l.virtual += it.cost / float64(max(1, n))
-	f.tag += it.cost
+	l.virtual += it.cost / n
+	f.tag += it.cost / f.weight
 	f.running++
 	l.remove(it)
 }
@@ -150,7 +169,7 @@
 func (l *fairQueue) finish(it *item, took float64) {
 	f := it.flow
 	f.running--
-	f.tag += took - it.cost
+	f.tag += (took - it.cost) / f.weight
 	if f.n > 0 {
 		l.byTag.fix(f.byTag)
 	}
--- a/internal/queue/offer.go
+++ b/internal/queue/offer.go
@@ -65,7 +65,7 @@
 
 func (q *Queue) enqueue(n float64, now time.Time, it *item) Decision {
 	r := it.rank
-	wait := q.predict(n, r, it.Caller, it.cost)
+	wait := q.predict(n, r, it.Caller, it.weight(), it.cost)
 	l := r.onTime
 	if q.lateAt(it, now.Add(seconds(wait))) {
 		l = r.late
@@ -135,15 +135,17 @@
 func (q *Queue) reservedPlaces(r *rank) int { return max(1, int(r.Floor*float64(q.maxWaiting))) }
 
 // displaceCaller makes a place for it within its rank by displacing a request of
-// another caller that has more requests waiting, and reports whether it did.
+// another caller that has more requests waiting for its weight, and reports whether it
+// did.
 func (q *Queue) displaceCaller(it *item) bool {
 	r := it.rank
-	if v := r.late.newestOfBusiest(); v != nil && r.late.flows[v.Caller].n > waitingOf(r, it.Caller) {
+	own := float64(waitingOf(r, it.Caller))
+	if v := r.late.newestOfBusiest(); v != nil && v.flow.excess() > own/it.weight() {
 		q.displaceItem(v, it)
 		return true
 	}
 	v := r.onTime.newestOfBusiest()
-	if v == nil || v.flow.n <= waitingOf(r, it.Caller)+1 {
+	if v == nil || v.flow.excess() <= (own+1)/it.weight() {
 		return false
 	}
 	q.displaceItem(v, it)
--- a/internal/queue/predict.go
+++ b/internal/queue/predict.go
@@ -33,12 +33,12 @@
 
 // predict returns how many seconds a new request of rank r is expected to wait in
 // the on-time queue.
-func (q *Queue) predict(now float64, r *rank, caller string, cost float64) float64 {
+func (q *Queue) predict(now float64, r *rank, caller string, weight, cost float64) float64 {
 	own := r.onTime.work
 	if f := r.onTime.flows[caller]; f == nil || f.n == 0 {
-		own = min(own, cost*float64(r.onTime.byTag.len()))
+		own = min(own, cost*r.onTime.weights/weight)
 	} else {
-		own = min(own, (f.work+cost)*float64(r.onTime.byTag.len()))
+		own = min(own, (f.work+cost)*r.onTime.weights/f.weight)
 	}
 	limit := float64(max(1, q.limit))
 	urgent, free := 0.0, limit
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -49,6 +49,9 @@
 	Rank string
 	// Caller identifies the flow for fair queueing within a rank.
 	Caller string
+	// Weight is the caller's share of slot time relative to that of other callers. Zero
+	// means 1.
+	Weight float64
 	// Route groups requests of similar slot time. It may be empty.
 	Route string
 	// FirstSent is when the caller sent its first attempt, from which the target
@@ -178,7 +181,7 @@
 	r := q.rankOf(rank)
 	l := Load{InFlight: q.running, Limit: q.limit, QueueWait: seconds(r.queueWait.at(n))}
 	if cost := r.slotTime.at(n); cost > 0 {
-		ahead := q.predict(n, r, "", cost) / cost * float64(q.limit)
+		ahead := q.predict(n, r, "", 1, cost) / cost * float64(q.limit)
 		l.Waiting = int(min(ahead, float64(q.waiting)))
 	}
 	return l
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -33,6 +33,10 @@
 	WeightedServices []WeightedService
 	// Name is the name of the route, cached.
 	Name string
+	// Account is the account that sent the request; its name is empty if there is none.
+	Account customer.Account
+	// Weight is the account's share of slot time relative to that of other callers.
+	Weight float64
 }
 
 // WeightedService is a service of a split route with its weight.
@@ -59,6 +63,17 @@
 	hosts map[string][]Match
 	// serviceCustomer maps a service name to its customer.
 	serviceCustomer map[string]string
+	// keys maps the digests of API keys to their accounts.
+	keys map[customer.KeyDigest]*account
+}
+
+// account is an account with the ranks of its requests.
+type account struct {
+	customer.Account
+	customer string
+	// ranks maps the ranks of routes to those that replace them.
+	ranks  map[string]customer.Rank
+	weight float64
 }
 
 // Empty is the table of a node without configuration.
@@ -67,10 +82,11 @@
 	configs:         map[string]*customer.Config{},
 	hosts:           map[string][]Match{},
 	serviceCustomer: map[string]string{},
+	keys:            map[customer.KeyDigest]*account{},
 }
 
 // New builds a table. It returns an error if a reference does not resolve, or if two
-// customers have a service of the same name or routes with the same match.
+// customers have a service of the same name, routes with the same match or the same API key.
 func New(version uint64, configs map[string]*customer.Config) (*Table, error) {
 	return Empty.With(version, slices.Collect(maps.Values(configs)))
 }
@@ -94,6 +110,7 @@
 		configs:         maps.Clone(t.configs),
 		hosts:           maps.Clone(t.hosts),
 		serviceCustomer: maps.Clone(t.serviceCustomer),
+		keys:            maps.Clone(t.keys),
 	}
 	for _, c := range changed {
 		n.remove(n.configs[c.Customer()])
@@ -113,6 +130,11 @@
 	for _, s := range c.Services() {
 		delete(t.serviceCustomer, s.Name)
 	}
+	for _, a := range c.Accounts() {
+		for _, k := range a.Keys {
+			delete(t.keys, k)
+		}
+	}
 	for _, r := range c.Routes() {
 		h := strings.ToLower(r.Host)
 		l := slices.DeleteFunc(slices.Clone(t.hosts[h]), func(m Match) bool { return m.Customer == c.Customer() })
@@ -137,6 +159,13 @@
 		}
 		t.serviceCustomer[s.Name] = c.Customer()
 	}
+	accounts := c.Accounts()
+	rate := meanRate(accounts)
+	for _, a := range accounts {
+		if err := t.addAccount(c, a, rate); err != nil {
+			return err
+		}
+	}
 	added := map[string][]Match{}
 	for _, r := range c.Routes() {
 		s, _ := c.Service(r.Service)
@@ -158,6 +187,64 @@
 	return nil
 }
 
+// meanRate returns the mean limit of the accounts that have one.
+func meanRate(l []customer.Account) float64 {
+	sum, n := 0.0, 0
+	for _, a := range l {
+		if a.RatePerSecond > 0 {
+			sum += a.RatePerSecond
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
+
+// addAccount adds an account of c, whose accounts have the given mean limit. Accounts
+// share slot time in proportion to their limits.
+func (t *Table) addAccount(c *customer.Config, a customer.Account, mean float64) error {
+	n := &account{Account: a, customer: c.Customer(), ranks: make(map[string]customer.Rank, len(a.Ranks)), weight: 1}
+	if a.RatePerSecond > 0 {
+		n.weight = a.RatePerSecond / mean
+	}
+	for _, o := range a.Ranks {
+		n.ranks[o.Rank], _ = c.Rank(o.Use)
+	}
+	for _, k := range a.Keys {
+		if o := t.keys[k]; o != nil && o.customer != n.customer {
+			return errors.Errorf("account %q of customer %q has a key of account %q of customer %q", a.Name, n.customer, o.Name, o.customer)
+		}
+		t.keys[k] = n
+	}
+	return nil
+}
+
+// Authenticate returns m with the account that holds key and with the rank of its
+// requests. It returns false if the route needs a key and the customer has no account
+// with this one.
+func (t *Table) Authenticate(m Match, key string) (Match, bool) {
+	if key == "" || len(t.keys) == 0 {
+		return m, !m.Route.KeyRequired
+	}
+	a := t.keys[customer.DigestKey(key)]
+	if a == nil || a.customer != m.Customer {
+		return m, !m.Route.KeyRequired
+	}
+	m.Account, m.Weight = a.Account, a.weight
+	if r, ok := a.ranks[m.Rank.Name]; ok {
+		m.Rank = r
+	}
+	return m, true
+}
+
+// Accounts returns the accounts of all customers.
+func (t *Table) Accounts() []customer.Account {
+	var l []customer.Account
+	for _, c := range t.configs {
+		l = append(l, c.Accounts()...)
+	}
+	return l
+}
+
 // weightedServices returns the services of a split route, none for another route.
 func weightedServices(c *customer.Config, r customer.Route) []WeightedService {
 	l := make([]WeightedService, 0, len(r.Split))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -101,6 +101,12 @@
 	}
 	u.Scheme, u.Host = "http", c.pool.address
 	h := endToEnd(r.Header, "")
+	for _, name := range []string{c.dialect.Credential, c.dialect.Account} {
+		delete(h, name)
+	}
+	if c.dialect.Account != "" && r.Account != "" {
+		h[c.dialect.Account] = []string{r.Account}
+	}
 	if d, ok := ctx.Deadline(); ok {
 		h[c.dialect.Deadline] = []string{c.dialect.FormatDeadline(time.Until(d))}
 	}
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -174,7 +174,7 @@
 }
 
 func queueRequest(r *call.Request, arrived time.Time) queue.Request {
-	return queue.Request{Rank: r.Rank, Caller: r.Caller, Route: r.Route, FirstSent: arrived.Add(-r.Waited)}
+	return queue.Request{Rank: r.Rank, Caller: r.Caller, Weight: r.Weight, Route: r.Route, FirstSent: arrived.Add(-r.Waited)}
 }
 
 // retryAfter returns how long the caller of r should wait before it retries if err says
--- a/internal/versions/view.go
+++ b/internal/versions/view.go
@@ -279,8 +279,8 @@
 }
 
 // mergeChanges combines successive changes of one customer; the last change of each
-// resource wins. Services and ranks are added before the routes that refer to them
-// and removed after them.
+// resource wins. Services, ranks and accounts are added before the routes that refer to
+// them and removed after them.
 func mergeChanges(name string, l []customer.Change) customer.Change {
 	if len(l) == 1 {
 		return l[0]
@@ -299,7 +299,7 @@
 		}
 	}
 	m := customer.Change{Customer: name}
-	for _, k := range []customer.ResourceKind{customer.KindService, customer.KindRank, customer.KindRoute} {
+	for _, k := range []customer.ResourceKind{customer.KindService, customer.KindRank, customer.KindAccount, customer.KindLimits, customer.KindRoute} {
 		for i, d := range l {
 			for _, r := range d.Upsert {
 				if r.Kind == k && last[key{r.Kind, r.Name}] == i {
@@ -308,10 +308,10 @@
 			}
 		}
 	}
-	for _, routes := range []bool{true, false} {
+	for _, k := range []customer.ResourceKind{customer.KindRoute, customer.KindLimits, customer.KindAccount, customer.KindRank, customer.KindService} {
 		for i, d := range l {
 			for _, r := range d.Remove {
-				if (r.Kind == customer.KindRoute) == routes && last[key{r.Kind, r.Name}] == i {
+				if r.Kind == k && last[key{r.Kind, r.Name}] == i {
 					m.Remove = append(m.Remove, r)
 				}
 			}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -163,6 +163,9 @@
 	Committed uint64 `cbor:"2,keyasint"`
 	// Current is set while the control is in contact with a majority of the members.
 	Current bool `cbor:"3,keyasint,omitempty"`
+	// Leader is the address of the leader of the config group, as far as the control
+	// knows it.
+	Leader string `cbor:"4,keyasint,omitempty"`
 }
 
 // ControlMessage is a message from a control on a node's stream; exactly one field is
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -44,6 +44,10 @@
 	// at which the head was sent.
 	SendClock uint64        `cbor:"21,keyasint,omitempty"`
 	SentAt    time.Duration `cbor:"22,keyasint,omitempty"`
+	// Account is the account of the caller, and Weight its share of slot time relative to
+	// that of other callers; zero means 1.
+	Account string  `cbor:"23,keyasint,omitempty"`
+	Weight  float64 `cbor:"24,keyasint,omitempty"`
 }
 
 // ForwardResponse is a message from the owner node: Admitted if it expects the body,
--- a/pkg/customer/check.go
+++ b/pkg/customer/check.go
@@ -17,6 +17,8 @@
 	maxCount = 1_000_000
 	// maxWorth is small enough that the sum of worth over all requests stays exact.
 	maxWorth = 1_000_000
+	// maxRate bounds the limit of an account, in requests per second and in requests.
+	maxRate = 1e9
 	// floorSlack tolerates rounding errors in the sum of decimal shares.
 	floorSlack = 1e-9
 )
@@ -40,6 +42,7 @@
 	c.name("Customer", f.Customer)
 	services := c.services(f.Services)
 	ranks := c.ranks(f.Ranks)
+	c.accounts(f.Accounts, ranks)
 	matches := map[string]bool{}
 	for i, r := range f.Routes {
 		c.route(jsonc.Index("Routes", i), r, services, ranks, matches)
@@ -109,6 +112,37 @@
 	return sum + v
 }
 
+// accounts checks the accounts. Each key belongs to one account.
+func (c checker) accounts(l []fileAccount, ranks map[string]bool) {
+	names, keys := map[string]bool{}, map[KeyDigest]bool{}
+	for i, a := range l {
+		p := jsonc.Index("Accounts", i)
+		c.unique(jsonc.Path(p, "Name"), a.Name, names)
+		if a.Rank != "" {
+			c.reference(jsonc.Path(p, "Rank"), "rank", a.Rank, ranks)
+		}
+		for j, h := range a.KeyHashes {
+			k, ok := parseKeyDigest(h)
+			q := jsonc.Index(jsonc.Path(p, "KeyHashes"), j)
+			switch {
+			case !ok: // the value may be a key, so it is not shown
+				c.d.Fault(q, "not a SHA-256 hash", "64 hex digits")
+			case keys[k]:
+				c.d.Fault(q, "duplicate key", "each key once")
+			}
+			keys[k] = true
+		}
+		c.rate(jsonc.Path(p, "RatePerSecond"), a.RatePerSecond)
+		c.rate(jsonc.Path(p, "Burst"), a.Burst)
+	}
+}
+
+func (c checker) rate(path string, v float64) {
+	if c.d.Valid(path) && !(v >= 0 && v <= maxRate) {
+		c.outOfRange(path, v, "a number from 0 to 1000000000")
+	}
+}
+
 func (c checker) route(p string, r fileRoute, services, ranks, matches map[string]bool) {
 	host, method, path := jsonc.Path(p, "Host"), jsonc.Path(p, "Method"), jsonc.Path(p, "Path")
 	ok := c.host(host, r.Host)
--- a/pkg/customer/config.go
+++ b/pkg/customer/config.go
@@ -41,6 +41,15 @@
 	Floor float64 `cbor:"5,keyasint"`
 }
 
+// Limits bounds what callers may send, and how long they may take or stay idle. A zero
+// field means the default of the node.
+type Limits struct {
+	HeaderBytes   int           `cbor:"1,keyasint,omitempty"`
+	BodyBytes     int64         `cbor:"2,keyasint,omitempty"`
+	HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
 // AnyMethod is the Method of a route that matches requests of every method.
 const AnyMethod = "*"
 
@@ -65,6 +74,8 @@
 	// Split replaces Service where several services share the requests in
 	// proportion to their weights.
 	Split []WeightedService `cbor:"9,keyasint,omitempty"`
+	// KeyRequired says that requests need the API key of an account.
+	KeyRequired bool `cbor:"10,keyasint,omitempty"`
 }
 
 // WeightedServices returns the services that serve the requests of r, with their
@@ -84,7 +95,9 @@
 	customer string
 	services map[string]Service
 	ranks    map[string]Rank
+	accounts map[string]Account
 	routes   map[string]Route
+	limits   Limits
 
 	// encoded guards resources and digest, which the first call of Resources or Digest
 	// computes.
@@ -99,6 +112,7 @@
 		customer: name,
 		services: map[string]Service{},
 		ranks:    map[string]Rank{},
+		accounts: map[string]Account{},
 		routes:   map[string]Route{},
 	}
 }
@@ -112,6 +126,9 @@
 // Rank returns the named rank.
 func (c *Config) Rank(name string) (Rank, bool) { r, ok := c.ranks[name]; return r, ok }
 
+// Account returns the named account.
+func (c *Config) Account(name string) (Account, bool) { a, ok := c.accounts[name]; return a, ok }
+
 // Route returns the route with the given name; see Route.Name.
 func (c *Config) Route(name string) (Route, bool) { r, ok := c.routes[name]; return r, ok }
 
@@ -121,6 +138,12 @@
 // Ranks returns all ranks in the order of their names.
 func (c *Config) Ranks() []Rank { return sorted(c.ranks) }
 
+// Accounts returns all accounts in the order of their names.
+func (c *Config) Accounts() []Account { return sorted(c.accounts) }
+
+// Limits returns the limits for callers.
+func (c *Config) Limits() Limits { return c.limits }
+
 // Routes returns all routes in the order of their names.
 func (c *Config) Routes() []Route { return sorted(c.routes) }
 
@@ -138,6 +161,20 @@
 	return n
 }
 
+// WithAccount returns a copy of c in which a is added or replaced.
+func (c *Config) WithAccount(a Account) *Config {
+	n := c.clone()
+	n.accounts[a.Name] = a
+	return n
+}
+
+// WithLimits returns a copy of c with the limits l.
+func (c *Config) WithLimits(l Limits) *Config {
+	n := c.clone()
+	n.limits = l
+	return n
+}
+
 // WithRoute returns a copy of c in which r is added or replaced.
 func (c *Config) WithRoute(r Route) *Config {
 	n := c.clone()
@@ -150,7 +187,9 @@
 		customer: c.customer,
 		services: maps.Clone(c.services),
 		ranks:    maps.Clone(c.ranks),
+		accounts: maps.Clone(c.accounts),
 		routes:   maps.Clone(c.routes),
+		limits:   c.limits,
 	}
 }
 
--- a/pkg/customer/parse.go
+++ b/pkg/customer/parse.go
@@ -27,6 +27,7 @@
 	Parameters jsonc.Raw     `jsonc:"optional"`
 	Services   []fileService `jsonc:"max=10000"`
 	Ranks      []fileRank    `jsonc:"max=100"`
+	Accounts   []fileAccount `jsonc:"optional,max=10000"`
 	Routes     []fileRoute   `jsonc:"max=50000"`
 }
 
@@ -45,6 +46,16 @@
 	Floor  float64 `jsonc:"optional"`
 }
 
+type fileAccount struct {
+	Name string
+	// KeyHashes are the SHA-256 digests of the API keys in hex.
+	KeyHashes []string `jsonc:"optional,max=16"`
+	// Rank replaces the rank of each route for the requests of the account.
+	Rank          string  `jsonc:"optional"`
+	RatePerSecond float64 `jsonc:"optional"`
+	Burst         float64 `jsonc:"optional"`
+}
+
 type fileRoute struct {
 	Host      string
 	Method    string
@@ -53,6 +64,8 @@
 	Rank      string
 	Deadline  time.Duration
 	Execution Execution
+	// Public routes need no API key.
+	Public bool `jsonc:"optional"`
 }
 
 // Parse decodes a customer file, expands its parameters, checks and compiles it. The
@@ -78,12 +91,30 @@
 	for _, r := range f.Ranks {
 		c.ranks[r.Name] = Rank(r)
 	}
+	for _, a := range f.Accounts {
+		c.accounts[a.Name] = a.compile(f.Ranks)
+	}
 	for _, r := range f.Routes {
 		v := Route{
 			Host:   strings.ToLower(r.Host), // host names are case-insensitive
 			Method: r.Method, Path: r.Path, Service: r.Service, Rank: r.Rank, Deadline: r.Deadline, Execution: r.Execution,
+			KeyRequired: len(f.Accounts) > 0 && !r.Public,
 		}
 		c.routes[v.Name()] = v
 	}
 	return c
 }
+
+func (a fileAccount) compile(ranks []fileRank) Account {
+	v := Account{Name: a.Name, RatePerSecond: a.RatePerSecond, Burst: a.Burst}
+	for _, h := range a.KeyHashes {
+		k, _ := parseKeyDigest(h) // checked before
+		v.Keys = append(v.Keys, k)
+	}
+	for _, r := range ranks {
+		if a.Rank != "" && r.Name != a.Rank {
+			v.Ranks = append(v.Ranks, RankOverride{Rank: r.Name, Use: a.Rank})
+		}
+	}
+	return v
+}
--- a/pkg/customer/parse_test.go
+++ b/pkg/customer/parse_test.go
@@ -159,3 +159,41 @@
 		}
 	})
 }
+
+// Guards against accounts whose keys, limits or ranks are lost between the file and the
+// nodes, and against routes that need no key although the file lists accounts.
+func TestParseAccounts(t *testing.T) {
+	withAccounts := func(l string) string {
+		return strings.Replace(valid, `"Routes": [`, `"Accounts": [`+l+`], "Routes": [`, 1)
+	}
+	hash := strings.Repeat("0a", 32)
+	c, err := customer.Parse("f", []byte(strings.Replace(withAccounts(`{"Name": "x", "KeyHashes": ["`+hash+`"], "Rank": "r2", "RatePerSecond": 5, "Burst": 2.5}`), `"Execution": "Once"`, `"Execution": "Once", "Public": true`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var k customer.KeyDigest
+	for i := range k {
+		k[i] = 0x0a
+	}
+	got, _ := c.Account("x")
+	want := customer.Account{Name: "x", Keys: []customer.KeyDigest{k}, Ranks: []customer.RankOverride{{Rank: "r1", Use: "r2"}}, RatePerSecond: 5, Burst: 2.5}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if l := c.Routes(); !l[0].KeyRequired || l[1].KeyRequired {
+		t.Errorf("got KeyRequired %v and %v, want true and false for the public route", l[0].KeyRequired, l[1].KeyRequired)
+	}
+	place := "f:14:"
+	for l, want := range map[string]string{
+		`{"Name": "x", "KeyHashes": ["secret"]}`:                                                     `Accounts[0].KeyHashes[0]: not a SHA-256 hash; expected 64 hex digits`,
+		`{"Name": "x", "KeyHashes": ["` + hash + `"]}, {"Name": "y", "KeyHashes": ["` + hash + `"]}`: `Accounts[1].KeyHashes[0]: duplicate key; expected each key once`,
+		`{"Name": "x"}, {"Name": "x"}`:                                                               `Accounts[1].Name: duplicate name "x"; expected unique names`,
+		`{"Name": "x", "Rank": "r9"}`:                                                                `Accounts[0].Rank: unknown rank "r9"; expected the name of a rank in this file`,
+		`{"Name": "x", "RatePerSecond": -1}`:                                                         `Accounts[0].RatePerSecond: -1 is out of range; expected a number from 0 to 1000000000`,
+	} {
+		_, err := customer.Parse("f", []byte(withAccounts(l)))
+		if err == nil || !strings.HasPrefix(err.Error(), place) || !strings.HasSuffix(err.Error(), want) || errkind.Of(err) != errkind.InvalidFile {
+			t.Errorf("%s:\ngot  %v\nwant %s… %s", l, err, place, want)
+		}
+	}
+}
--- a/pkg/customer/resource.go
+++ b/pkg/customer/resource.go
@@ -21,10 +21,15 @@
 const (
 	KindService ResourceKind = "Service"
 	KindRank    ResourceKind = "Rank"
+	KindAccount ResourceKind = "Account"
+	KindLimits  ResourceKind = "Limits"
 	KindRoute   ResourceKind = "Route"
 )
 
-// Resource is an encoded service, rank or route of a configuration.
+// limitsName is the name of the one resource of kind KindLimits.
+const limitsName = "limits"
+
+// Resource is an encoded service, rank, account or route of a configuration, or its limits.
 type Resource struct {
 	Kind ResourceKind `cbor:"1,keyasint"`
 	Name string       `cbor:"2,keyasint"`
@@ -32,7 +37,7 @@
 }
 
 // Change is the difference between two versions of a customer's configuration. It
-// adds services and ranks before routes, and removes routes first, so that no
+// adds services, ranks and accounts before routes, and removes routes first, so that no
 // intermediate state has a route without its service.
 type Change struct {
 	Customer string     `cbor:"1,keyasint"`
@@ -40,7 +45,7 @@
 	Remove   []Resource `cbor:"3,keyasint,omitempty"`
 }
 
-// Resources returns all resources of c: services, ranks, then routes, each in the
+// Resources returns all resources of c: services, ranks, accounts, limits, then routes, each in the
 // order of their names. The caller must not modify the list.
 func (c *Config) Resources() []Resource {
 	c.encoded.Do(c.encode)
@@ -54,13 +59,19 @@
 }
 
 func (c *Config) encode() {
-	l := make([]Resource, 0, len(c.services)+len(c.ranks)+len(c.routes))
+	l := make([]Resource, 0, len(c.services)+len(c.ranks)+len(c.accounts)+len(c.routes)+1)
 	for _, s := range c.Services() {
 		l = append(l, encode(KindService, s.Name, s))
 	}
 	for _, r := range c.Ranks() {
 		l = append(l, encode(KindRank, r.Name, r))
 	}
+	for _, a := range c.Accounts() {
+		l = append(l, encode(KindAccount, a.Name, a))
+	}
+	if c.limits != (Limits{}) {
+		l = append(l, encode(KindLimits, limitsName, c.limits))
+	}
 	for _, r := range c.Routes() {
 		l = append(l, encode(KindRoute, r.Name(), r))
 	}
@@ -72,13 +83,16 @@
 	c.resources, c.digest = l, h.Sum64()
 }
 
-// NewResource encodes v, a Service, Rank or Route, as a resource.
+// NewResource encodes v, a Service, Rank, Account or Route, as a resource.
 func NewResource(k ResourceKind, name string, v any) Resource { return encode(k, name, v) }
 
+// NewLimitsResource encodes l as a resource.
+func NewLimitsResource(l Limits) Resource { return encode(KindLimits, limitsName, l) }
+
 func encode(k ResourceKind, name string, v any) Resource {
 	b, err := cbor.Marshal(v)
 	if err != nil {
-		panic(err) // all fields of Service, Rank and Route can be encoded
+		panic(err) // all fields of these types can be encoded
 	}
 	return Resource{Kind: k, Name: name, Data: b}
 }
@@ -113,11 +127,16 @@
 	return d
 }
 
+// removalOrder returns the position of k in the order in which resources are removed:
+// none is removed before those that refer to it.
 func removalOrder(k ResourceKind) int {
-	if k == KindRoute {
+	switch k {
+	case KindRoute:
 		return 0
+	case KindAccount:
+		return 1
 	}
-	return 1
+	return 2
 }
 
 // WithResources returns the configuration of the same customer that has exactly the
@@ -136,12 +155,21 @@
 			return nil, errors.Wrapf(err, "%s %q", r.Kind, r.Name)
 		}
 	}
-	if k := len(n.services) + len(n.ranks) + len(n.routes); k != len(l) {
+	if k := n.count(); k != len(l) {
 		return nil, errors.Errorf("%d resources have %d names", len(l), k)
 	}
 	return n, nil
 }
 
+// count returns the number of resources.
+func (c *Config) count() int {
+	n := len(c.services) + len(c.ranks) + len(c.accounts) + len(c.routes)
+	if c.limits != (Limits{}) {
+		n++
+	}
+	return n
+}
+
 // copyFrom copies the resource with the kind and name of r from o.
 func (c *Config) copyFrom(o *Config, r Resource) {
 	switch r.Kind {
@@ -149,6 +177,10 @@
 		c.services[r.Name] = o.services[r.Name]
 	case KindRank:
 		c.ranks[r.Name] = o.ranks[r.Name]
+	case KindAccount:
+		c.accounts[r.Name] = o.accounts[r.Name]
+	case KindLimits:
+		c.limits = o.limits
 	case KindRoute:
 		c.routes[r.Name] = o.routes[r.Name]
 	}
@@ -165,8 +197,12 @@
 		return 0
 	case KindRank:
 		return 1
+	case KindAccount:
+		return 2
+	case KindLimits:
+		return 3
 	}
-	return 2
+	return 4
 }
 
 // WithChange returns a copy of c with d applied. It does not check references;
@@ -184,6 +220,10 @@
 			delete(n.services, r.Name)
 		case KindRank:
 			delete(n.ranks, r.Name)
+		case KindAccount:
+			delete(n.accounts, r.Name)
+		case KindLimits:
+			n.limits = Limits{}
 		case KindRoute:
 			delete(n.routes, r.Name)
 		default:
@@ -199,6 +239,13 @@
 		return decode(c.services, r, func(s Service) string { return s.Name })
 	case KindRank:
 		return decode(c.ranks, r, func(r Rank) string { return r.Name })
+	case KindAccount:
+		return decode(c.accounts, r, func(a Account) string { return a.Name })
+	case KindLimits:
+		m := map[string]Limits{}
+		err := decode(m, r, func(Limits) string { return limitsName })
+		c.limits = m[limitsName]
+		return err
 	case KindRoute:
 		return decode(c.routes, r, Route.Name)
 	}
@@ -235,8 +282,12 @@
 	return nil
 }
 
-// Check returns an error for the first route that refers to a missing service or rank.
+// Check returns an error for the first account or route that refers to a missing service
+// or rank, or for a key that two accounts have.
 func (c *Config) Check() error {
+	if err := c.checkAccounts(); err != nil {
+		return err
+	}
 	if c.referencesResolve() {
 		return nil
 	}
