Keep encoded resources across versions

Each whole configuration of 830 routes was encoded and hashed anew at controls and nodes; matches were sorted by value.

Change: a configuration that results from a change or a list of resources keeps the encoded form. Tables sort pointers, and do not sort routes by name first.

--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -60,7 +60,7 @@
 	digests map[string]uint64
 	configs map[string]*customer.Config
 	// hosts holds the matches of each host in lower case, most specific first.
-	hosts map[string][]Match
+	hosts map[string][]*Match
 	// serviceCustomer maps a service name to its customer.
 	serviceCustomer map[string]string
 	// keys maps the digests of API keys to their accounts.
@@ -80,7 +80,7 @@
 var Empty = &Table{
 	digests:         map[string]uint64{},
 	configs:         map[string]*customer.Config{},
-	hosts:           map[string][]Match{},
+	hosts:           map[string][]*Match{},
 	serviceCustomer: map[string]string{},
 	keys:            map[customer.KeyDigest]*account{},
 }
@@ -135,9 +135,12 @@
 			delete(t.keys, k)
 		}
 	}
-	for _, r := range c.Routes() {
-		h := strings.ToLower(r.Host)
-		l := slices.DeleteFunc(slices.Clone(t.hosts[h]), func(m Match) bool { return m.Customer == c.Customer() })
+	hosts := map[string]bool{}
+	for r := range c.AllRoutes() {
+		hosts[strings.ToLower(r.Host)] = true
+	}
+	for h := range hosts {
+		l := slices.DeleteFunc(slices.Clone(t.hosts[h]), func(m *Match) bool { return m.Customer == c.Customer() })
 		if len(l) == 0 {
 			delete(t.hosts, h)
 			continue
@@ -166,12 +169,12 @@
 			return err
 		}
 	}
-	added := map[string][]Match{}
-	for _, r := range c.Routes() {
+	added := map[string][]*Match{}
+	for r := range c.AllRoutes() {
 		s, _ := c.Service(r.Service)
 		k, _ := c.Rank(r.Rank)
 		h := strings.ToLower(r.Host)
-		added[h] = append(added[h], Match{Customer: c.Customer(), Route: r, Rank: k, Service: s, WeightedServices: weightedServices(c, r), Name: r.Name()})
+		added[h] = append(added[h], &Match{Customer: c.Customer(), Route: r, Rank: k, Service: s, WeightedServices: weightedServices(c, r), Name: r.Name()})
 	}
 	for h, l := range added {
 		l = append(slices.Clone(t.hosts[h]), l...)
@@ -247,6 +250,9 @@
 
 // weightedServices returns the services of a split route, none for another route.
 func weightedServices(c *customer.Config, r customer.Route) []WeightedService {
+	if len(r.Split) == 0 {
+		return nil
+	}
 	l := make([]WeightedService, 0, len(r.Split))
 	for _, p := range r.Split {
 		s, _ := c.Service(p.Service)
@@ -274,8 +280,8 @@
 }
 
 // sortMatches sorts longer paths first, so that the first match is the most specific.
-func sortMatches(l []Match) {
-	slices.SortFunc(l, func(a, b Match) int {
+func sortMatches(l []*Match) {
+	slices.SortFunc(l, func(a, b *Match) int {
 		if d := len(b.Route.Path) - len(a.Route.Path); d != 0 {
 			return d
 		}
@@ -284,7 +290,7 @@
 }
 
 // checkDistinct returns an error if two matches of the sorted list have the same name.
-func checkDistinct(l []Match) error {
+func checkDistinct(l []*Match) error {
 	for i := 1; i < len(l); i++ {
 		if l[i].Name == l[i-1].Name {
 			return errors.Errorf("route %q of customer %q belongs to customer %q too", l[i].Name, l[i].Customer, l[i-1].Customer)
@@ -297,7 +303,7 @@
 func (t *Table) Match(host, method, path string) (Match, bool) {
 	for _, m := range t.hosts[normalize(host)] {
 		if (m.Route.Method == method || m.Route.Method == customer.AnyMethod) && hasPathPrefix(path, m.Route.Path) {
-			return m, true
+			return *m, true
 		}
 	}
 	return Match{}, false
--- a/pkg/customer/config.go
+++ b/pkg/customer/config.go
@@ -1,6 +1,7 @@
 package customer
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"sync"
@@ -147,6 +148,9 @@
 // Routes returns all routes in the order of their names.
 func (c *Config) Routes() []Route { return sorted(c.routes) }
 
+// AllRoutes iterates over the routes in no particular order.
+func (c *Config) AllRoutes() iter.Seq[Route] { return maps.Values(c.routes) }
+
 // WithService returns a copy of c in which s is added or replaced.
 func (c *Config) WithService(s Service) *Config {
 	n := c.clone()
--- a/pkg/customer/resource.go
+++ b/pkg/customer/resource.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"cmp"
-	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,12 +75,26 @@
 	for _, r := range c.Routes() {
 		l = append(l, encode(KindRoute, r.Name(), r))
 	}
+	c.resources, c.digest = l, digest(l)
+}
+
+// digest returns a hash over the resources of a configuration.
+func digest(l []Resource) uint64 {
 	h := xxhash.New()
+	var b []byte
 	for _, r := range l {
-		_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d\x00", r.Kind, r.Name, len(r.Data))
+		b = append(append(append(append(b[:0], r.Kind...), 0), r.Name...), 0)
+		b = append(strconv.AppendInt(b, int64(len(r.Data)), 10), 0)
+		_, _ = h.Write(b) // never fails
 		_, _ = h.Write(r.Data)
 	}
-	c.resources, c.digest = l, h.Sum64()
+	return h.Sum64()
+}
+
+// setResources stores the encoded resources of c, so that they need not be encoded again.
+// l must have the order of Resources.
+func (c *Config) setResources(l []Resource) {
+	c.encoded.Do(func() { c.resources, c.digest = l, digest(l) })
 }
 
 // NewResource encodes v, a Service, Rank, Account or Route, as a resource.
@@ -158,6 +172,9 @@
 	if k := n.count(); k != len(l) {
 		return nil, errors.Errorf("%d resources have %d names", len(l), k)
 	}
+	if slices.IsSortedFunc(l, compareResources) {
+		n.setResources(l)
+	}
 	return n, nil
 }
 
@@ -230,9 +247,39 @@
 			return nil, errors.Errorf("unknown resource kind %q", r.Kind)
 		}
 	}
+	n.setResources(mergeResources(c.Resources(), d))
 	return n, nil
 }
 
+// mergeResources returns the sorted resources l after the change d.
+func mergeResources(l []Resource, d Change) []Resource {
+	upsert := slices.Clone(d.Upsert)
+	slices.SortStableFunc(upsert, compareResources)
+	remove := slices.SortedFunc(slices.Values(d.Remove), compareResources)
+	n := make([]Resource, 0, len(l)+len(upsert))
+	add := func(r Resource) {
+		if _, removed := slices.BinarySearchFunc(remove, r, compareResources); removed {
+			return
+		}
+		if k := len(n) - 1; k >= 0 && compareResources(n[k], r) == 0 {
+			n[k] = r // the later one of two with the same name counts
+			return
+		}
+		n = append(n, r)
+	}
+	for _, r := range l {
+		for len(upsert) > 0 && compareResources(upsert[0], r) < 0 {
+			add(upsert[0])
+			upsert = upsert[1:]
+		}
+		add(r)
+	}
+	for _, r := range upsert {
+		add(r)
+	}
+	return n
+}
+
 func (c *Config) upsert(r Resource) error {
 	switch r.Kind {
 	case KindService:
