Do not pass on a reset response without a length as complete

Callers would see: the first part of a response as the whole one (a success).

Cause: with the platform's interface, a response may end with its connection. If the connection is reset while the upload is still being written, the write gets the error, and the next read sees an ordinary end. A status below 100, and 101, counted as interim, so the request waited for another response until its deadline.

Change: at the end of a connection, the response is complete only if the request has been written. Invalid statuses end the request at once.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -42,7 +42,9 @@
 	// when ctx ends.
 	stopWatch func() bool
 	answer    *http.Response
-	once      sync.Once
+	// closeDelimited is whether the response body ends with the connection.
+	closeDelimited bool
+	once           sync.Once
 }
 
 // start sends q and returns once the response head has arrived. The kind of an error
@@ -109,13 +111,17 @@
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
+		if a.StatusCode < http.StatusContinue || a.StatusCode == http.StatusSwitchingProtocols {
+			return errors.Errorf("invalid status %d", a.StatusCode) // not an interim answer: no other one follows
+		}
 		if a.StatusCode < http.StatusOK {
 			continue
 		}
 		if id := a.Header.Get(x.dialect.RequestID); x.dialect.EchoesRequestID && id != x.requestID {
 			return errors.Errorf("the answer belongs to request %q", id)
 		}
-		if a.ContentLength < 0 && len(a.TransferEncoding) == 0 && q.Method != http.MethodHead && !x.dialect.AllowsCloseDelimited {
+		x.closeDelimited = a.ContentLength < 0 && len(a.TransferEncoding) == 0 && q.Method != http.MethodHead
+		if x.closeDelimited && !x.dialect.AllowsCloseDelimited {
 			return errors.New("the answer has neither a length nor chunks, so that its end cannot be told from a broken connection")
 		}
 		x.readLimit, x.answer = math.MaxInt64, a
@@ -131,7 +137,9 @@
 	if err == nil {
 		return n, nil
 	}
-	whole := call.IsEOF(err)
+	// While the request is still being written, the writer may have got the reset of the
+	// connection. The reader then sees the same end as after an orderly close.
+	whole := call.IsEOF(err) && (!x.closeDelimited || x.requestSent())
 	if !whole {
 		err = errkind.Wrap(err, call.ContextErrorKind(x.ctx, errkind.AnswerIncomplete), "answer of the upstream was cut off").WithExecution(errkind.Unknown)
 	}
