Schedule the bodies on the link of a node

Cause: A download or an upload saturates the VM's link, and small calls queue behind it in the kernel, where no order by urgency exists.

Change: Package link models the queue of the link. Small messages are counted, large bodies get pieces of at most 16 KiB (8 ms of the link) while no more than one piece is queued: most urgent rank first, then bodies that can meet their target, then the others by deadline. A body that cannot be sent by its deadline is refused with the time until the bodies ahead of it have been sent.

--- /dev/null
+++ b/internal/link/scheduler_test.go
@@ -0,0 +1,155 @@
+package link
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(0, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// order returns the IDs of the bodies in the order in which their pieces are granted.
+func order(s *Scheduler, now time.Time, left map[uint64]int) string {
+	var l []string
+	for id := range left {
+		s.Ask(id, s.PieceBytes())
+	}
+	for range 100 {
+		t, ok := s.WakeTime(now)
+		if !ok {
+			break
+		}
+		if t.After(now) {
+			now = t
+		}
+		id, ok := s.Next(now)
+		if !ok {
+			l = append(l, "no grant at the wake time")
+			break
+		}
+		l = append(l, fmt.Sprint(id))
+		if left[id]--; left[id] > 0 {
+			s.Ask(id, s.PieceBytes())
+		}
+	}
+	return strings.Join(l, " ")
+}
+
+// Guards the order of pieces: rank, then those that can meet their target, by target, then
+// the others, by deadline; a body that has begun is not overtaken once it is late.
+func TestOrderOfPieces(t *testing.T) {
+	type body struct {
+		order            int
+		target, deadline time.Duration
+		pieces           int
+	}
+	for _, tt := range []struct {
+		name   string
+		bodies []body
+		want   string
+	}{
+		{"rank first", []body{{2, time.Second, 0, 2}, {1, 2 * time.Second, 0, 2}}, "2 2 1 1"},
+		{"target within a rank", []body{{1, 2 * time.Second, 0, 2}, {1, time.Second, 0, 2}}, "2 2 1 1"},
+		{"late ones last", []body{{1, time.Millisecond, time.Second, 2}, {1, time.Second, 2 * time.Second, 2}}, "2 2 1 1"},
+		{"late ones by deadline", []body{{1, 0, 3 * time.Second, 1}, {1, time.Millisecond, 2 * time.Second, 1}, {1, time.Millisecond, time.Second, 1}}, "1 3 2"},
+		{"begun ones are finished", []body{{1, 30 * time.Millisecond, time.Second, 3}, {1, 2 * time.Second, 3 * time.Second, 3}}, "1 1 1 2 2 2"},
+		{"first come without any time", []body{{1, 0, 0, 1}, {1, 0, 0, 1}}, "1 2"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, left := NewScheduler(18), map[uint64]int{}
+			for i, b := range tt.bodies {
+				id, c := uint64(i+1), Class{Order: b.order}
+				if b.target > 0 {
+					c.Target = at(b.target)
+				}
+				if b.deadline > 0 {
+					c.Deadline = at(b.deadline)
+				}
+				s.Open(start, id, c, int64(b.pieces*s.PieceBytes()))
+				left[id] = b.pieces
+			}
+			if got := order(s, start, left); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards that pieces are so small on a thin link that a small message waits for little.
+func TestPieceBytes(t *testing.T) {
+	for mbps, want := range map[float64]int{0.1: 4 << 10, 8.1: 7452, 18: 16 << 10, 1000: 16 << 10} {
+		if got := NewScheduler(mbps).PieceBytes(); got != want {
+			t.Errorf("%v Mbit/s: got %d, want %d", mbps, got, want)
+		}
+	}
+}
+
+// Guards that no more than two pieces are in the queue of the link, and that it never runs
+// empty while a piece waits.
+func TestQueueOfLink(t *testing.T) {
+	s, now := NewScheduler(18), start
+	s.Open(now, 1, Class{}, 1<<20)
+	for range 60 {
+		s.Ask(1, s.PieceBytes())
+		now, _ = s.WakeTime(now)
+		before := s.Backlog(now)
+		if _, ok := s.Next(now); !ok {
+			t.Fatal("no grant at the wake time")
+		}
+		atMost(t, "queue", s.Backlog(now), 2*pieceTime)
+		if now.After(start) && before <= 0 {
+			t.Error("queue: got empty, want a piece")
+		}
+	}
+}
+
+// Guards that a peer that does not read delays only its own body, and does not count in
+// the estimates for others once it has stalled.
+func TestReaderThatStops(t *testing.T) {
+	s, now := NewScheduler(18), start
+	stopped := Class{Order: 1, Target: at(time.Second), Deadline: at(time.Minute)}
+	s.Open(now, 1, stopped, 1<<20)
+	s.Ask(1, s.PieceBytes())
+	s.Next(now) // its write blocks: it asks for nothing further
+	now = now.Add(stallTime + time.Millisecond)
+	c := Class{Order: 2, Target: now.Add(time.Second), Deadline: now.Add(time.Second)}
+	if e, ok := s.Admit(now, c, 90_000); !ok || e.Ahead > 0 {
+		t.Errorf("body behind it: got %+v, %v, want nothing ahead", e, ok)
+	}
+	atMost(t, "delay", s.Delay(now, 2), 0)
+	s.Open(now, 2, c, int64(3*s.PieceBytes()))
+	if got, want := order(s, now, map[uint64]int{2: 3}), "2 2 2"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+// Guards that a body is refused only if it cannot be sent by its deadline, that the bodies
+// of less urgent ranks do not count, and that those that have ended give up their place.
+func TestAdmit(t *testing.T) {
+	s := NewScheduler(18)
+	rate := 18e6 / 8 * usableShare
+	urgent := Class{Order: 1, Target: at(500 * time.Millisecond), Deadline: at(time.Second)}
+	ahead := Class{Order: 2, Target: at(time.Minute), Deadline: at(time.Minute)}
+	admitted := func(name string, c Class, want bool, wantAhead time.Duration) {
+		t.Helper()
+		e, got := s.Admit(start, c, 90_000)
+		if d := e.Ahead - wantAhead; got != want || d.Abs() > time.Millisecond {
+			t.Errorf("%s: got %v, %s ahead, want %v, %s", name, got, e.Ahead, want, wantAhead)
+		}
+	}
+	admitted("idle link", Class{Order: 1, Deadline: at(time.Millisecond)}, true, 0)
+	s.Open(start, 1, ahead, int64(10*rate))
+	admitted("10 s of a less urgent rank ahead", urgent, true, 0)
+	s.Open(start, 2, urgent, int64(0.4*rate))
+	admitted("0.4 s of its rank ahead", urgent, true, 400*time.Millisecond)
+	s.Open(start, 3, urgent, int64(0.4*rate))
+	admitted("0.8 s of its rank ahead", urgent, true, 800*time.Millisecond)
+	s.Open(start, 4, urgent, int64(0.4*rate))
+	admitted("1.2 s of its rank ahead", urgent, false, 1200*time.Millisecond)
+	s.Close(3)
+	s.Close(4)
+	admitted("two have ended", urgent, true, 400*time.Millisecond)
+}
