Pace large bodies and read responses ahead

Cause: Owner nodes wrote large responses to the link as fast as their connections took them, and kept the upstream's slot until a slow link or reader had taken the last byte. Entry nodes did the same with uploads. Requests whose large response could not arrive in time ran all the same.

Change: An Outlet in package peer sends the responses to other nodes and to callers, and the request bodies, by the link's schedule. The owner node learns the size of the responses of each route, refuses at once what cannot be sent by its deadline, and reports the wait for the link as LinkDelayMillis in wire.Load. WaitIdle also waits for responses that were read ahead. The link and the memory have metrics. Without LinkMbps, nothing changes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -67,6 +67,9 @@
 	SlotTime time.Duration
 	// Busy is the moving mean of the share of slots in use.
 	Busy float64
+	// LinkDelay is how long a large response is expected to wait for others on the link
+	// of the owner node.
+	LinkDelay time.Duration
 }
 
 // Result is the result of one try.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -134,9 +134,28 @@
 	arriving, waiting := n.peerServer.LargeBodies()
 	metrics.GetOrRegisterGauge("large_bodies_arriving", m.registry).Update(int64(arriving))
 	metrics.GetOrRegisterGauge("large_bodies_waiting", m.registry).Update(int64(waiting))
+	m.sampleLink(n)
 	connected := int64(0)
 	if n.distribution.Control() != "" {
 		connected = 1
 	}
 	metrics.GetOrRegisterGauge("control_connected", m.registry).Update(connected)
 }
+
+// sampleLink sets the gauges of the VM's link. They exist only if its rate is known.
+func (m *nodeMetrics) sampleLink(n *Node) {
+	if n.c.Settings.LinkMbps <= 0 {
+		return
+	}
+	s := n.outlet.LinkStats()
+	for name, v := range map[string]int64{
+		"link_bytes{kind=\"small\"}": s.SmallBytes,
+		"link_bytes{kind=\"large\"}": s.LargeBytes,
+		"link_refusals":              s.Refusals,
+		"link_pieces_waiting":        int64(s.Waiting),
+		"link_backlog_micros":        s.Backlog.Microseconds(),
+		"link_read_ahead_bytes":      n.outlet.AheadBytes(),
+	} {
+		metrics.GetOrRegisterGauge(name, m.registry).Update(v)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/distribution"
 	"github.com/gooseberrypick/gooseberrypick/internal/idempotency"
+	"github.com/gooseberrypick/gooseberrypick/internal/link"
 	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/peer"
 	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
@@ -101,6 +102,7 @@
 	distribution  *distribution.Client
 	local         *upstream.Local
 	announcements *upstream.Announcements
+	outlet        *peer.Outlet
 	peers         *peer.Client
 	peerServer    *peer.Server
 	claims        *idempotency.Client
@@ -159,8 +161,9 @@
 		TailExponent: c.Settings.UrgentReserve,
 	})
 	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n)
-	n.peers = peer.NewClient(peerDialer, wire.LinkTCPUserTimeout(c.Settings.LinkMbps))
-	n.peerServer = peer.NewServer(peer.ServerConfig{Transport: n.local, LinkMbps: c.Settings.LinkMbps})
+	n.outlet = peer.NewOutlet(peer.OutletConfig{Link: link.New(c.Settings.LinkMbps), Rank: n.rank})
+	n.peers = peer.NewClient(peer.ClientConfig{Dial: peerDialer, TCPUserTimeout: wire.LinkTCPUserTimeout(c.Settings.LinkMbps), Outlet: n.outlet})
+	n.peerServer = peer.NewServer(peer.ServerConfig{Transport: n.local, LinkMbps: c.Settings.LinkMbps, Outlet: n.outlet})
 	n.controls = &controls{pool: wire.NewPool(peerDialer), addresses: c.Settings.Control, preferred: n.distribution.Control}
 	n.leader = &leaderClient{pool: n.controls.pool, controls: n.distribution.Controls}
 	n.claims = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
@@ -175,7 +178,7 @@
 		Node:           s.Name,
 		Zone:           s.AvailabilityZone,
 		Registry:       n.registry,
-		Local:          n.local,
+		Local:          n.outlet.ToCallers(n.local),
 		Peers:          n.peers,
 		Log:            n.c.Log.WithName("router"),
 		Seed:           uint64(now.UnixNano()),
@@ -334,8 +337,22 @@
 	n.distribution.SetUpstreams(u)
 }
 
-// WaitIdle implements upstream.Subscriber.
-func (n *Node) WaitIdle(ctx context.Context, name string) { n.local.WaitIdle(ctx, name) }
+// WaitIdle implements upstream.Subscriber. It also waits for the responses that the
+// upstream has sent and the node has not.
+func (n *Node) WaitIdle(ctx context.Context, name string) {
+	n.local.WaitIdle(ctx, name)
+	n.outlet.WaitSent(ctx)
+}
+
+// rank returns the order and target of a rank, or zero if there is none.
+func (n *Node) rank(customer, name string) (order int, target time.Duration) {
+	c := n.distribution.Table().Configs()[customer]
+	if c == nil {
+		return 0, 0
+	}
+	r, _ := c.Rank(name)
+	return r.Order, r.Target
+}
 
 // Run serves until ctx is done, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -19,17 +19,29 @@
 	maxDeadlineMargin   = 3 * time.Millisecond
 )
 
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Dial wire.Dialer
+	// TCPUserTimeout is the time within which a node must acknowledge sent data.
+	TCPUserTimeout time.Duration
+	// Outlet sends the request bodies, and the responses on to callers; nil means that
+	// the rate of the link is unknown.
+	Outlet *Outlet
+}
+
 // Client calls other nodes.
 type Client struct {
-	pool           *wire.Pool
-	tcpUserTimeout time.Duration
-	clock          *sendClock
+	c     ClientConfig
+	pool  *wire.Pool
+	clock *sendClock
 }
 
-// NewClient returns a Client that connects with d. A connection fails if the node
-// does not acknowledge sent data within tcpUserTimeout.
-func NewClient(d wire.Dialer, tcpUserTimeout time.Duration) *Client {
-	return &Client{pool: wire.NewPool(wire.WithTCPUserTimeout(d, tcpUserTimeout)), clock: newSendClock(), tcpUserTimeout: tcpUserTimeout}
+// NewClient returns a Client.
+func NewClient(c ClientConfig) *Client {
+	if c.Outlet == nil {
+		c.Outlet = NewOutlet(OutletConfig{})
+	}
+	return &Client{c: c, pool: wire.NewPool(wire.WithTCPUserTimeout(c.Dial, c.TCPUserTimeout)), clock: newSendClock()}
 }
 
 // Close closes the idle connections.
@@ -45,7 +57,7 @@
 	}
 	x := &exchange{
 		ctx: ctx, request: r, head: r.RequestHead, body: r.Stream,
-		conn: conn, clock: c.clock, tcpUserTimeout: c.tcpUserTimeout, release: func(reusable bool) { c.pool.Put(address, conn, reusable) },
+		conn: conn, clock: c.clock, tcpUserTimeout: c.c.TCPUserTimeout, outlet: c.c.Outlet, release: func(reusable bool) { c.pool.Put(address, conn, reusable) },
 	}
 	x.head.Remaining -= min(x.head.Remaining/deadlineMarginShare, maxDeadlineMargin)
 	if len(r.Body) > call.InlineBodyBytes {
@@ -56,5 +68,5 @@
 		x.finish()
 		return nil, err
 	}
-	return a, nil
+	return c.c.Outlet.paceToCaller(ctx, r, a), nil
 }
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -27,6 +27,7 @@
 	conn           *drpcconn.Conn
 	clock          *sendClock
 	tcpUserTimeout time.Duration // that of the connection
+	outlet         *Outlet
 	stream         drpc.Stream
 	release        func(reusable bool)
 	once           sync.Once
@@ -61,6 +62,7 @@
 	x.stream = s
 	// With an inline body, the request may run as soon as the head arrives.
 	x.mayHaveRun = x.head.WholeBody
+	x.outlet.c.Link.Small(len(x.head.Body))
 	x.head.SendClock, x.head.SentAt = x.clock.now()
 	if err := s.MsgSend(&wire.ForwardRequest{Head: &x.head}, wire.Encoding{}); err != nil {
 		return nil, x.transportError(err, "send request")
@@ -100,7 +102,10 @@
 	x.bodyDone = make(chan struct{})
 	go func() {
 		defer close(x.bodyDone)
-		b := make([]byte, call.ChunkBytes)
+		l := x.outlet.c.Link
+		f := l.Open(x.outlet.class(x.request), x.head.ContentLength)
+		defer f.Close()
+		b := make([]byte, l.PieceBytes(call.ChunkBytes))
 		for {
 			n, err := x.body.Read(b)
 			end := call.IsEOF(err)
@@ -109,6 +114,9 @@
 				x.stream.Close() // the upstream must not treat a cut-off body as complete
 				return
 			}
+			if n > 0 && f.Acquire(x.stream.Context(), n) != nil {
+				return // the request has ended
+			}
 			if x.stream.MsgSend(&wire.ForwardRequest{Chunk: b[:n], End: end}, wire.Encoding{}) != nil || end {
 				return
 			}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/link"
 	"github.com/gooseberrypick/gooseberrypick/internal/standin"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -43,16 +44,23 @@
 }
 
 func startServerOn(t *testing.T, n *standin.Network, f transportFunc) (*Client, *Server) {
+	return startServerWith(t, n, f, 0)
+}
+
+// startServerWith starts an owner node and a client of it, each on a link of the given rate;
+// zero means unknown.
+func startServerWith(t *testing.T, n *standin.Network, f transportFunc, mbps float64) (*Client, *Server) {
+	rank := func(_, rank string) (int, time.Duration) { return len(rank), time.Second }
 	l, err := n.Listen("owner:3")
 	if err != nil {
 		t.Fatal(err)
 	}
-	m, p := wire.NewMux(), NewServer(ServerConfig{Transport: f})
+	m, p := wire.NewMux(), NewServer(ServerConfig{Transport: f, LinkMbps: mbps, Outlet: NewOutlet(OutletConfig{Link: link.New(mbps), Rank: rank})})
 	p.Register(m)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- wire.Serve(ctx, l, m, wire.ServeOptions{}) }()
-	c := NewClient(n.Dial, time.Second)
+	c := NewClient(ClientConfig{Dial: n.Dial, TCPUserTimeout: time.Second, Outlet: NewOutlet(OutletConfig{Link: link.New(mbps), Rank: rank})})
 	t.Cleanup(func() {
 		c.Close()
 		cancel()
@@ -111,20 +119,22 @@
 		{"much shorter than announced", "id-1", 1 << 20, io.EOF, errkind.AnswerIncomplete},
 		{"answer to another request", "id-2", 5, io.EOF, errkind.UpstreamFailed},
 	} {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c, _ := startServer(t, func(context.Context, *call.Request) (*call.Response, error) {
-					return newResponse(tt.id, tt.length, &failingReader{strings.NewReader("hello"), tt.end}), nil
+		for _, mbps := range []float64{0, 18} {
+			t.Run(fmt.Sprint(tt.name, " at ", mbps, " Mbit per s"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c, _ := startServerWith(t, standin.NewNetwork(), func(context.Context, *call.Request) (*call.Response, error) {
+						return newResponse(tt.id, tt.length, &failingReader{strings.NewReader("hello"), tt.end}), nil
+					}, mbps)
+					got, err := do(c, "id-1", nil)
+					if errkind.Of(err) != tt.want || tt.want == "" && got != "hello" {
+						t.Errorf("got %q, %v, want kind %q", got, err, tt.want)
+					}
+					if err != nil && errkind.From(err).Execution != errkind.Unknown {
+						t.Errorf("execution of %v: got %s, want unknown", err, errkind.From(err).Execution)
+					}
 				})
-				got, err := do(c, "id-1", nil)
-				if errkind.Of(err) != tt.want || tt.want == "" && got != "hello" {
-					t.Errorf("got %q, %v, want kind %q", got, err, tt.want)
-				}
-				if err != nil && errkind.From(err).Execution != errkind.Unknown {
-					t.Errorf("execution of %v: got %s, want unknown", err, errkind.From(err).Execution)
-				}
 			})
-		})
+		}
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,7 +5,8 @@
 //
 // The owner node serves the requests of other nodes and passes them to its transport:
 //
-//	p := peer.NewServer(peer.ServerConfig{Transport: local, LinkMbps: 170})
+//	o := peer.NewOutlet(peer.OutletConfig{Link: link.New(170), Rank: rankOf})
+//	p := peer.NewServer(peer.ServerConfig{Transport: local, LinkMbps: 170, Outlet: o})
 //	p.Register(mux)
 //	…
 //	p.Refuse()           // when the node stops
@@ -13,7 +14,7 @@
 //
 // The entry node calls other nodes:
 //
-//	c := peer.NewClient(wire.DialTCP, wire.LinkTCPUserTimeout(170))
+//	c := peer.NewClient(peer.ClientConfig{Dial: wire.DialTCP, TCPUserTimeout: wire.LinkTCPUserTimeout(170), Outlet: o})
 //	a, err := c.Call(ctx, address, request)
 //
 // A body larger than call.InlineBodyBytes is sent only after the owner node has
@@ -23,6 +24,11 @@
 // chunk of such a body has arrived: until then, the entry node may have given up and
 // reported that the request did not run.
 //
+// Where the rate of the link is known, an Outlet paces the large bodies that the node
+// sends, so that small messages do not wait behind them (package link). The owner node
+// refuses requests whose large responses could not arrive in time, reads large responses
+// ahead into bounded memory, and reports the backlog of its link with each response.
+//
 // The time that a request was on the way counts against its deadline: it may have waited
 // for a busy link, with its cancellation behind it. See transitEstimator.
 package peer
@@ -32,7 +38,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"storj.io/drpc"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
@@ -47,6 +52,8 @@
 	// LinkMbps is the rate of the VM's link. Zero means unknown: only maxTransfers then
 	// bounds the large bodies.
 	LinkMbps float64
+	// Outlet sends the responses; nil means that the rate of the link is unknown.
+	Outlet *Outlet
 }
 
 // Server answers the requests of other nodes.
@@ -61,6 +68,9 @@
 
 // NewServer returns a Server.
 func NewServer(c ServerConfig) *Server {
+	if c.Outlet == nil {
+		c.Outlet = NewOutlet(OutletConfig{})
+	}
 	return &Server{c: c, transfers: newTransferLimiter(maxTransfersOn(c.LinkMbps)), transit: newTransitEstimator()}
 }
 
@@ -121,95 +131,43 @@
 	ctx, cancel := context.WithTimeout(s.Context(), q.Head.Remaining)
 	defer cancel()
 	r := &call.Request{RequestHead: *q.Head}
+	d, err := p.c.Outlet.admit(r)
+	if err != nil {
+		return send(s, refusal(withLoad(err, p.c.Transport, p.c.Outlet, r)))
+	}
+	defer d.close()
+	x := &responder{ctx: ctx, cancel: cancel, stream: s, outlet: p.c.Outlet, delivery: d}
 	if !q.Head.WholeBody {
-		return p.serveLarge(ctx, s, r)
+		return p.serveLarge(ctx, x, r)
 	}
 	a, err := p.c.Transport.Call(ctx, r)
 	if err != nil {
-		return send(s, refusal(err))
+		return x.refuse(err)
 	}
-	defer a.Body.Close()
-	return sendResponse(s, a, nil)
+	return x.respond(a)
 }
 
 // serveLarge serves a request whose body is sent separately, once the link has the
 // capacity for it.
-func (p *Server) serveLarge(ctx context.Context, s drpc.Stream, r *call.Request) error {
+func (p *Server) serveLarge(ctx context.Context, x *responder, r *call.Request) error {
 	started := time.Now()
 	t, err := p.transfers.acquire(ctx, r.Remaining, r.ContentLength)
 	if err != nil {
-		return send(s, refusal(err))
+		return x.refuse(err)
 	}
 	defer t.release()
 	r.Waited += time.Since(started)
-	c := newChunkReader(s)
+	c := newChunkReader(x.stream)
 	c.onChunk, c.onEnd = t.received, t.release
 	defer c.Close()
-	r.Stream = c
+	r.Stream, x.requestBody = c, c
 	r.OnAdmitted = func() error { t.start(); return c.admit(ctx) }
 	a, err := p.c.Transport.Call(ctx, r)
 	if err != nil {
-		return send(s, refusal(err))
+		return x.refuse(err)
 	}
-	defer a.Body.Close()
 	t.recordResponse()
 	n := *a
 	n.Load = func() *wire.Load { return p.transfers.addWait(a.Load(), time.Since(started)) }
-	return sendResponse(s, &n, c)
-}
-
-func refusal(err error) *wire.ForwardResponse {
-	f := &wire.ForwardResponse{Refusal: wire.NewFault(err)}
-	var l *call.LoadError
-	if errors.As(err, &l) {
-		f.Load, f.RetryAfter, f.Arrived = l.Load, l.After, l.Arrived
-	}
-	return f
-}
-
-func send(s drpc.Stream, m *wire.ForwardResponse) error { return s.MsgSend(m, wire.Encoding{}) }
-
-// sendResponse sends a small response of known length as one message, which saves two
-// writes, and streams any other. c is the streamed request body, or nil.
-func sendResponse(s drpc.Stream, a *call.Response, c *chunkReader) error {
-	m := &wire.ForwardResponse{Head: &a.Head}
-	b := make([]byte, bufferSize(a.Head.ContentLength))
-	sent := int64(0)
-	if a.Head.ContentLength < 0 || a.Head.ContentLength > call.ChunkBytes {
-		if err := send(s, m); err != nil {
-			return err
-		}
-		m = &wire.ForwardResponse{}
-	}
-	read := a.Body.Read
-	if m.Head != nil {
-		read = func(b []byte) (int, error) { return call.Fill(a.Body, b) }
-	}
-	for {
-		n, err := read(b)
-		m.Chunk = b[:n]
-		sent += int64(n)
-		if call.IsEOF(err) {
-			m.End = &wire.ResponseEnd{RequestID: a.Head.RequestID, Bytes: sent, Trailer: a.Trailer(), BodyLeft: c != nil && !c.ended.Load()}
-			m.Load = a.Load()
-			return send(s, m)
-		}
-		if err != nil {
-			m.Refusal = wire.NewFault(err)
-			return send(s, m)
-		}
-		if err := send(s, m); err != nil {
-			return err
-		}
-		m = &wire.ForwardResponse{}
-	}
-}
-
-// bufferSize returns one byte more than a known length, so that the read that gets
-// the last bytes also gets the end of the body.
-func bufferSize(length int64) int {
-	if length >= 0 && length < call.ChunkBytes {
-		return int(length) + 1
-	}
-	return call.ChunkBytes
+	return x.respond(&n)
 }
--- a/internal/peer/transfers_test.go
+++ b/internal/peer/transfers_test.go
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- wire.Serve(ctx, l, m, wire.ServeOptions{}) }()
-	c := NewClient(n.Dial, time.Second)
+	c := NewClient(ClientConfig{Dial: n.Dial, TCPUserTimeout: time.Second})
 	t.Cleanup(func() { c.Close(); cancel(); <-done })
 	return c
 }
@@ -239,7 +239,7 @@
 	for _, size := range []int{call.InlineBodyBytes + 1, 25 << 10, 60 << 10} {
 		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := &link{}
+				l := &delayLink{}
 				c := startServerOverLink(t, l, func(context.Context, *call.Request) (*call.Response, error) {
 					return nil, errkind.New(errkind.QueueFull, "no slot")
 				})
--- a/internal/peer/transit_test.go
+++ b/internal/peer/transit_test.go
@@ -14,14 +14,14 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/standin"
 )
 
-// link carries the bytes of the connections that it wraps after a delay.
-type link struct {
+// delayLink carries the bytes of the connections that it wraps after a delay.
+type delayLink struct {
 	delay atomic.Int64 // nanoseconds
 	sent  atomic.Int64 // bytes
 }
 
 // wrap returns c with its writes carried by l.
-func (l *link) wrap(c net.Conn) net.Conn {
+func (l *delayLink) wrap(c net.Conn) net.Conn {
 	k := &linkConn{Conn: c, link: l, parts: make(chan linkPart, 64), done: make(chan struct{})}
 	go func() {
 		defer close(k.done)
@@ -41,7 +41,7 @@
 
 type linkConn struct {
 	net.Conn
-	link  *link
+	link  *delayLink
 	parts chan linkPart
 	once  sync.Once
 	done  chan struct{}
@@ -64,7 +64,7 @@
 }
 
 // startServerOverLink is like startServer with l between the nodes.
-func startServerOverLink(t *testing.T, l *link, f transportFunc) *Client {
+func startServerOverLink(t *testing.T, l *delayLink, f transportFunc) *Client {
 	n := standin.NewNetwork()
 	n.Wrap = func(_ string, c net.Conn) net.Conn { return l.wrap(c) }
 	c, _ := startServerOn(t, n, f)
@@ -86,7 +86,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := &link{}
+				l := &delayLink{}
 				l.delay.Store(int64(time.Millisecond))
 				var passedOn []*call.Request
 				c := startServerOverLink(t, l, func(_ context.Context, r *call.Request) (*call.Response, error) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -158,7 +158,10 @@
 
 func (r *Router) load(l *wire.Load) *balance.Load {
 	r.c.ObserveVersion(l.Version)
-	return &balance.Load{InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait, SlotTime: l.SlotTime, Busy: float64(l.BusyPercent) / 100}
+	return &balance.Load{
+		InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait, SlotTime: l.SlotTime, Busy: float64(l.BusyPercent) / 100,
+		LinkDelay: time.Duration(l.LinkDelayMillis) * time.Millisecond,
+	}
 }
 
 // outcome maps the error of a try to an outcome for the balancer.
--- a/internal/upstream/local.go
+++ b/internal/upstream/local.go
@@ -133,6 +133,15 @@
 	}
 }
 
+// Load returns the load of the upstream that r names as r sees it, or nil if there is none.
+func (l *Local) Load(r *call.Request) *wire.Load {
+	w, err := l.worker(r)
+	if err != nil {
+		return nil
+	}
+	return w.load(time.Now(), r.Rank, r.Route)
+}
+
 // Call queues r for the upstream that it names and sends it.
 func (l *Local) Call(ctx context.Context, r *call.Request) (*call.Response, error) {
 	w, err := l.worker(r)
