Keep fast links busy and count what passes a body

Cause: A timer that fires 1 ms late left a link of 1000 Mbit/s idle between two pieces. The estimate for a less urgent body left out the more urgent ones that arrive after it, and the retry delay counted all bodies ahead, although a body that waits for some of them still meets its target.

Change: A piece is granted while up to 4 ms are queued, if that is more than a piece. Estimates use the rate that more urgent bodies left lately. The retry delay is the time until the target can be met.

--- a/internal/link/estimate.go
+++ b/internal/link/estimate.go
@@ -44,19 +44,34 @@
 type Estimate struct {
 	// Delay is the time until then.
 	Delay time.Duration
-	// Ahead is the part of Delay that is due to other bodies.
-	Ahead time.Duration
+	// RetryAfter is the time after which the same body would meet its target, and its
+	// deadline, if no others come.
+	RetryAfter time.Duration
 }
 
 // Estimate returns when a further body of n bytes would have been sent.
 func (s *Scheduler) Estimate(now time.Time, c Class, n int64) Estimate {
 	s.advance(now)
 	g := &flow{Class: c, left: max(n, 0)}
-	e := newEstimate(s.ahead(g, now, false), n, s.rateFor(g, now, false))
-	if c.Target.IsZero() || !now.Add(e.Delay).After(c.Target) {
+	e := Estimate{Delay: s.delay(g, now, false)}
+	wanted := c.Target
+	if wanted.IsZero() || !c.Deadline.IsZero() && c.Deadline.Before(wanted) {
+		wanted = c.Deadline
+	}
+	if wanted.IsZero() || !now.Add(e.Delay).After(wanted) {
 		return e
 	}
-	return newEstimate(s.ahead(g, now, true), n, s.rateFor(g, now, true))
+	e.RetryAfter = now.Add(e.Delay).Sub(wanted)
+	if !c.Target.IsZero() {
+		e.Delay = s.delay(g, now, true)
+	}
+	return e
+}
+
+// delay returns how long it takes to send g and what is sent before it; late states that g
+// cannot meet its target.
+func (s *Scheduler) delay(g *flow, now time.Time, late bool) time.Duration {
+	return seconds((s.ahead(g, now, late) + float64(g.left)) / s.rateFor(g, now, late))
 }
 
 // rateFor returns the rate that is left to g if as many bodies pass it as did lately: those
@@ -75,11 +90,6 @@
 	return max(rest, free/behindShare)
 }
 
-func newEstimate(ahead float64, n int64, rate float64) Estimate {
-	a := seconds(ahead / rate)
-	return Estimate{Delay: a + seconds(float64(max(n, 0))/rate), Ahead: a}
-}
-
 // largeRate returns the rate that small messages leave to large bodies.
 func (s *Scheduler) largeRate(now time.Time) float64 {
 	return max(s.rate-s.small.value(now), s.rate/reservedShare)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -44,7 +44,7 @@
 type BusyError struct {
 	// Delay is the expected time until it would have been sent.
 	Delay time.Duration
-	// RetryAfter is when the bodies ahead of it are expected to have been sent.
+	// RetryAfter is when the link is expected to have time for it.
 	RetryAfter time.Duration
 }
 
@@ -111,7 +111,7 @@
 	e, ok := l.s.Admit(now, c, n)
 	if !ok {
 		l.stats.Refusals++
-		return nil, &BusyError{Delay: e.Delay, RetryAfter: max(e.Ahead, minRetryAfter)}
+		return nil, &BusyError{Delay: e.Delay, RetryAfter: max(e.RetryAfter, minRetryAfter)}
 	}
 	return l.open(now, c, n), nil
 }
--- a/internal/link/scheduler.go
+++ b/internal/link/scheduler.go
@@ -16,6 +16,9 @@
 	minPieceBytes = 4 << 10
 	// pieceTime is how long the link should need for a piece.
 	pieceTime = 8 * time.Millisecond
+	// queueTime is how much may be queued on the link when a piece is granted, if that is
+	// more than a piece. Timers fire up to 1 ms late, in which a fast link sends many pieces.
+	queueTime = 4 * time.Millisecond
 	// reservedShare is the fraction of the rate that large bodies get, whatever small
 	// messages take.
 	reservedShare = 8
@@ -66,6 +69,7 @@
 type Scheduler struct {
 	rate    float64 // payload, bytes per second
 	piece   int
+	room    float64 // bytes that may be queued when a piece is granted
 	at      time.Time
 	backlog float64 // modeled queue of the link, bytes
 	granted time.Time
@@ -82,7 +86,7 @@
 	r := mbps * 1e6 / 8 * usableShare
 	p := min(max(r*pieceTime.Seconds(), minPieceBytes), maxPieceBytes)
 	return &Scheduler{
-		rate: r, piece: int(p), flows: map[uint64]*flow{},
+		rate: r, piece: int(p), room: max(p, r*queueTime.Seconds()), flows: map[uint64]*flow{},
 		small: movingRate{window: smallWindow.Seconds()}, orders: map[int]*orderRates{},
 	}
 }
@@ -167,7 +171,7 @@
 
 // roomAt returns when the link has room for a piece of n bytes.
 func (s *Scheduler) roomAt(now time.Time, n int) time.Time {
-	over := s.backlog - float64(s.piece)
+	over := s.backlog - s.room
 	if over <= 0 {
 		return now
 	}
@@ -252,7 +256,7 @@
 }
 
 func (s *Scheduler) add(n int) {
-	s.backlog = min(s.backlog+float64(n), max(s.rate*maxModelBacklog.Seconds(), float64(2*s.piece)))
+	s.backlog = min(s.backlog+float64(n), max(s.rate*maxModelBacklog.Seconds(), 2*s.room))
 }
 
 func seconds(s float64) time.Duration {
--- a/internal/peer/responder.go
+++ b/internal/peer/responder.go
@@ -28,6 +28,7 @@
 func (x *responder) refuse(err error) error {
 	f := refusal(err)
 	f.Load = x.delivery.load(f.Load)
+	x.outlet.c.Link.Small(0)
 	return send(x.stream, f)
 }
 
@@ -46,6 +47,7 @@
 	m := &wire.ForwardResponse{Head: &a.Head}
 	read := body.Read
 	if n := a.Head.ContentLength; n < 0 || n > whole {
+		x.outlet.c.Link.Small(0)
 		if err := send(x.stream, m); err != nil {
 			return err
 		}
