Guard the places and the memory of bodies that end early

Cause: Deliberate faults in the withdrawal of a waiting piece, in the bound of the modeled queue, in the end of an upload, in responses to HEAD and in the order of cancellation passed the tests.

Change: Tests for each, and the number of large bodies as a metric.

Result: Each of these faults now fails a test.

--- a/internal/link/estimate.go
+++ b/internal/link/estimate.go
@@ -138,6 +138,9 @@
 	return seconds(s.backlog / s.rate)
 }
 
+// Bodies returns the number of bodies that are being sent or expected.
+func (s *Scheduler) Bodies() int { return len(s.flows) }
+
 // Waiting returns the number of pieces that wait.
 func (s *Scheduler) Waiting() int {
 	n := 0
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -34,8 +34,9 @@
 	SmallBytes, LargeBytes int64
 	// Refusals is the number of bodies that were refused.
 	Refusals int64
-	// Waiting is the number of pieces that wait.
-	Waiting int
+	// Bodies is the number of large bodies that are being sent or expected, and Waiting the
+	// number of their pieces that wait.
+	Bodies, Waiting int
 	// Backlog is the modeled queue of the link.
 	Backlog time.Duration
 }
@@ -141,7 +142,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.stats
-	t.Waiting, t.Backlog = l.s.Waiting(), l.s.Backlog(time.Now())
+	t.Bodies, t.Waiting, t.Backlog = l.s.Bodies(), l.s.Waiting(), l.s.Backlog(time.Now())
 	return t
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -94,6 +94,9 @@
 		if err := <-canceled; !errors.Is(err, context.Canceled) {
 			t.Errorf("canceled: got %v, want context.Canceled", err)
 		}
+		if got := l.Stats().Waiting; got != 1 {
+			t.Errorf("pieces waiting after the cancellation: got %d, want 1", got)
+		}
 		first.Close()
 		if err := <-granted; err != nil {
 			t.Error(err)
--- a/internal/link/load_test.go
+++ b/internal/link/load_test.go
@@ -290,6 +290,21 @@
 	})
 }
 
+// Guards against large bodies that stay slow after more small messages than the setting
+// allows: they have been sent, so the setting is too low.
+func TestRateAfterManySmallMessages(t *testing.T) {
+	s, now, n := NewScheduler(1), time.Unix(0, 0), 0
+	s.Small(now, 10_000_000)
+	s.Open(now, 1, Class{}, 1<<20)
+	for s.Ask(1, s.PieceBytes()); now.Before(time.Unix(2, 0)); now = now.Add(time.Millisecond) {
+		if _, ok := s.Next(now); ok {
+			n++
+			s.Ask(1, s.PieceBytes())
+		}
+	}
+	atLeast(t, "pieces in 2 s", n, 45)
+}
+
 // Guards against less urgent bodies that starve while more urgent ones take the whole
 // link, and against urgent ones that notice the less urgent.
 func TestLessUrgentBodiesAdvance(t *testing.T) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -152,6 +152,7 @@
 		"link_bytes{kind=\"small\"}": s.SmallBytes,
 		"link_bytes{kind=\"large\"}": s.LargeBytes,
 		"link_refusals":              s.Refusals,
+		"link_bodies":                int64(s.Bodies),
 		"link_pieces_waiting":        int64(s.Waiting),
 		"link_backlog_micros":        s.Backlog.Microseconds(),
 		"link_read_ahead_bytes":      n.outlet.AheadBytes(),
--- a/internal/peer/outlet_test.go
+++ b/internal/peer/outlet_test.go
@@ -55,8 +55,8 @@
 		if got := o.budget.responses.Load(); got != 0 {
 			t.Errorf("%s: got %d responses, want 0", name, got)
 		}
-		if got := o.LinkStats().Waiting; got != 0 {
-			t.Errorf("%s: got %d pieces waiting, want 0", name, got)
+		if got := o.LinkStats(); got.Bodies != 0 || got.Waiting != 0 {
+			t.Errorf("%s: got %d bodies and %d pieces waiting, want none", name, got.Bodies, got.Waiting)
 		}
 		time.Sleep(time.Second)
 		if got := o.c.Link.Delay(100); got != 0 {
@@ -287,6 +287,9 @@
 		start := time.Now()
 		_, err := get(t.Context(), c, 500*time.Millisecond)
 		var l *call.LoadError
+		if err == nil {
+			t.Fatal("got a response, want a refusal")
+		}
 		if e := errkind.From(err); e.Kind != errkind.QueueFull || e.Execution != errkind.NotRun || !errors.As(err, &l) || l.After < 100*time.Millisecond || l.Arrived {
 			t.Errorf("got %v, want QueueFull, not-run, with a retry delay", err)
 		}
@@ -327,14 +330,29 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, p, u := startOwner(t, 0)
 		u.length = 1 << 20
-		a, err := c.Call(t.Context(), "owner:3", &call.Request{RequestHead: wire.RequestHead{RequestID: "h", Method: "HEAD", Route: "GET downloads", Remaining: time.Second, WholeBody: true}})
-		if err != nil {
-			t.Fatal(err)
+		end := make(chan struct{})
+		u.body = func(ctx context.Context) *upstreamBody {
+			b := newUpstreamBody(ctx, 0)
+			b.end = end
+			return b
 		}
-		if n, err := io.Copy(io.Discard, a.Body); n != 0 || err != nil {
-			t.Errorf("got %d bytes, %v, want none", n, err)
+		done := make(chan error, 1)
+		go func() {
+			a, err := c.Call(t.Context(), "owner:3", &call.Request{RequestHead: wire.RequestHead{RequestID: "h", Method: "HEAD", Route: "GET downloads", Remaining: time.Second, WholeBody: true}})
+			if err == nil {
+				_, err = io.Copy(io.Discard, a.Body)
+				a.Body.Close()
+			}
+			done <- err
+		}()
+		synctest.Wait()
+		if got := p.c.Outlet.LinkStats().Bodies; got != 0 {
+			t.Errorf("large bodies: got %d, want none", got)
+		}
+		close(end)
+		if err := <-done; err != nil {
+			t.Error(err)
 		}
-		a.Body.Close()
 		if got := p.c.Outlet.meanSize("GET downloads"); got != 0 {
 			t.Errorf("mean size: got %v, want 0", got)
 		}
@@ -418,3 +436,31 @@
 		})
 	}
 }
+
+// Guards that an upstream is not blamed for a response that its caller does not read to the
+// end: the request ends before the body is closed, and everything is released.
+func TestCallerLeavesHalfway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, p, u := startOwner(t, 500<<10)
+		u.body = func(ctx context.Context) *upstreamBody {
+			b := newUpstreamBody(ctx, 500<<10)
+			b.end = make(chan struct{}) // the upstream does not end its response
+			return b
+		}
+		a, err := p.c.Outlet.ToCallers(p.c.Transport).Call(t.Context(), &call.Request{RequestHead: wire.RequestHead{RequestID: "r", Remaining: time.Minute, WholeBody: true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.ReadFull(a.Body, make([]byte, 50<<10)); err != nil {
+			t.Errorf("got %d bytes, %v, want 50 KiB", n, err)
+		}
+		a.Body.Close()
+		assertNothingHeld(t, p, c)
+		b := u.first()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if !b.canceled || !b.ended {
+			t.Errorf("got a request that was canceled: %v, read to its end: %v, want both", b.canceled, b.ended)
+		}
+	})
+}
