Receive large bodies in the order of their urgency

Cause: The owner node admitted large request bodies first come, first served, so that an urgent upload waited behind less urgent ones on a busy link.

Change: Waiting bodies are admitted by rank and then by target or deadline; one in ten admissions goes to a less urgent rank. The predicted wait counts only the bodies ahead. Without LinkMbps, all are equally urgent as before.

--- a/internal/peer/responder.go
+++ b/internal/peer/responder.go
@@ -24,6 +24,14 @@
 	requestBody *chunkReader
 }
 
+// class returns the urgency of the request. Without a link, all are equally urgent.
+func (x *responder) class() link.Class {
+	if x.delivery == nil {
+		return link.Class{}
+	}
+	return x.delivery.class
+}
+
 // refuse sends err in place of a response.
 func (x *responder) refuse(err error) error {
 	f := refusal(err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -151,7 +151,8 @@
 // capacity for it.
 func (p *Server) serveLarge(ctx context.Context, x *responder, r *call.Request) error {
 	started := time.Now()
-	t, err := p.transfers.acquire(ctx, r.Remaining, r.ContentLength)
+	class := x.class()
+	t, err := p.transfers.acquire(ctx, class, r.Remaining, r.ContentLength)
 	if err != nil {
 		return x.refuse(err)
 	}
@@ -168,6 +169,6 @@
 	}
 	t.recordResponse()
 	n := *a
-	n.Load = func() *wire.Load { return p.transfers.addWait(a.Load(), time.Since(started)) }
+	n.Load = func() *wire.Load { return p.transfers.addWait(a.Load(), class.Order, time.Since(started)) }
 	return x.respond(&n)
 }
--- a/internal/peer/transfers.go
+++ b/internal/peer/transfers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/link"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
@@ -28,6 +29,9 @@
 	// overlapBytes is how much of a body may still be due, for each that may arrive, when
 	// the next one is admitted. It covers the round trip until that one arrives.
 	overlapBytes = call.ChunkBytes
+	// behindShare is the fraction of the transfers that goes to less urgent ranks while more
+	// urgent ones could take the whole link.
+	behindShare = 10
 	// minTransferRetry is the shortest retry delay for a refused body.
 	minTransferRetry = 50 * time.Millisecond
 )
@@ -48,7 +52,8 @@
 	limit        int
 	running      int
 	due          int64       // bytes of the running transfers that have not arrived
-	waiting      []*transfer // first come, first served
+	waiting      []*transfer // by rank, and then by target or deadline
+	passedOver   int         // transfers granted since behindShare was last used
 	meanTransfer float64     // moving average, seconds from the admission to the last chunk
 	meanService  float64     // moving average, seconds from the grant to the response
 }
@@ -56,6 +61,7 @@
 // transfer is the transfer of one large body.
 type transfer struct {
 	limiter   *transferLimiter
+	class     link.Class
 	granted   chan struct{}
 	grantedAt time.Time
 	started   time.Time
@@ -69,11 +75,11 @@
 	return &transferLimiter{limit: limit, meanTransfer: initialTransferTime.Seconds()}
 }
 
-// acquire returns once a body of the given size, or of an unknown one, may be sent. It
-// refuses a request at once if its body cannot be received and the request answered within
+// acquire returns once a body of the given class and size, or of an unknown size, may be
+// sent. It refuses a request at once if its body cannot be received and the request answered within
 // the remaining time.
-func (g *transferLimiter) acquire(ctx context.Context, remaining time.Duration, size int64) (*transfer, error) {
-	t, wait := g.enqueue(remaining, size)
+func (g *transferLimiter) acquire(ctx context.Context, c link.Class, remaining time.Duration, size int64) (*transfer, error) {
+	t, wait := g.enqueue(c, remaining, size)
 	if t == nil {
 		return nil, &call.LoadError{
 			Err:   errkind.New(errkind.QueueFull, "the link is busy for %s with the bodies of other requests", wait.Round(time.Millisecond)),
@@ -90,29 +96,49 @@
 }
 
 // enqueue returns nil and the predicted wait if that is too long.
-func (g *transferLimiter) enqueue(remaining time.Duration, size int64) (*transfer, time.Duration) {
+func (g *transferLimiter) enqueue(c link.Class, remaining time.Duration, size int64) (*transfer, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	wait := g.predictWait()
+	place := 0
+	for place < len(g.waiting) && !before(c, g.waiting[place].class) {
+		place++
+	}
+	wait := g.predictWait(place)
 	if wait+time.Duration(max(g.meanTransfer, g.meanService)*float64(time.Second)) > remaining {
 		return nil, wait
 	}
-	t := &transfer{limiter: g, granted: make(chan struct{}), due: size}
+	t := &transfer{limiter: g, class: c, granted: make(chan struct{}), due: size}
 	if size <= 0 {
 		t.due = unknownSize
 	}
-	g.waiting = append(g.waiting, t)
+	g.waiting = slices.Insert(g.waiting, place, t)
 	g.grantWaiting()
 	return t, 0
 }
 
-// predictWait estimates how long the next body has to wait. The caller holds the
-// lock.
-func (g *transferLimiter) predictWait() time.Duration {
+// before reports whether a body of class c is received before one of class d that came
+// earlier.
+func before(c, d link.Class) bool {
+	if c.Order != d.Order {
+		return c.Order < d.Order
+	}
+	due := func(c link.Class) time.Time {
+		if c.Target.IsZero() {
+			return c.Deadline
+		}
+		return c.Target
+	}
+	a, b := due(c), due(d)
+	return !a.IsZero() && (b.IsZero() || a.Before(b))
+}
+
+// predictWait estimates how long a body has to wait behind the given number of waiting
+// ones. The caller holds the lock.
+func (g *transferLimiter) predictWait(ahead int) time.Duration {
 	if g.running < g.limit {
 		return 0
 	}
-	return time.Duration(float64(len(g.waiting)+1) / float64(g.limit) * float64(g.transferTime()))
+	return time.Duration(float64(ahead+1) / float64(g.limit) * float64(g.transferTime()))
 }
 
 func (g *transferLimiter) transferTime() time.Duration {
@@ -124,8 +150,9 @@
 
 func (g *transferLimiter) grantWaiting() {
 	for len(g.waiting) > 0 && (g.running < g.limit || g.due < int64(g.limit)*overlapBytes) {
-		t := g.waiting[0]
-		g.waiting = slices.Delete(g.waiting, 0, 1)
+		i := g.next()
+		t := g.waiting[i]
+		g.waiting = slices.Delete(g.waiting, i, i+1)
 		g.running++
 		g.due += t.due
 		t.grantedAt = time.Now()
@@ -133,6 +160,20 @@
 	}
 }
 
+// next returns the index of the next transfer: the first, or one in behindShare times the
+// first of a less urgent rank. The caller holds the lock.
+func (g *transferLimiter) next() int {
+	i := slices.IndexFunc(g.waiting, func(t *transfer) bool { return t.class.Order > g.waiting[0].class.Order })
+	if i < 0 {
+		return 0
+	}
+	if g.passedOver++; g.passedOver < behindShare {
+		return 0
+	}
+	g.passedOver = 0
+	return i
+}
+
 // start records that the body is about to be sent.
 func (t *transfer) start() {
 	t.limiter.mu.Lock()
@@ -192,12 +233,18 @@
 	return p.transfers.running, len(p.transfers.waiting)
 }
 
-// addWait returns l for requests with large bodies: the wait for the link is added as
-// waiting requests, each of which takes serviceTime.
-func (g *transferLimiter) addWait(l *wire.Load, serviceTime time.Duration) *wire.Load {
+// addWait returns l for requests with large bodies of a rank of the given order: the wait
+// for the link is added as waiting requests, each of which takes serviceTime.
+func (g *transferLimiter) addWait(l *wire.Load, order int, serviceTime time.Duration) *wire.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w := g.predictWait()
+	ahead := 0
+	for _, t := range g.waiting {
+		if t.class.Order <= order {
+			ahead++
+		}
+	}
+	w := g.predictWait(ahead)
 	if l == nil || w <= 0 || serviceTime <= 0 {
 		return l
 	}
--- a/internal/peer/transfers_test.go
+++ b/internal/peer/transfers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/link"
 	"github.com/gooseberrypick/gooseberrypick/internal/standin"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
@@ -125,7 +127,7 @@
 		acquire := func(size int64) chan *transfer {
 			c := make(chan *transfer, 1)
 			go func() {
-				k, err := g.acquire(t.Context(), time.Hour, size)
+				k, err := g.acquire(t.Context(), link.Class{}, time.Hour, size)
 				if err != nil {
 					t.Errorf("acquire: %v", err)
 				}
@@ -165,6 +167,52 @@
 	})
 }
 
+// Guards that the most urgent bodies are received first, and within a rank the one with the
+// earliest target, and that less urgent ones are not left waiting for ever.
+func TestOrderOfTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		class := func(order int, target time.Duration) link.Class {
+			return link.Class{Order: order, Target: now.Add(target)}
+		}
+		g := newTransferLimiter(1)
+		running, err := g.acquire(t.Context(), class(1, 0), time.Hour, 60<<10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		granted := make(chan string)
+		enter := func(name string, c link.Class) {
+			go func() {
+				k, err := g.acquire(t.Context(), c, time.Hour, 60<<10)
+				if err != nil {
+					t.Errorf("%s: %v", name, err)
+					return
+				}
+				granted <- name
+				k.release()
+			}()
+			synctest.Wait()
+		}
+		enter("less urgent", class(2, time.Second))
+		enter("late", class(1, 2*time.Second))
+		enter("without a time", link.Class{Order: 1})
+		enter("early", class(1, time.Second))
+		for range behindShare {
+			enter("more", class(1, time.Minute))
+		}
+		running.release()
+		got := make([]string, 0, 4+behindShare)
+		for range cap(got) {
+			got = append(got, <-granted)
+		}
+		want := append([]string{"early", "late"}, slices.Repeat([]string{"more"}, behindShare-3)...)
+		want = append(want, "less urgent", "more", "more", "more", "without a time")
+		if !slices.Equal(got, want) {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	})
+}
+
 // Guards that a body that cannot arrive in time is refused at once as not-run, with a
 // retry delay, and that it does not count towards the limit afterwards.
 func TestLargeBodyWithoutTime(t *testing.T) {
