--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -51,7 +51,7 @@
 
 // Error implements error.
 func (e *BusyError) Error() string {
-	return fmt.Sprintf("the link is busy with large bodies: the response would be sent in %s", e.Delay.Round(time.Millisecond))
+	return fmt.Sprintf("the link is busy with large bodies, and it would be sent in %s", e.Delay.Round(time.Millisecond))
 }
 
 // New returns a Link of the given rate in Mbit/s, or nil if the rate is zero, which means
--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -66,6 +66,8 @@
 	client  map[string]*http.Client
 	// stopLimit is the StopLimit of nodes that are started from now on.
 	stopLimit time.Duration
+	// linkMbps is the LinkMbps of nodes that are started from now on.
+	linkMbps float64
 }
 
 func newMesh(t *testing.T, nodes ...string) *mesh {
@@ -104,7 +106,7 @@
 func (m *mesh) start(name string) {
 	n, err := New(Config{
 		Settings: settings.Node{
-			Name: name, AvailabilityZone: "kufstein", Control: []string{"control:3"}, StopLimit: m.stopLimit,
+			Name: name, AvailabilityZone: "kufstein", Control: []string{"control:3"}, StopLimit: m.stopLimit, LinkMbps: m.linkMbps,
 			Listen: name + ":1", UpstreamListen: name + ":2", PeerListen: name + ":3", AdminListen: name + ":4",
 		},
 		Log: m.log, Dial: m.net.Dial, Listen: m.net.Listen,
--- a/internal/peer/outlet.go
+++ b/internal/peer/outlet.go
@@ -130,7 +130,7 @@
 	f, err := o.c.Link.Admit(d.class, n)
 	var b *link.BusyError
 	if errors.As(err, &b) {
-		return nil, &call.LoadError{Err: errkind.Wrap(err, errkind.QueueFull, "link").WithExecution(errkind.NotRun), After: b.RetryAfter}
+		return nil, &call.LoadError{Err: errkind.Wrap(err, errkind.QueueFull, "response of about %d bytes", n).WithExecution(errkind.NotRun), After: b.RetryAfter}
 	}
 	d.flow = f
 	return d, nil
@@ -153,13 +153,14 @@
 	}
 }
 
-// pace returns once n bytes of the response may be sent.
+// pace returns once n bytes of the response may be sent. Of a response of unknown length,
+// the first link.SmallBytes count as small, unless the route's responses are large.
 func (d *delivery) pace(ctx context.Context, n int) error {
 	if d == nil || n == 0 {
 		return nil
 	}
 	d.sent += int64(n)
-	if d.length <= link.SmallBytes && d.sent <= link.SmallBytes {
+	if d.flow == nil && d.length <= link.SmallBytes && d.sent <= link.SmallBytes {
 		d.outlet.c.Link.Small(n)
 		return nil
 	}
