--- a/internal/peer/transit_test.go
+++ b/internal/peer/transit_test.go
@@ -22,14 +22,22 @@
 
 // wrap returns c with its writes carried by l.
 func (l *delayLink) wrap(c net.Conn) net.Conn {
-	k := &linkConn{Conn: c, link: l, parts: make(chan linkPart, 64), done: make(chan struct{})}
+	k := &linkConn{Conn: c, link: l, parts: make(chan linkPart, 64), closing: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(k.done)
-		for p := range k.parts {
-			time.Sleep(time.Until(p.at))
-			k.Conn.Write(p.data)
+		defer k.Conn.Close()
+		for {
+			select {
+			case p := <-k.parts:
+				k.carry(p)
+				continue
+			case <-k.closing:
+			}
+			for len(k.parts) > 0 {
+				k.carry(<-k.parts)
+			}
+			return
 		}
-		k.Conn.Close()
 	}()
 	return k
 }
@@ -44,7 +52,15 @@
 	link  *delayLink
 	parts chan linkPart
 	once  sync.Once
-	done  chan struct{}
+	// closing is closed by Close. The channel of the parts stays open, since drpc may write
+	// and close at the same time.
+	closing chan struct{}
+	done    chan struct{}
+}
+
+func (c *linkConn) carry(p linkPart) {
+	time.Sleep(time.Until(p.at))
+	c.Conn.Write(p.data)
 }
 
 func (c *linkConn) Write(b []byte) (int, error) {
@@ -59,7 +75,7 @@
 
 // Close closes the connection behind the bytes that are on their way.
 func (c *linkConn) Close() error {
-	c.once.Do(func() { close(c.parts) })
+	c.once.Do(func() { close(c.closing) })
 	return nil
 }
 
