Report the wait for the link independently of the rank

Cause: The reported wait counted only bodies at least as urgent as the response that carried it. An entry node keeps one value for each link, and urgent small responses would have set it to zero.

Change: LinkDelayMillis is the wait of the least urgent body.

Result: The tests of link, peer and router pass with the race detector.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -67,8 +67,8 @@
 	SlotTime time.Duration
 	// Busy is the moving mean of the share of slots in use.
 	Busy float64
-	// LinkDelay is how long a large response is expected to wait for others on the link
-	// of the owner node.
+	// LinkDelay is how long a large response would wait for the others on the link of the
+	// owner node if it were the least urgent.
 	LinkDelay time.Duration
 }
 
--- a/internal/link/estimate.go
+++ b/internal/link/estimate.go
@@ -100,7 +100,7 @@
 func (s *Scheduler) ahead(g *flow, now time.Time, late bool) float64 {
 	n := s.backlog
 	for _, f := range s.flows {
-		if f.left == 0 || f.begun && f.want == 0 && now.Sub(f.granted) > stallTime {
+		if f.left == 0 || s.stalled(f, now) {
 			continue
 		}
 		switch l := s.isLate(f, now); {
@@ -112,6 +112,11 @@
 	return n
 }
 
+// stalled reports whether f has begun and no longer asks for pieces.
+func (s *Scheduler) stalled(f *flow, now time.Time) bool {
+	return f.begun && f.want == 0 && now.Sub(f.granted) > stallTime
+}
+
 // Admit reports whether a further body of n bytes is expected to have been sent by its
 // deadline. A body alone on the link always is, since the setting may be wrong.
 func (s *Scheduler) Admit(now time.Time, c Class, n int64) (Estimate, bool) {
@@ -119,13 +124,13 @@
 	return e, len(s.flows) == 0 || c.Deadline.IsZero() || !now.Add(e.Delay).After(c.Deadline)
 }
 
-// Delay returns how long a further body of the given order would wait for those that
-// have no later target, if it had the latest target of all.
-func (s *Scheduler) Delay(now time.Time, order int) time.Duration {
+// Delay returns how long a further body would wait if it were the least urgent. It does not
+// depend on a rank, since entry nodes keep one value for each link.
+func (s *Scheduler) Delay(now time.Time) time.Duration {
 	s.advance(now)
 	n := s.backlog
 	for _, f := range s.flows {
-		if f.Order <= order && (!f.begun || f.want > 0 || now.Sub(f.granted) <= stallTime) {
+		if !s.stalled(f, now) {
 			n += float64(f.left)
 		}
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -124,15 +124,15 @@
 	return &Flow{link: l, id: l.nextID}
 }
 
-// Delay returns how long a further large body of a rank of the given order would wait for
-// others.
-func (l *Link) Delay(order int) time.Duration {
+// Delay returns how long a further large body would wait for others if it were the least
+// urgent.
+func (l *Link) Delay() time.Duration {
 	if l == nil {
 		return 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.s.Delay(time.Now(), order)
+	return l.s.Delay(time.Now())
 }
 
 // Stats returns the counters and the current state.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -122,7 +122,7 @@
 		if got := l.Stats().Refusals; got != 1 {
 			t.Errorf("refusals: got %d, want 1", got)
 		}
-		if got := l.Delay(2).Round(100 * time.Millisecond); got != 2200*time.Millisecond {
+		if got := l.Delay().Round(100 * time.Millisecond); got != 2200*time.Millisecond {
 			t.Errorf("delay: got %s, want 2.2s", got)
 		}
 		f.Close()
@@ -137,7 +137,7 @@
 	l := New(0)
 	l.Small(1 << 20)
 	f, err := l.Admit(Class{Deadline: time.Now()}, 1<<30)
-	if err != nil || f.Acquire(t.Context(), 1<<30) != nil || l.Delay(1) != 0 || l.PieceBytes(7) != 7 || l.Stats() != (Stats{}) {
+	if err != nil || f.Acquire(t.Context(), 1<<30) != nil || l.Delay() != 0 || l.PieceBytes(7) != 7 || l.Stats() != (Stats{}) {
 		t.Errorf("got %v, %v, want nothing to be delayed", f, err)
 	}
 	f.SetLeft(1)
@@ -154,7 +154,7 @@
 			}
 			for b.Loop() {
 				l.Small(1024)
-				l.Delay(1)
+				l.Delay()
 			}
 		})
 	}
--- a/internal/link/scheduler_test.go
+++ b/internal/link/scheduler_test.go
@@ -163,7 +163,7 @@
 	if e, ok := s.Admit(now, c, 90_000); !ok || e.Delay > 50*time.Millisecond {
 		t.Errorf("body behind it: got %+v, %v, want nothing ahead", e, ok)
 	}
-	atMost(t, "delay", s.Delay(now, 2), 0)
+	atMost(t, "delay", s.Delay(now), 0)
 	s.Open(now, 2, c, int64(3*s.PieceBytes()))
 	if got, want := order(s, now, map[uint64]int{2: 3}), "2 2 2"; got != want {
 		t.Errorf("got %s, want %s", got, want)
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -31,7 +31,7 @@
 				if err := d.pace(context.Background(), 1000); err != nil {
 					b.Fatal(err)
 				}
-				d.load(l)
+				o.load(l)
 				d.complete(200)
 				d.close()
 			}
--- a/internal/peer/outlet.go
+++ b/internal/peer/outlet.go
@@ -187,17 +187,9 @@
 	}
 }
 
-// load returns l with the backlog of the link.
-func (d *delivery) load(l *wire.Load) *wire.Load {
-	if d == nil {
-		return l
-	}
-	return d.outlet.load(l, d.class.Order)
-}
-
-// load returns l with the wait of a large body of a rank of the given order.
-func (o *Outlet) load(l *wire.Load, order int) *wire.Load {
-	wait := o.c.Link.Delay(order).Milliseconds()
+// load returns l with the wait of a large body for the link.
+func (o *Outlet) load(l *wire.Load) *wire.Load {
+	wait := o.c.Link.Delay().Milliseconds()
 	if l == nil || wait == 0 {
 		return l
 	}
@@ -244,7 +236,7 @@
 	}
 	n.Body = &pacedBody{ReadCloser: n.Body, ctx: ctx, delivery: d, status: a.Head.Status, piece: t.outlet.c.Link.PieceBytes(0), close: func() { cancel(); d.close() }}
 	d.start(a)
-	n.Load = func() *wire.Load { return d.load(a.Load()) }
+	n.Load = func() *wire.Load { return t.outlet.load(a.Load()) }
 	return &n, nil
 }
 
@@ -301,8 +293,7 @@
 	if k, ok := t.(interface {
 		Load(r *call.Request) *wire.Load
 	}); ok && errors.As(err, &l) && l.Load == nil {
-		order, _ := o.c.Rank(r.Customer, r.Rank)
-		l.Load = o.load(k.Load(r), order)
+		l.Load = o.load(k.Load(r))
 	}
 	return err
 }
--- a/internal/peer/outlet_test.go
+++ b/internal/peer/outlet_test.go
@@ -59,7 +59,7 @@
 			t.Errorf("%s: got %d bodies and %d pieces waiting, want none", name, got.Bodies, got.Waiting)
 		}
 		time.Sleep(time.Second)
-		if got := o.c.Link.Delay(100); got != 0 {
+		if got := o.c.Link.Delay(); got != 0 {
 			t.Errorf("%s: got a delay of %s, want 0", name, got)
 		}
 	}
--- a/internal/peer/responder.go
+++ b/internal/peer/responder.go
@@ -35,7 +35,7 @@
 // refuse sends err in place of a response.
 func (x *responder) refuse(err error) error {
 	f := refusal(err)
-	f.Load = x.delivery.load(f.Load)
+	f.Load = x.outlet.load(f.Load)
 	x.outlet.c.Link.Small(0)
 	return send(x.stream, f)
 }
@@ -80,7 +80,7 @@
 		if call.IsEOF(err) {
 			c := x.requestBody
 			m.End = &wire.ResponseEnd{RequestID: a.Head.RequestID, Bytes: sent, Trailer: a.Trailer(), BodyLeft: c != nil && !c.ended.Load()}
-			m.Load = x.delivery.load(a.Load())
+			m.Load = x.outlet.load(a.Load())
 			x.delivery.complete(a.Head.Status)
 			return send(x.stream, m)
 		}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -100,7 +100,7 @@
 	SlotTime time.Duration `cbor:"6,keyasint,omitempty"`
 	// BusyPercent is the moving mean of the slots in use, in percent.
 	BusyPercent int `cbor:"7,keyasint,omitempty"`
-	// LinkDelayMillis is how long a large response of the answer's rank is expected to wait
-	// for others on the owner node's link, in milliseconds, or zero if unknown.
+	// LinkDelayMillis is how long a large response would wait for the others on the owner
+	// node's link if it were the least urgent, in milliseconds, or zero if unknown.
 	LinkDelayMillis int `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -93,8 +93,9 @@
 	UrgentReserve float64 `jsonc:"optional"`
 	// RetryBudget bounds the requests that are sent to a second upstream.
 	RetryBudget RetryBudget `jsonc:"optional"`
-	// LinkMbps is the rate of the VM's network link in Mbit/s. It bounds how many large
-	// bodies arrive at the same time. Zero means unknown.
+	// LinkMbps is the rate of the VM's network link in Mbit/s. Large bodies that the node
+	// sends are paced to it, and it bounds how many arrive at the same time. Zero means
+	// unknown.
 	LinkMbps float64 `jsonc:"optional"`
 	// TLS configures the connections to and from other nodes and controls.
 	TLS      TLS    `jsonc:"optional"`
