Count the urgency of a body from its request

Cause: The entry node computed target and deadline of a response to a caller, and of a request body, when it began to send them, from the remaining time at the start of the request. A response that took long became less urgent.

Change: They are computed when the request is sent. Tests of the hop to the callers: the order, and a caller that does not read.

Result: The tests of package peer pass with the race detector; with the fault, TestOrderToCallers fails.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -57,7 +57,7 @@
 	}
 	x := &exchange{
 		ctx: ctx, request: r, head: r.RequestHead, body: r.Stream,
-		conn: conn, clock: c.clock, tcpUserTimeout: c.c.TCPUserTimeout, outlet: c.c.Outlet, release: func(reusable bool) { c.pool.Put(address, conn, reusable) },
+		conn: conn, clock: c.clock, tcpUserTimeout: c.c.TCPUserTimeout, outlet: c.c.Outlet, class: c.c.Outlet.class(r), release: func(reusable bool) { c.pool.Put(address, conn, reusable) },
 	}
 	x.head.Remaining -= min(x.head.Remaining/deadlineMarginShare, maxDeadlineMargin)
 	if len(r.Body) > call.InlineBodyBytes {
@@ -68,5 +68,5 @@
 		x.finish()
 		return nil, err
 	}
-	return c.c.Outlet.paceToCaller(ctx, r, a), nil
+	return c.c.Outlet.paceToCaller(ctx, x.class, r, a), nil
 }
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/link"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
@@ -28,6 +29,7 @@
 	clock          *sendClock
 	tcpUserTimeout time.Duration // that of the connection
 	outlet         *Outlet
+	class          link.Class
 	stream         drpc.Stream
 	release        func(reusable bool)
 	once           sync.Once
@@ -103,7 +105,7 @@
 	go func() {
 		defer close(x.bodyDone)
 		l := x.outlet.c.Link
-		f := l.Open(x.outlet.class(x.request), x.head.ContentLength)
+		f := l.Open(x.class, x.head.ContentLength)
 		defer f.Close()
 		b := make([]byte, l.PieceBytes(call.ChunkBytes))
 		for {
--- a/internal/peer/outlet.go
+++ b/internal/peer/outlet.go
@@ -69,8 +69,12 @@
 	}
 }
 
-// class returns the urgency of the bodies of r.
+// class returns the urgency of the bodies of r, which is about to be sent. Without a link,
+// all are equally urgent.
 func (o *Outlet) class(r *call.Request) link.Class {
+	if o.c.Link == nil {
+		return link.Class{}
+	}
 	now := time.Now()
 	order, target := o.c.Rank(r.Customer, r.Rank)
 	c := link.Class{Order: order}
@@ -241,11 +245,11 @@
 }
 
 // paceToCaller returns a with its body sent on to a caller over the link.
-func (o *Outlet) paceToCaller(ctx context.Context, r *call.Request, a *call.Response) *call.Response {
+func (o *Outlet) paceToCaller(ctx context.Context, c link.Class, r *call.Request, a *call.Response) *call.Response {
 	if o.c.Link == nil {
 		return a
 	}
-	d := &delivery{outlet: o, request: r, class: o.class(r)}
+	d := &delivery{outlet: o, request: r, class: c}
 	d.start(a)
 	n := *a
 	n.Body = &pacedBody{ReadCloser: a.Body, ctx: ctx, delivery: d, piece: o.c.Link.PieceBytes(0), close: d.close}
