Record the size of a response once

Cause: A body that is read again after its end counted twice in the mean size of its route.

Change: It counts once.

Result: The tests of the packages link, peer, upstream, router, node, caller, wire, balance, settings and docs pass with the race detector.

--- a/internal/peer/outlet.go
+++ b/internal/peer/outlet.go
@@ -261,7 +261,7 @@
 	io.ReadCloser
 	ctx      context.Context
 	delivery *delivery
-	// status is that of a response whose size is recorded, or zero.
+	// status is that of a response whose size is still to be recorded, or zero.
 	status int
 	piece  int
 	close  func()
@@ -280,6 +280,7 @@
 	}
 	if call.IsEOF(err) {
 		b.delivery.complete(b.status)
+		b.status = 0
 	}
 	return n, err
 }
