--- a/internal/peer/transit_test.go
+++ b/internal/peer/transit_test.go
@@ -14,22 +14,30 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/standin"
 )
 
-// link carries the bytes of the connections that it wraps after a delay.
-type link struct {
+// delayLink carries the bytes of the connections that it wraps after a delay.
+type delayLink struct {
 	delay atomic.Int64 // nanoseconds
 	sent  atomic.Int64 // bytes
 }
 
 // wrap returns c with its writes carried by l.
-func (l *link) wrap(c net.Conn) net.Conn {
-	k := &linkConn{Conn: c, link: l, parts: make(chan linkPart, 64), done: make(chan struct{})}
+func (l *delayLink) wrap(c net.Conn) net.Conn {
+	k := &linkConn{Conn: c, link: l, parts: make(chan linkPart, 64), closing: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(k.done)
-		for p := range k.parts {
-			time.Sleep(time.Until(p.at))
-			k.Conn.Write(p.data)
+		defer k.Conn.Close()
+		for {
+			select {
+			case p := <-k.parts:
+				k.carry(p)
+				continue
+			case <-k.closing:
+			}
+			for len(k.parts) > 0 {
+				k.carry(<-k.parts)
+			}
+			return
 		}
-		k.Conn.Close()
 	}()
 	return k
 }
@@ -41,10 +49,18 @@
 
 type linkConn struct {
 	net.Conn
-	link  *link
+	link  *delayLink
 	parts chan linkPart
 	once  sync.Once
-	done  chan struct{}
+	// closing is closed by Close. The channel of the parts stays open, since drpc may write
+	// and close at the same time.
+	closing chan struct{}
+	done    chan struct{}
+}
+
+func (c *linkConn) carry(p linkPart) {
+	time.Sleep(time.Until(p.at))
+	c.Conn.Write(p.data)
 }
 
 func (c *linkConn) Write(b []byte) (int, error) {
@@ -59,12 +75,12 @@
 
 // Close closes the connection behind the bytes that are on their way.
 func (c *linkConn) Close() error {
-	c.once.Do(func() { close(c.parts) })
+	c.once.Do(func() { close(c.closing) })
 	return nil
 }
 
 // startServerOverLink is like startServer with l between the nodes.
-func startServerOverLink(t *testing.T, l *link, f transportFunc) *Client {
+func startServerOverLink(t *testing.T, l *delayLink, f transportFunc) *Client {
 	n := standin.NewNetwork()
 	n.Wrap = func(_ string, c net.Conn) net.Conn { return l.wrap(c) }
 	c, _ := startServerOn(t, n, f)
@@ -86,7 +102,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := &link{}
+				l := &delayLink{}
 				l.delay.Store(int64(time.Millisecond))
 				var passedOn []*call.Request
 				c := startServerOverLink(t, l, func(_ context.Context, r *call.Request) (*call.Response, error) {
