Decide by worth and price whether a request leaves its zone

Cause: another zone had to be better by a fixed factor (1.25, for large bodies 4), whatever the target of the request and the price of bytes.

Change: the best upstream of the zone and the best of the others are compared by the chance to be answered within target and deadline, from the expected work, wait, link delay and way. Response bytes and the spread of latencies are learned by route. Without a price the factors remain. Reports carry LinkDelay, which nothing fills in yet. Crossings and their bytes are counted, and the log line states the expected times. Package policybench plays zones, waves and uneven speeds against the choice before, kept in policybench/present. A report now replaces half of a pace that is a second old.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"time"
 )
@@ -13,6 +14,9 @@
 	// Draws is how many candidates of a zone are compared; zero means
 	// DefaultDraws.
 	Draws int
+	// ZonePrice is the worth of a gigabyte that is sent between zones, in worths of one
+	// answer. Zero means that bytes are free and only the expected times decide.
+	ZonePrice float64
 }
 
 const (
@@ -42,7 +46,8 @@
 	// a request.
 	fullSlotsWait = 1
 	// remotePenalty is the factor by which an upstream of another zone must be
-	// better. It accounts for the latency between zones and prevents flapping.
+	// better where bytes have no price. It accounts for the latency between zones and
+	// prevents flapping.
 	remotePenalty = 1.25
 	// largePenalty replaces remotePenalty for requests with large bodies.
 	largePenalty = 4
@@ -67,6 +72,8 @@
 	SlotTime time.Duration
 	// Busy is the moving mean of the share of slots in use.
 	Busy float64
+	// LinkDelay is the expected delay of a large body on the owner node's link.
+	LinkDelay time.Duration
 }
 
 // Result is the result of one try.
@@ -94,6 +101,8 @@
 	// Route groups tries of similar latency.
 	Route   string
 	Latency time.Duration
+	// Bytes is the size of the complete response body of an OK outcome.
+	Bytes int64
 	// Load is the load report that came with the answer, or nil.
 	Load *Load
 }
@@ -104,9 +113,17 @@
 	Rank string
 	// Exclude names candidates that were already tried.
 	Exclude map[string]bool
+	// Route groups requests of similar times and sizes.
+	Route string
+	// Target is the time left until the request's target; zero means that it has none,
+	// and a negative one has passed. Remaining is the time left until its deadline.
+	Target    time.Duration
+	Remaining time.Duration
+	// Bytes is the size of the request body, or negative if unknown.
+	Bytes int64
 	// Large is set for requests with a large body. They stay in their zone unless
-	// another is better by largePenalty, since traffic between zones costs more
-	// than waiting.
+	// another is substantially better, since traffic between zones costs more than
+	// waiting.
 	Large bool
 	// NoProbe is set for requests that must not be used to probe a suspect upstream,
 	// because they may run at most once.
@@ -117,15 +134,50 @@
 const (
 	ReasonLocal      = "least expected time in zone"
 	ReasonRemote     = "other zone, own zone loaded"
+	ReasonSlow       = "other zone, own zone slow"
+	ReasonLink       = "other zone, own links busy"
 	ReasonNoLocal    = "other zone, none in own zone"
 	ReasonProbe      = "probe of a suspect"
 	ReasonAllSuspect = "all drawn are suspect"
 )
 
+// ReasonLabel returns the short form of a reason, for metrics.
+func ReasonLabel(reason string) string {
+	switch reason {
+	case ReasonLocal:
+		return "own"
+	case ReasonRemote:
+		return "loaded"
+	case ReasonSlow:
+		return "slow"
+	case ReasonLink:
+		return "link"
+	case ReasonNoLocal:
+		return "none"
+	case ReasonProbe:
+		return "probe"
+	}
+	return "suspect"
+}
+
 // Choice is the upstream chosen for one request.
 type Choice struct {
 	Candidate Candidate
 	Reason    string
+	// Here and There are the expected times in the own zone and in the others, and Bytes
+	// the expected bytes of request and response. They are zero where the own zone was
+	// not compared with others.
+	Here, There time.Duration
+	Bytes       int64
+}
+
+// Expected returns the expected times in the own zone and in the others, and the expected
+// bytes, for the log line, or an empty text where the zones were not compared.
+func (c Choice) Expected() string {
+	if c.There == 0 {
+		return ""
+	}
+	return fmt.Sprintf("here %s, there %s, %d bytes", c.Here, c.There, c.Bytes)
 }
 
 // Balancer chooses upstreams. It is not safe for concurrent use.
@@ -133,49 +185,66 @@
 	config    Config
 	random    *rand.Rand
 	estimates map[string]*estimate
-	routes    map[string]*meanLatency
-	ranks     map[string]*meanLatency
-	slotTimes map[string]*meanLatency // as reported, by route
-	sweepAt   int                     // number of estimates from which forgetIdle scans them
+	routes    map[string]*movingMean
+	ranks     map[string]*movingMean
+	slotTimes map[string]*movingMean // as reported, by route
+	bytes     map[string]*movingMean // bytes of responses, by route
+	spreads   map[string]*spread     // of latencies, by route
+	sweepAt   int                    // number of estimates from which forgetIdle scans them
 	drawn     [maxDraws]int
 }
 
-// meanLatency is the mean latency of a route or rank over all upstreams.
-type meanLatency struct {
-	seconds float64
-	n       int
+// movingMean is the moving mean of a route or rank over all upstreams: of latencies in
+// seconds, or of sizes in bytes.
+type movingMean struct {
+	value float64
+	n     int
 }
 
-func (u *meanLatency) add(seconds float64) {
+func (u *movingMean) add(v float64) {
 	u.n++
-	u.seconds += (seconds - u.seconds) * max(0.01, 1/float64(u.n))
+	u.value += (v - u.value) * max(0.01, 1/float64(u.n))
 }
 
-func (u *meanLatency) latency() time.Duration { return time.Duration(u.seconds * float64(time.Second)) }
+func (u *movingMean) latency() time.Duration { return time.Duration(u.value * float64(time.Second)) }
 
-// maxMeans bounds the routes, and the ranks, whose mean latency is kept.
+// maxMeans bounds the routes, and the ranks, of which means are kept.
 const maxMeans = 1024
 
-// meanOf returns the mean latency of the named route or rank, adding it if missing.
-func meanOf(m map[string]*meanLatency, name string) *meanLatency {
+// meanOf returns the moving mean of the named route or rank, adding it if missing.
+func meanOf(m map[string]*movingMean, name string) *movingMean {
 	u := m[name]
 	if u == nil {
 		if len(m) >= maxMeans {
 			clear(m)
 		}
-		u = &meanLatency{}
+		u = &movingMean{}
 		m[name] = u
 	}
 	return u
 }
 
+// spreadOf returns the spread of the named route, adding it if missing.
+func (b *Balancer) spreadOf(route string) *spread {
+	u := b.spreads[route]
+	if u == nil {
+		if len(b.spreads) >= maxMeans {
+			clear(b.spreads)
+		}
+		u = &spread{}
+		b.spreads[route] = u
+	}
+	return u
+}
+
 // New returns a Balancer without estimates.
 func New(c Config) *Balancer {
 	c.Draws = min(cmp.Or(c.Draws, DefaultDraws), maxDraws)
 	return &Balancer{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)),
-		estimates: map[string]*estimate{}, routes: map[string]*meanLatency{}, ranks: map[string]*meanLatency{},
-		slotTimes: map[string]*meanLatency{}, sweepAt: minSweepSize,
+		estimates: map[string]*estimate{}, routes: map[string]*movingMean{}, ranks: map[string]*movingMean{},
+		slotTimes: map[string]*movingMean{}, bytes: map[string]*movingMean{}, spreads: map[string]*spread{},
+		sweepAt: minSweepSize,
 	}
 }
 
@@ -242,11 +311,13 @@
 	meanOf(b.ranks, o.Rank).add(s)
 	u := meanOf(b.routes, o.Route)
 	u.add(s)
-	if u.seconds <= 0 {
+	meanOf(b.bytes, o.Route).add(float64(o.Bytes))
+	b.spreadOf(o.Route).add(s)
+	if u.value <= 0 {
 		return
 	}
 	v := e.currentSlowdown(now)
-	e.slowdown = v + (min(s/u.seconds, maxSlowdown)-v)*slowdownWeight
+	e.slowdown = v + (min(s/u.value, maxSlowdown)-v)*slowdownWeight
 	e.slowdownAt = now
 }
 
@@ -260,11 +331,12 @@
 	}
 	u := meanOf(b.slotTimes, o.Route)
 	u.add(s)
-	v := min(s/u.seconds, maxSlowdown)
+	v := min(s/u.value, maxSlowdown)
 	if e.paceAt.IsZero() {
 		e.pace = v
 	}
-	e.pace = e.currentPace(now) + (v-e.currentPace(now))*paceWeight
+	w := max(paceWeight, 1-decay(1, now.Sub(e.paceAt), paceRefresh))
+	e.pace = e.currentPace(now) + (v-e.currentPace(now))*w
 	e.paceAt = now
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -11,6 +11,9 @@
 	score    float64 // expected time as a multiple of the mean latency; lower is better
 	load     float64 // requests per slot
 	slowdown float64 // latency relative to the mean over all upstreams
+	atLoad   float64 // load, or the reported share of slots in use if that is higher
+	shed     float64 // chance to be refused
+	estimate *estimate
 	ok       bool
 }
 
@@ -23,21 +26,22 @@
 	from, to := s.zone(q.Zone)
 	local, probe := b.draw(now, s, q, from, to)
 	if probe >= 0 {
-		return Choice{s.all[probe], ReasonProbe}, true
+		return Choice{Candidate: s.all[probe], Reason: ReasonProbe}, true
 	}
-	if local.ok && local.load < maxLocalLoad && (q.Large || local.slowdown < maxLocalSlowdown) {
-		return Choice{s.all[local.index], ReasonLocal}, true
+	t := b.model(q)
+	if local.ok && b.staysLocal(now, q, t, local) {
+		return Choice{Candidate: s.all[local.index], Reason: ReasonLocal}, true
 	}
 	remote, probe := b.drawOutside(now, s, q, from, to)
 	switch {
 	case probe >= 0 && !local.ok:
-		return Choice{s.all[probe], ReasonProbe}, true
-	case local.ok && remote.ok && remote.score*q.penalty() < local.score:
-		return Choice{s.all[remote.index], ReasonRemote}, true
+		return Choice{Candidate: s.all[probe], Reason: ReasonProbe}, true
+	case local.ok && remote.ok:
+		return b.compareZones(now, s, q, t, local, remote), true
 	case local.ok:
-		return Choice{s.all[local.index], ReasonLocal}, true
+		return Choice{Candidate: s.all[local.index], Reason: ReasonLocal}, true
 	case remote.ok:
-		return Choice{s.all[remote.index], ReasonNoLocal}, true
+		return Choice{Candidate: s.all[remote.index], Reason: ReasonNoLocal}, true
 	}
 	return b.chooseSuspect(now, s, q)
 }
@@ -123,12 +127,15 @@
 // evaluate returns the candidate with its score. Load weighs more than speed: reports are
 // old, and with equal weights all entry nodes overload the fastest upstreams.
 func (b *Balancer) evaluate(now time.Time, e *estimate, index int, c *Candidate, rank string) scoredCandidate {
+	o := scoredCandidate{index: index, slowdown: 1, estimate: e, ok: true}
 	if e == nil {
-		e = &estimate{slowdown: 1}
+		e = &unknownEstimate
+	} else {
+		o.slowdown, o.shed = e.relativeTime(now), decay(e.shedShare, now.Sub(e.shedAt), failureHalfLife)
 	}
-	n := e.slots(now, c)
-	o := scoredCandidate{index: index, load: (e.ahead(now, rank) + 1) / n, slowdown: e.relativeTime(now), ok: true}
-	o.score = timeAtLoad(max(o.load, e.busy(now))) * math.Sqrt(o.slowdown) * (1 + (shedPenalty-1)*decay(e.shedShare, now.Sub(e.shedAt), failureHalfLife))
+	o.load = (e.ahead(now, rank) + 1) / e.slots(now, c)
+	o.atLoad = max(o.load, e.busy(now))
+	o.score = timeAtLoad(o.atLoad) * math.Sqrt(o.slowdown) * (1 + (shedPenalty-1)*o.shed)
 	return o
 }
 
@@ -146,12 +153,12 @@
 		}
 	}
 	if best.ok {
-		return Choice{s.all[best.index], ReasonAllSuspect}, true
+		return Choice{Candidate: s.all[best.index], Reason: ReasonAllSuspect}, true
 	}
 	// None of the candidates that are not excluded was drawn.
 	for i := range s.all {
 		if !q.Exclude[s.all[i].Name] {
-			return Choice{s.all[i], ReasonAllSuspect}, true
+			return Choice{Candidate: s.all[i], Reason: ReasonAllSuspect}, true
 		}
 	}
 	return Choice{}, false
--- a/internal/balance/doc.go
+++ b/internal/balance/doc.go
@@ -13,8 +13,19 @@
 // share of slots in use. They move requests to fast upstreams at normal load, and
 // matter less the more slots are in use.
 //
-// Upstreams in the entry node's own availability zone are drawn first. Others are
-// drawn when the best of the zone is loaded or slow, and they must be clearly better.
+// Upstreams in the entry node's own availability zone are drawn first. The best of them
+// is compared with the best of a draw from other zones, if it may be worth it: where bytes
+// between zones have a price, by the expected worth of the request, which is its chance
+// to be answered within its target and its deadline. The expected time consists of the
+// work (the mean slot time of the route and the pace of the upstream), the wait (by load),
+// the delay of large bodies on the owner node's link and the way between zones. The gain
+// must exceed the price of the expected bytes; the probability to cross grows with what
+// it exceeds it by. Without a price, an upstream of another zone must be better by a
+// fixed factor.
+//
+// The decision is meant for services of 3 to 30 upstreams of 5 to 20 slots in each of 3
+// zones, with requests of 20 to 600 ms at any load, whose entry nodes get a report of each
+// upstream every 0.2 to 3 s.
 //
 // An upstream that fails repeatedly, or that completes no request for a long time,
 // is suspect. A suspect gets single probe requests at growing intervals, and is
@@ -26,12 +37,12 @@
 // The package starts no goroutines, reads no clock and is not safe for concurrent
 // use. Build a Set whenever the table changes, and call Choose for each request:
 //
-//	b := balance.New(balance.Config{Seed: seed})
+//	b := balance.New(balance.Config{Seed: seed, ZonePrice: 8000})
 //	set := balance.NewSet(candidates)
-//	c, ok := b.Choose(now, set, balance.Query{Zone: "kufstein", Rank: rank})
+//	c, ok := b.Choose(now, set, balance.Query{Zone: "kufstein", Rank: rank, Route: route, Target: left, Remaining: remaining})
 //	b.Started(now, c.Candidate.Name, rank)
 //	…
-//	b.Finished(now, c.Candidate.Name, balance.Outcome{Result: balance.OK, Rank: rank, Route: route, Latency: d, Load: load})
+//	b.Finished(now, c.Candidate.Name, balance.Outcome{Result: balance.OK, Rank: rank, Route: route, Latency: d, Bytes: n, Load: load})
 //
 // Choose draws a bounded number of candidates, whatever the size of the set. Each
 // call of Started must be followed by one of Finished.
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -33,10 +34,13 @@
 	// bounds.
 	slowdownWeight = 0.1
 	maxSlowdown    = 20
-	// paceWeight is the weight of one report in the pace. paceHalfLife is the half-life
-	// with which the pace returns to 1 without reports: long against the time between
-	// two answers of one upstream to one entry node of a large fleet.
+	// paceWeight is the least weight of one report in the pace. A report replaces half of
+	// a pace that is paceRefresh old, since it is a mean over many requests itself.
+	// paceHalfLife is the half-life with which the pace returns to 1 without reports: long
+	// against the time between two answers of one upstream to one entry node of a large
+	// fleet.
 	paceWeight   = 0.2
+	paceRefresh  = time.Second
 	paceHalfLife = 30 * time.Second
 	// busyHalfLife is the half-life of the reported share of slots in use.
 	busyHalfLife = 3 * time.Second
@@ -79,6 +83,9 @@
 	clearedAt     time.Time // when a success last ended the suspicion
 }
 
+// unknownEstimate is the estimate of an upstream that was never used.
+var unknownEstimate = estimate{slowdown: 1}
+
 // decay returns v after the given age with an exponential decay.
 func decay(v float64, age, half time.Duration) float64 {
 	if age <= 0 {
@@ -129,7 +136,10 @@
 
 // ahead returns the expected number of requests ahead of a new one of the rank.
 func (e *estimate) ahead(now time.Time, rank string) float64 {
-	v := e.rankLoad(rank)
+	var v rankLoad
+	if i := slices.IndexFunc(e.rankLoads, func(v rankLoad) bool { return v.rank == rank }); i >= 0 {
+		v = e.rankLoads[i]
+	}
 	reported := decay(float64(e.load.InFlight), now.Sub(e.loadAt), loadHalfLife) +
 		decay(float64(v.waiting), now.Sub(v.waitingAt), loadHalfLife)
 	return max(float64(v.inFlight), reported)
@@ -150,7 +160,7 @@
 // stalled reports whether the upstream has completed no request of a rank for too
 // long, although this node has some in flight there. Ranks are checked separately,
 // so that short requests reveal a stall quickly however long others take.
-func (e *estimate) stalled(now time.Time, means map[string]*meanLatency) bool {
+func (e *estimate) stalled(now time.Time, means map[string]*movingMean) bool {
 	for _, v := range e.rankLoads {
 		u := means[v.rank]
 		if v.inFlight > 0 && u != nil && now.Sub(v.lastProgress) > max(stallMin, stallFactor*u.latency()) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -114,6 +114,14 @@
 	metrics.GetOrRegisterCounter(fmt.Sprintf("tries{service=%q,zone=%q}", service, zone), m.registry).Inc(1)
 }
 
+func (m *nodeMetrics) countCrossing(service, reason string) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("zone_crossings{service=%q,reason=%q}", service, reason), m.registry).Inc(1)
+}
+
+func (m *nodeMetrics) countCrossedBytes(service string, n int64) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("zone_crossing_bytes{service=%q}", service), m.registry).Inc(n)
+}
+
 func (m *nodeMetrics) setVersion(t *table.Table) {
 	metrics.GetOrRegisterGauge("version", m.registry).Update(int64(t.Version()))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,6 +183,9 @@
 		Budget:         retry.Config{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Retried:        n.metrics.countRetry,
 		Tried:          n.metrics.countTry,
+		ZonePrice:      s.ZonePrice,
+		Crossed:        n.metrics.countCrossing,
+		CrossedBytes:   n.metrics.countCrossedBytes,
 
 		RetryFailures: n.c.Interface.RetryFailures,
 	})
--- a/internal/policybench/cmd/main.go
+++ b/internal/policybench/cmd/main.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	go run ./internal/policybench/cmd --seed 1 --scenario "5×5"
+//	go run ./internal/policybench/cmd --zones
 package main
 
 import (
@@ -24,13 +25,20 @@
 	seed := flag.Uint64("seed", 1, "seed of arrivals and choices")
 	only := flag.String("scenario", "", "run only scenarios whose name contains this text")
 	policy := flag.String("policy", "", "run only policies whose name contains this text")
+	zones := flag.Bool("zones", false, "run the scenarios of uneven speeds and zones, with and without the present choice")
 	flag.Parse()
+	scenarios, policies, header := policybench.Scenarios(), policybench.Policies(), policybench.Header
+	write := (*policybench.Result).Write
+	if *zones {
+		scenarios, policies = policybench.ZoneScenarios(), []policybench.Policy{policybench.Present, policybench.Production}
+		header, write = policybench.ZoneHeader, (*policybench.Result).WriteZones
+	}
 
 	var results []*policybench.Result
 	var g sync.WaitGroup
 	slots := make(chan struct{}, parallel)
-	for _, s := range policybench.Scenarios() {
-		for _, p := range policybench.Policies() {
+	for _, s := range scenarios {
+		for _, p := range policies {
 			if !strings.Contains(s.Name, *only) || !strings.Contains(p.Name, *policy) {
 				continue
 			}
@@ -44,8 +52,8 @@
 		}
 	}
 	g.Wait()
-	fmt.Print(policybench.Header)
+	fmt.Print(header)
 	for _, r := range results {
-		r.Write(os.Stdout)
+		write(r, os.Stdout)
 	}
 }
--- a/internal/policybench/owner.go
+++ b/internal/policybench/owner.go
@@ -100,6 +100,9 @@
 		o.run(t)
 		o.sim.loop.at(c.deadline, func() { o.expire(t) })
 	case queue.Waiting:
+		if c.measured {
+			c.result.Queued++
+		}
 		o.tries[t.id] = t
 		o.account(c, 1, 0)
 		o.sim.loop.at(c.deadline, func() { o.expire(t) })
@@ -195,7 +198,16 @@
 			r.load.SlotTime, r.load.Busy = o.limiter.SlotTime(t.call.work.Name), o.limiter.Busy()
 		}
 	}
-	o.sim.loop.after(t.latency, func() { o.sim.handleReply(t, r) })
+	after := t.latency
+	if d := o.sim.scenario.linkDelay(o.zone, o.sim.loop.now.Sub(epoch)); d > 0 {
+		if r.load != nil {
+			r.load.LinkDelay = d
+		}
+		if r.result == balance.OK && t.call.work.ResponseBytes >= balance.LargeBytes {
+			after += d
+		}
+	}
+	o.sim.loop.after(after, func() { o.sim.handleReply(t, r) })
 }
 
 // markLost simulates the loss of the node: tries in flight end without a complete
--- a/internal/policybench/policy.go
+++ b/internal/policybench/policy.go
@@ -23,6 +23,8 @@
 	// blind withholds from entry nodes what owner nodes measure of their upstreams
 	// over time: the slot time and the share of slots in use.
 	blind bool
+	// present chooses with package present instead of package balance.
+	present bool
 }
 
 // The compared policies.
@@ -31,6 +33,7 @@
 		return queue.New(queue.Config{Ranks: r, Limit: n})
 	}}
 	Blind           = Policy{Name: "ours without slot times of owner nodes", adaptive: true, blind: true, newScheduler: Production.newScheduler}
+	Present         = Policy{Name: "ours with the present choice of upstreams", adaptive: true, present: true, newScheduler: Production.newScheduler}
 	FirstInFirstOut = Policy{Name: "first in, first out", newScheduler: newSimpleQueue(false)}
 	StrictPriority  = Policy{Name: "strict priority", newScheduler: newSimpleQueue(true)}
 	RoundRobin      = Policy{Name: "round robin, unbounded retries", roundRobin: true, unboundedRetries: true, newScheduler: newSimpleQueue(false)}
--- a/internal/policybench/result.go
+++ b/internal/policybench/result.go
@@ -27,7 +27,13 @@
 	BackloggedSlotTime time.Duration
 	BackloggedUse      time.Duration
 	Latency            []time.Duration
-	capacity           time.Duration
+	// Crossed counts the tries at other zones, CrossedBytes the bytes of their bodies,
+	// and Queued the tries that found no free slot.
+	Crossed         int
+	CrossedBySecond []int // Crossed by second of the measurement
+	CrossedBytes    int64
+	Queued          int
+	capacity        time.Duration
 }
 
 // InTarget returns the share of calls answered within the target, in percent.
@@ -149,4 +155,37 @@
 	}
 }
 
+// ZoneHeader is the header of the Markdown table of WriteZones.
+const ZoneHeader = `| Scenario | Policy | Calls/s | Late % | p50 ms | p99 ms | Not run % | Queued % | Crossed % | KB/s between zones | Worth/s less bytes |
+| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |
+`
+
+// WriteZones writes the table rows of r with what crossed between zones.
+func (r *Result) WriteZones(w io.Writer) {
+	s := r.Scenario.Measured.Seconds()
+	for _, t := range r.Ranks {
+		fmt.Fprintf(w, "| %s | %s | %.0f | %.2f | %.0f | %.0f | %.2f | %.1f | %.1f | %.0f | %.1f |\n",
+			r.Scenario.Name, r.Policy.Name, float64(t.Calls)/s, 100-t.InTarget(), milliseconds(t.Quantile(0.5)), milliseconds(t.Quantile(0.99)),
+			percent(float64(t.Refused), float64(t.Calls)), percent(float64(t.Queued), float64(t.Calls)),
+			percent(float64(t.Crossed), float64(t.Calls)), float64(t.CrossedBytes)/1000/s, t.WorthLessBytes(r.Scenario.ZonePrice)/s)
+	}
+}
+
+// cross counts a try at another zone that is sent at a time of the measurement.
+func (t *RankResult) cross(w *Workload, at time.Duration) {
+	t.Crossed++
+	t.CrossedBytes += w.RequestBytes
+	second := int(at / time.Second)
+	for len(t.CrossedBySecond) <= second {
+		t.CrossedBySecond = append(t.CrossedBySecond, 0)
+	}
+	t.CrossedBySecond[second]++
+}
+
+// WorthLessBytes returns the worth of the answers in target less the price of the bytes
+// between zones.
+func (t *RankResult) WorthLessBytes(price float64) float64 {
+	return t.Worth - float64(t.CrossedBytes)*price/1e9
+}
+
 func milliseconds(d time.Duration) float64 { return d.Seconds() * 1000 }
--- a/internal/policybench/scenario.go
+++ b/internal/policybench/scenario.go
@@ -19,6 +19,8 @@
 	// Load is the normal demand as a share of the service's capacity.
 	Load       float64
 	Idempotent bool
+	// RequestBytes and ResponseBytes are the sizes of the bodies.
+	RequestBytes, ResponseBytes int64
 }
 
 // Fault is a fault of the first upstream.
@@ -60,6 +62,7 @@
 	// OtherEntries is the number of entry nodes for each upstream besides its own node:
 	// those beside the upstreams of other services.
 	OtherEntries int
+	Unsteady
 	// WarmUp is the time with normal load before the flood and the measurement,
 	// Measured the duration of the measurement. A fault starts after a third of
 	// Measured and lasts for a third.
@@ -133,9 +136,9 @@
 		Name: "Pichler shared 5×20", Workers: 5, Slots: 20, ZoneLatency: 1500 * time.Microsecond,
 		Zones: []string{"innsbruck-a", "innsbruck-b", "kufstein"},
 		Workloads: []Workload{
-			{rank("level", 1, 250*time.Millisecond, 0.4), 10, time.Second, 20 * time.Millisecond, 0.3, true},
-			{rank("alarm", 2, 500*time.Millisecond, 0.2), 8, 2 * time.Second, 40 * time.Millisecond, 0.1, false},
-			{rank("survey", 3, 10*time.Second, 0.1), 1, 30 * time.Second, 800 * time.Millisecond, 0.25, false},
+			{rank("level", 1, 250*time.Millisecond, 0.4), 10, time.Second, 20 * time.Millisecond, 0.3, true, 0, 0},
+			{rank("alarm", 2, 500*time.Millisecond, 0.2), 8, 2 * time.Second, 40 * time.Millisecond, 0.1, false, 0, 0},
+			{rank("survey", 3, 10*time.Second, 0.1), 1, 30 * time.Second, 800 * time.Millisecond, 0.25, false, 0, 0},
 		},
 		WarmUp: 5 * time.Second, Measured: 20 * time.Second,
 	}
@@ -147,9 +150,9 @@
 		Name: "Viñeta Norte shared 5×5", Workers: 5, Slots: 5, ZoneLatency: 500 * time.Microsecond,
 		Zones: []string{"bilbao", "oviedo", "santander"},
 		Workloads: []Workload{
-			{rank("swap", 1, 300*time.Millisecond, 0.3), 10, 2 * time.Second, 30 * time.Millisecond, 0.1, false},
-			{rank("page", 2, 200*time.Millisecond, 0.3), 3, 1500 * time.Millisecond, 25 * time.Millisecond, 0.3, true},
-			{rank("scan", 3, 5*time.Second, 0.1), 1, 15 * time.Second, 500 * time.Millisecond, 0.25, false},
+			{rank("swap", 1, 300*time.Millisecond, 0.3), 10, 2 * time.Second, 30 * time.Millisecond, 0.1, false, 0, 0},
+			{rank("page", 2, 200*time.Millisecond, 0.3), 3, 1500 * time.Millisecond, 25 * time.Millisecond, 0.3, true, 0, 0},
+			{rank("scan", 3, 5*time.Second, 0.1), 1, 15 * time.Second, 500 * time.Millisecond, 0.25, false, 0, 0},
 		},
 		WarmUp: 5 * time.Second, Measured: 20 * time.Second,
 	}
@@ -162,7 +165,7 @@
 		Name: "large 96×16", Workers: 96, Slots: 16, ZoneLatency: 1400 * time.Microsecond,
 		Zones: []string{"innsbruck-a", "innsbruck-b", "kufstein"},
 		Workloads: []Workload{
-			{rank("level", 1, time.Second, 0.4), 10, 3 * time.Second, 470 * time.Millisecond, 0.5, true},
+			{rank("level", 1, time.Second, 0.4), 10, 3 * time.Second, 470 * time.Millisecond, 0.5, true, 0, 0},
 		},
 		Slowest: 2.4, OtherEntries: 2,
 		WarmUp: 10 * time.Second, Measured: 20 * time.Second,
--- a/internal/policybench/sim.go
+++ b/internal/policybench/sim.go
@@ -10,6 +10,7 @@
 
 	"github.com/gooseberrypick/gooseberrypick/internal/balance"
 	"github.com/gooseberrypick/gooseberrypick/internal/limit"
+	"github.com/gooseberrypick/gooseberrypick/internal/policybench/present"
 	"github.com/gooseberrypick/gooseberrypick/internal/queue"
 	"github.com/gooseberrypick/gooseberrypick/internal/retry"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
@@ -39,6 +40,7 @@
 	tries    int
 	inFlight int // tries without a reply
 	tried    map[string]bool
+	free     int // tries after a refusal that took nothing from the retry budget
 	ran      bool
 	ended    bool
 }
@@ -46,11 +48,17 @@
 // entry is one entry node.
 type entry struct {
 	zone     string
-	balancer *balance.Balancer
+	balancer balancer
 	budget   *retry.Budget
 	turn     int
 }
 
+// balancer is the part of balance.Balancer that an entry node uses besides Choose.
+type balancer interface {
+	Started(now time.Time, name, rank string)
+	Finished(now time.Time, name string, o balance.Outcome)
+}
+
 // sim is the simulation of one scenario under one policy.
 type sim struct {
 	loop     loop
@@ -59,6 +67,7 @@
 	owners   map[string]*owner
 	entries  []*entry
 	set      *balance.Set
+	old      *present.Set
 	names    []string
 	from, to time.Time
 	result   *Result
@@ -82,6 +91,7 @@
 		}
 	}
 	m.scheduleFault()
+	m.scheduleUnsteady(rand.New(rand.NewPCG(seed, 1000)))
 	end := m.to
 	for _, w := range s.Workloads {
 		end = cmp.Or(end, m.to)
@@ -113,17 +123,18 @@
 		m.names = append(m.names, name)
 		l = append(l, balance.Candidate{Name: name, Node: name, Zone: zone, Slots: s.Slots, State: wire.Serving})
 		for k := range 1 + s.OtherEntries {
-			m.entries = append(m.entries, &entry{
-				zone:     zone,
-				balancer: balance.New(balance.Config{Seed: seed + uint64(i+k*s.Workers)}),
-				budget:   retry.New(retry.Config{}),
-			})
+			c := balance.Config{Seed: seed + uint64(i+k*s.Workers), ZonePrice: s.ZonePrice}
+			e := &entry{zone: zone, balancer: balance.New(c), budget: retry.New(retry.Config{})}
+			if m.policy.present {
+				e.balancer = present.New(c)
+			}
+			m.entries = append(m.entries, e)
 		}
 		if m.policy.adaptive {
 			o.updateLimit()
 		}
 	}
-	m.set = balance.NewSet(l)
+	m.set, m.old = balance.NewSet(l), present.NewSet(l)
 }
 
 // arrivals schedules Poisson arrivals of calls from start to the end of the
@@ -143,8 +154,8 @@
 		if caller == "" {
 			c.caller = fmt.Sprintf("caller-%d", r.IntN(callersPerRank))
 		}
-		c.entry = m.entries[r.IntN(len(m.entries))]
-		c.service = time.Duration((0.5 + 0.5*r.ExpFloat64()) * float64(w.Service))
+		c.entry = m.entries[m.scenario.entryOf(m.loop.now.Sub(epoch), r, len(m.entries), 1+m.scenario.OtherEntries)]
+		c.service = m.scenario.serviceTime(w, r)
 		c.result = m.result.forCall(w.Name, caller != "")
 		c.result.AllCalls++
 		if c.measured = !c.arrived.Before(m.from); c.measured {
@@ -189,7 +200,7 @@
 		o := m.owners[n]
 		l = append(l, balance.Candidate{Name: n, Node: n, Zone: o.zone, Slots: m.scenario.Slots, State: wire.Serving})
 	}
-	m.set = balance.NewSet(l)
+	m.set, m.old = balance.NewSet(l), present.NewSet(l)
 }
 
 func (m *sim) choose(c *call) (string, bool) {
@@ -198,7 +209,19 @@
 		e.turn++
 		return m.names[e.turn%len(m.names)], true
 	}
-	ch, ok := e.balancer.Choose(m.loop.now, m.set, balance.Query{Zone: e.zone, Exclude: c.tried, Rank: c.work.Name, NoProbe: !c.work.Idempotent})
+	now, w := m.loop.now, c.work
+	q := balance.Query{
+		Zone: e.zone, Exclude: c.tried, Rank: w.Name, Route: w.Name, NoProbe: !w.Idempotent,
+		Target: w.Target - now.Sub(c.arrived), Remaining: c.deadline.Sub(now), Bytes: w.RequestBytes, Large: w.RequestBytes >= balance.LargeBytes,
+	}
+	var ch balance.Choice
+	var ok bool
+	switch b := e.balancer.(type) {
+	case *balance.Balancer:
+		ch, ok = b.Choose(now, m.set, q)
+	case *present.Balancer:
+		ch, ok = b.Choose(now, m.old, q)
+	}
 	return ch.Candidate.Name, ok
 }
 
@@ -218,6 +241,9 @@
 	t := &try{id: m.nextID, call: c, owner: o, sent: m.loop.now, latency: localLatency}
 	if o.zone != c.entry.zone {
 		t.latency = m.scenario.ZoneLatency
+		if c.measured {
+			c.result.cross(c.work, m.loop.now.Sub(m.from))
+		}
 	}
 	c.entry.balancer.Started(m.loop.now, name, c.work.Name)
 	m.loop.after(t.latency, func() { o.offer(t) })
@@ -234,7 +260,10 @@
 	c := t.call
 	c.inFlight--
 	took := m.loop.now.Sub(t.sent)
-	c.entry.balancer.Finished(m.loop.now, t.owner.name, balance.Outcome{Result: r.result, Rank: c.work.Name, Route: c.work.Name, Latency: took, Load: r.load})
+	c.entry.balancer.Finished(m.loop.now, t.owner.name, balance.Outcome{Result: r.result, Rank: c.work.Name, Route: c.work.Name, Latency: took, Bytes: c.work.ResponseBytes, Load: r.load})
+	if r.result == balance.OK && c.measured && t.owner.zone != c.entry.zone {
+		c.result.CrossedBytes += c.work.ResponseBytes
+	}
 	if c.ended {
 		return
 	}
@@ -265,6 +294,12 @@
 		}
 		return ok
 	}
+	if c.free < m.scenario.FreeRetries && r.execution == errkind.NotRun && r.result == balance.Shed && m.loop.now.Before(c.deadline) {
+		c.free++
+		m.exclude(c, t)
+		m.send(c)
+		return true
+	}
 	d := c.entry.budget.Decide(m.loop.now, retry.Try{
 		Kind: r.kind, Execution: r.execution, Idempotent: c.work.Idempotent, InboundAttempt: 1, Tries: c.tries,
 		Remaining: c.deadline.Sub(m.loop.now), ExpectedLatency: c.work.Service, Rank: c.work.Name,
@@ -272,12 +307,17 @@
 	if !d.Retry {
 		return false
 	}
+	m.exclude(c, t)
+	m.send(c)
+	return true
+}
+
+// exclude keeps later tries of c from the upstream of t.
+func (m *sim) exclude(c *call, t *try) {
 	if c.tried == nil {
 		c.tried = map[string]bool{}
 	}
 	c.tried[t.owner.name] = true
-	m.send(c)
-	return true
 }
 
 // retryUnbounded sends another try unless the deadline has passed. It is called after
--- /dev/null
+++ b/internal/policybench/zones_test.go
@@ -0,0 +1,120 @@
+package policybench_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gooseberrypick/gooseberrypick/internal/policybench"
+)
+
+// zoneTolerance is the share of the worth by which runs with the same seed differ through
+// random choices alone.
+const zoneTolerance = 0.005
+
+// zoneTime is the measured time of the scenarios of zones, half of that of the table.
+const zoneTime = 30 * time.Second
+
+// zoneRun is one scenario with the choice before and after it weighed the worth of a request
+// against its bytes, run once for all tests.
+type zoneRun struct {
+	scenario policybench.Scenario
+	results  func() (before, after *policybench.RankResult)
+}
+
+var zoneRuns = sync.OnceValue(func() []zoneRun {
+	var l []zoneRun
+	for _, s := range policybench.ZoneScenarios() {
+		s = s.WithMeasured(zoneTime)
+		rank := s.Workloads[0].Name
+		l = append(l, zoneRun{s, sync.OnceValues(func() (before, after *policybench.RankResult) {
+			return policybench.Run(s, policybench.Present, 1).Rank(rank), policybench.Run(s, policybench.Production, 1).Rank(rank)
+		})})
+	}
+	return l
+})
+
+// eachZoneScenario tests the scenarios whose name begins with the given text.
+func eachZoneScenario(t *testing.T, name string, test func(t *testing.T, before, after *policybench.RankResult, s policybench.Scenario)) {
+	n := 0
+	for _, r := range zoneRuns() {
+		if !strings.HasPrefix(r.scenario.Name, name) {
+			continue
+		}
+		n++
+		t.Run(r.scenario.Name, func(t *testing.T) {
+			t.Parallel()
+			before, after := r.results()
+			test(t, before, after, r.scenario)
+		})
+	}
+	if n == 0 {
+		t.Errorf("no scenario begins with %q", name)
+	}
+}
+
+// In no load may the choice of upstreams lose what it earned before: answers in target, less
+// the price of the bytes between zones.
+func TestZonesEarnAsMuchAsBefore(t *testing.T) {
+	eachZoneScenario(t, "", func(t *testing.T, before, after *policybench.RankResult, s policybench.Scenario) {
+		got, want := after.WorthLessBytes(s.ZonePrice), before.WorthLessBytes(s.ZonePrice)*(1-zoneTolerance)
+		if got < want {
+			t.Errorf("got a worth of %.0f, want at least %.0f: %.2f%% late and %d bytes between zones, %.2f%% and %d before",
+				got, want, 100-after.InTarget(), after.CrossedBytes, 100-before.InTarget(), before.CrossedBytes)
+		}
+		if got, want := after.Refused, after.Calls/200; got > want {
+			t.Errorf("got %d of %d calls refused, want at most %d", got, after.Calls, want)
+		}
+	})
+}
+
+// Nodes with old reports must not all choose the same upstream: requests would wait there
+// while others have free slots.
+func TestNoHerd(t *testing.T) {
+	eachZoneScenario(t, "speeds", func(t *testing.T, before, after *policybench.RankResult, _ policybench.Scenario) {
+		got, want := float64(after.Queued)/float64(after.Calls), float64(before.Queued)/float64(before.Calls)+0.03
+		if got > want {
+			t.Errorf("got %.3f of the tries without a free slot, want at most %.3f", got, want)
+		}
+	})
+}
+
+// A zone that is slow, short of upstreams or behind busy links must send requests to other
+// zones, and large bodies must stay when their bytes are worth more than what is gained.
+func TestZonesInTrouble(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		least, most float64 // percent of the calls that cross
+	}{
+		// A zone has a third of the calls and its trouble lasts for a third of the time.
+		{"slow zone, 30%", 6, 20},
+		{"zone short of upstreams", 3, 15},
+		{"busy links, 20 KB", 1, 6},
+		{"busy links, 90 KB", 0, 0.5},
+		{"wave of 55%, 70%, 90 KB", 0, 0.5},
+	} {
+		eachZoneScenario(t, c.name, func(t *testing.T, _, after *policybench.RankResult, _ policybench.Scenario) {
+			got := 100 * float64(after.Crossed) / float64(after.Calls)
+			if got < c.least || got > c.most {
+				t.Errorf("got %.1f%% of the calls between zones, want %.1f%% to %.1f%%", got, c.least, c.most)
+			}
+		})
+	}
+}
+
+// At a steady load, the number of requests between zones must not swing: zones that
+// exchange their loads serve both badly.
+func TestCrossingIsSteady(t *testing.T) {
+	eachZoneScenario(t, "speeds, 80%", func(t *testing.T, _, after *policybench.RankResult, s policybench.Scenario) {
+		mean := float64(after.Crossed) / s.Measured.Seconds()
+		for i, n := range after.CrossedBySecond {
+			if got, want := float64(n), 2.5*mean; got > want && i < int(s.Measured.Seconds()) {
+				t.Errorf("second %d: got %.0f requests between zones, want at most %.0f: the mean is %.0f", i, got, want, mean)
+			}
+		}
+		if mean == 0 {
+			t.Error("got no request between zones, want some for the test to tell")
+		}
+	})
+}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -52,7 +52,7 @@
 // run tries upstreams until one answers or another try is not allowed.
 func (p *dispatch) run() (*call.Response, error) {
 	for {
-		t, ok := p.service.choose(p.c, p.match, isLarge(p.request), p.tried)
+		t, ok := p.service.choose(p.c, p.match, p.query(p.ctx, p.match, p.request, p.tried))
 		if !ok {
 			p.c.Log.Info("no upstream left", "requestId", p.request.RequestID, "route", p.match.Name, "rank", p.match.Rank.Name,
 				"tries", p.tries, "reason", p.lastErr.Error())
@@ -61,7 +61,7 @@
 		p.tries++
 		p.request.Attempt = p.inboundAttempt + p.tries - 1
 		p.logChoice(p.ctx, p.match, p.request, t)
-		p.c.Tried(p.match.Route.Service, t.candidate.AvailabilityZone == p.c.Zone)
+		p.countZone(p.match.Route.Service, t)
 		a, err := p.call(p.ctx, p.service, p.match, p.request, t)
 		if err == nil {
 			if !p.shouldRetry(a) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -26,6 +27,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/retry"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -57,6 +59,13 @@
 	// Tried is called for each try; own states whether the upstream is in the node's
 	// own availability zone. It may be nil.
 	Tried func(service string, own bool)
+	// ZonePrice is the worth of a gigabyte between zones, in worths of one answer.
+	ZonePrice float64
+	// Crossed is called for each try at an upstream of another zone, with the reason of
+	// the choice. CrossedBytes is called with the size of the bodies of such a try. Both
+	// may be nil.
+	Crossed      func(service, reason string)
+	CrossedBytes func(service string, n int64)
 }
 
 // Router routes requests. It is safe for concurrent use.
@@ -78,6 +87,12 @@
 	if c.Tried == nil {
 		c.Tried = func(string, bool) {}
 	}
+	if c.Crossed == nil {
+		c.Crossed = func(string, string) {}
+	}
+	if c.CrossedBytes == nil {
+		c.CrossedBytes = func(string, int64) {}
+	}
 	return &Router{c: c, services: map[string]*service{}, splits: newSplits(c.Seed)}
 }
 
@@ -85,8 +100,8 @@
 type try struct {
 	candidate registry.Candidate
 	name      string
-	reason    string
 	started   time.Time
+	choice    balance.Choice
 }
 
 // Route sends q to an upstream of the matched service.
@@ -110,15 +125,44 @@
 	}
 }
 
-// largeBytes is the size from which the load balancer treats a body as large.
-const largeBytes = 16 << 10
+// bodyBytes returns the size of q's body, or -1 if it is unknown.
+func bodyBytes(q *call.Request) int64 {
+	if q.Stream != nil {
+		return q.ContentLength
+	}
+	return int64(len(q.Body))
+}
+
+func isLarge(q *call.Request) bool { return q.Stream != nil || len(q.Body) >= balance.LargeBytes }
 
-func isLarge(q *call.Request) bool { return q.Stream != nil || len(q.Body) >= largeBytes }
+// query returns the balancer's query for a try of q.
+func (r *Router) query(ctx context.Context, m table.Match, q *call.Request, tried map[string]bool) balance.Query {
+	b := balance.Query{
+		Zone: r.c.Zone, Rank: m.Rank.Name, Route: m.Name, Exclude: tried, Large: isLarge(q), Bytes: bodyBytes(q),
+		Remaining: remaining(ctx), NoProbe: m.Route.Execution != customer.Idempotent,
+	}
+	if m.Rank.Target > 0 {
+		b.Target = m.Rank.Target
+		if !q.FirstSent.IsZero() {
+			b.Target -= time.Since(q.FirstSent)
+		}
+	}
+	return b
+}
+
+// countZone counts a try of a service by the zone of its upstream.
+func (r *Router) countZone(service string, t try) {
+	own := t.candidate.AvailabilityZone == r.c.Zone
+	r.c.Tried(service, own)
+	if !own {
+		r.c.Crossed(service, balance.ReasonLabel(t.choice.Reason))
+	}
+}
 
 func (r *Router) logChoice(ctx context.Context, m table.Match, q *call.Request, t try) {
 	r.c.Log.Info("choose upstream", "requestId", q.RequestID, "route", m.Name, "rank", m.Rank.Name,
 		"upstream", t.name, "availabilityZone", t.candidate.AvailabilityZone, "attempt", q.Attempt,
-		"remainingMicros", remaining(ctx).Microseconds(), "reason", t.reason)
+		"remainingMicros", remaining(ctx).Microseconds(), "reason", t.choice.Reason, "expected", t.choice.Expected())
 }
 
 // call sends q to the chosen upstream.
@@ -138,9 +182,12 @@
 		return nil, err
 	}
 	head := time.Since(t.started)
-	n := *a
-	n.Body = call.ObserveBody(a.Body, func(err error) {
-		o := balance.Outcome{Result: resultOf(a.Head.Status, err), Rank: m.Rank.Name, Route: m.Name, Latency: head}
+	n, c := *a, &countedBody{ReadCloser: a.Body}
+	n.Body = call.ObserveBody(c, func(err error) {
+		if t.candidate.AvailabilityZone != r.c.Zone {
+			r.c.CrossedBytes(m.Route.Service, max(0, bodyBytes(q))+c.n)
+		}
+		o := balance.Outcome{Result: resultOf(a.Head.Status, err), Rank: m.Rank.Name, Route: m.Name, Latency: head, Bytes: c.n}
 		if l := a.Load(); l != nil {
 			o.Load = r.load(l)
 		}
@@ -149,6 +196,19 @@
 	return &n, nil
 }
 
+// countedBody counts the bytes that are read from a body.
+type countedBody struct {
+	io.ReadCloser
+	n int64
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.n += int64(n)
+	return n, err
+}
+
 func (r *Router) transport(ctx context.Context, q *call.Request, t try) (*call.Response, error) {
 	if t.candidate.Node == r.c.Node {
 		return r.c.Local.Call(ctx, q)
@@ -158,7 +218,7 @@
 
 func (r *Router) load(l *wire.Load) *balance.Load {
 	r.c.ObserveVersion(l.Version)
-	return &balance.Load{InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait, SlotTime: l.SlotTime, Busy: float64(l.BusyPercent) / 100}
+	return &balance.Load{InFlight: l.InFlight, Waiting: l.Waiting, Limit: l.Limit, QueueWait: l.QueueWait, SlotTime: l.SlotTime, Busy: float64(l.BusyPercent) / 100, LinkDelay: l.LinkDelay}
 }
 
 // outcome maps the error of a try to an outcome for the balancer.
@@ -216,7 +276,7 @@
 	if s := r.services[name]; s != nil {
 		return s
 	}
-	s = newService(name, r.c.Seed, r.c.Budget)
+	s = newService(name, balance.Config{Seed: r.c.Seed, ZonePrice: r.c.ZonePrice}, r.c.Budget)
 	r.services[name] = s
 	return s
 }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -27,10 +27,10 @@
 	byName  map[string]registry.Candidate
 }
 
-func newService(name string, seed uint64, b retry.Config) *service {
+func newService(name string, c balance.Config, b retry.Config) *service {
 	return &service{
 		name:     name,
-		balancer: balance.New(balance.Config{Seed: seed}),
+		balancer: balance.New(c),
 		budget:   retry.New(b),
 		set:      balance.NewSet(nil),
 	}
@@ -50,25 +50,19 @@
 }
 
 // choose picks an upstream and counts it as started.
-func (s *service) choose(c Config, m table.Match, large bool, tried map[string]bool) (try, bool) {
+func (s *service) choose(c Config, m table.Match, q balance.Query) (try, bool) {
 	l := c.Registry.Candidates(s.name)
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(l, m.Service)
-	h, ok := s.balancer.Choose(now, s.set, balance.Query{
-		Zone:    c.Zone,
-		Rank:    m.Rank.Name,
-		Exclude: tried,
-		Large:   large,
-		NoProbe: m.Route.Execution != customer.Idempotent,
-	})
+	h, ok := s.balancer.Choose(now, s.set, q)
 	if !ok {
 		return try{}, false
 	}
 	n := h.Candidate.Name
 	s.balancer.Started(now, n, m.Rank.Name)
-	return try{candidate: s.byName[n], name: n, reason: h.Reason, started: now}, true
+	return try{candidate: s.byName[n], name: n, started: now, choice: h}, true
 }
 
 // refresh rebuilds the set if the list of candidates has been replaced, or the
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -100,4 +100,6 @@
 	SlotTime time.Duration `cbor:"6,keyasint,omitempty"`
 	// BusyPercent is the moving mean of the slots in use, in percent.
 	BusyPercent int `cbor:"7,keyasint,omitempty"`
+	// LinkDelay is the expected delay of a large body on the owner node's link.
+	LinkDelay time.Duration `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -18,6 +18,7 @@
 	maxUrgentReserve  = 10
 	maxRetryBurst     = 1000
 	maxLinkMbps       = 1_000_000
+	maxZonePrice      = 1_000_000_000
 	// Below the minimum, the repeated connections of nodes would prevent starting
 	// controls from finishing their start.
 	minReconnectLimit = 100 * time.Millisecond
@@ -69,6 +70,9 @@
 	if c.d.Valid("LinkMbps") && (s.LinkMbps < 0 || s.LinkMbps > maxLinkMbps) {
 		c.d.Fault("LinkMbps", fmt.Sprintf("%v is out of range", s.LinkMbps), "a number from 0 to 1000000")
 	}
+	if c.d.Valid("ZonePrice") && (s.ZonePrice < 0 || s.ZonePrice > maxZonePrice) {
+		c.d.Fault("ZonePrice", fmt.Sprintf("%v is out of range", s.ZonePrice), "a number from 0 to 1000000000")
+	}
 	if c.d.Valid("CallerDrain") && (s.CallerDrain < 0 || s.CallerDrain > s.StopLimit) {
 		c.d.Fault("CallerDrain", fmt.Sprintf("%s is out of range", s.CallerDrain), "a duration from 0s to StopLimit")
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -96,6 +96,9 @@
 	// LinkMbps is the rate of the VM's network link in Mbit/s. It bounds how many large
 	// bodies arrive at the same time. Zero means unknown.
 	LinkMbps float64 `jsonc:"optional"`
+	// ZonePrice is the worth of a gigabyte that is sent between availability zones, in
+	// worths of one answer. With zero, bytes between zones are free.
+	ZonePrice float64 `jsonc:"optional"`
 	// TLS configures the connections to and from other nodes and controls.
 	TLS      TLS    `jsonc:"optional"`
 	LogLevel string `jsonc:"optional"`
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -52,6 +52,7 @@
 		"same control":         {node, `["`, `["127.0.0.1:5", "`, `f:8:28: Control[1]: duplicate address "127.0.0.1:5"; expected unique addresses`},
 		"log level":            {node, `"Control"`, `"LogLevel": "warn", "Control"`, `f:8:13: LogLevel: unknown level "warn"; expected one of "debug", "info", "error"`},
 		"stop limit":           {node, `"Control"`, `"StopLimit": "0s", "Control"`, `f:8:14: StopLimit: 0s is out of range; expected a duration above 0`},
+		"zone price":           {node, `"Control"`, `"ZonePrice": -1, "Control"`, `f:8:14: ZonePrice: -1 is out of range; expected a number from 0 to 1000000000`},
 		"bad duration":         {node, `"Control"`, `"StopLimit": "30", "Control"`, `f:8:14: StopLimit: bad duration "30"; expected a duration such as "1m30s"`},
 		"TLS without key":      {node, `"Control"`, `"TLS": {"Certificate": "c", "Authority": "a"}, "Control"`, `f:8:8: TLS.Key: missing required key; expected a string`},
 		"TLS of an empty name": {control, `"DataFolder"`, `"TLS": {"Certificate": "c", "Key": "", "Authority": "a"}, "DataFolder"`, `f:10:36: TLS.Key: empty; expected a file in PEM`},
