Send low ranks away from a full zone before their target is at risk

Cause: with a price of bytes, work with a long target waited in a zone that had lost half of its upstreams until its queue was as long as the target.

Change: a queue as long as the slots costs 0.08 of an answer besides its wait.

--- a/internal/balance/zone.go
+++ b/internal/balance/zone.go
@@ -31,6 +31,10 @@
 	// crowding is how many times the loss of a request that waits counts at full load, in
 	// addition to its own: those behind it wait as well.
 	crowding = 3
+	// queueLoss is what a queue as long as the slots costs a request besides its wait. Work
+	// with a long target, which is served last, otherwise stays in a full zone until its
+	// queue is as long as the target and more urgent work then makes it late.
+	queueLoss = 0.08
 	// unknownLoad is the assumed load of an upstream in another zone without a recent
 	// report, relative to the usual one. At less, requests are sent to full zones whenever
 	// their reports have lost their weight; at 1, a full zone that knows no other would
@@ -128,7 +132,8 @@
 func (q Query) worth(t timeModel, x expectation) float64 {
 	alone, crowded := q.worthAfter(t, x.work, x.link+x.way), q.worthAfter(t, x.work, x.link+x.way+x.wait)
 	k := 1 + crowding*min(max(0, x.load-noWaitLoad)/(1-noWaitLoad), 1)
-	return (alone - k*(alone-crowded)) * (1 - x.shed)
+	loss := alone - crowded + queueLoss*min(max(0, x.load-1), 1)
+	return (alone - k*loss) * (1 - x.shed)
 }
 
 // worthAfter returns the worth of a request that takes a mean time of work after a fixed time.
--- a/internal/policybench/zones_test.go
+++ b/internal/policybench/zones_test.go
@@ -1,6 +1,7 @@
 package policybench_test
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -27,14 +28,30 @@
 	var l []zoneRun
 	for _, s := range policybench.ZoneScenarios() {
 		s = s.WithMeasured(zoneTime)
-		rank := s.Workloads[0].Name
+		seeds := uint64(1)
+		if s.Pauses > 0 {
+			seeds = 3 // the share of late requests differs by a tenth between seeds
+		}
 		l = append(l, zoneRun{s, sync.OnceValues(func() (before, after *policybench.RankResult) {
-			return policybench.Run(s, policybench.Present, 1).Rank(rank), policybench.Run(s, policybench.Production, 1).Rank(rank)
+			return runSeeds(s, policybench.Present, seeds), runSeeds(s, policybench.Production, seeds)
 		})})
 	}
 	return l
 })
 
+// runSeeds returns the sum of the results of seeds 1 to n.
+func runSeeds(s policybench.Scenario, p policybench.Policy, n uint64) *policybench.RankResult {
+	rank := s.Workloads[0].Name
+	sum := policybench.Run(s, p, 1).Rank(rank)
+	for seed := uint64(2); seed <= n; seed++ {
+		r := policybench.Run(s, p, seed).Rank(rank)
+		sum.Calls, sum.OnTime, sum.Worth = sum.Calls+r.Calls, sum.OnTime+r.OnTime, sum.Worth+r.Worth
+		sum.Refused, sum.Queued, sum.LongWaits = sum.Refused+r.Refused, sum.Queued+r.Queued, sum.LongWaits+r.LongWaits
+		sum.Crossed, sum.CrossedBytes = sum.Crossed+r.Crossed, sum.CrossedBytes+r.CrossedBytes
+	}
+	return sum
+}
+
 // eachZoneScenario tests the scenarios whose name begins with the given text.
 func eachZoneScenario(t *testing.T, name string, test func(t *testing.T, before, after *policybench.RankResult, s policybench.Scenario)) {
 	n := 0
@@ -137,3 +154,25 @@
 		}
 	})
 }
+
+// With a price of bytes, work that is served last must not be left to queue in a zone that
+// has lost half of its upstreams: it was late there although other zones had free slots.
+func TestPriceInSmallDeploymentsWithFaults(t *testing.T) {
+	const fewer = 1.5 // percentage points in target that a rank may lose
+	for _, s := range []policybench.Scenario{policybench.Pichler(), policybench.Vineta()} {
+		for _, f := range []policybench.Fault{policybench.Lost, policybench.Failing, policybench.Stalled, policybench.Shrunk} {
+			s := s.WithFault(f, fmt.Sprint("fault ", f))
+			s.ZonePrice, s.FreeRetries = 8000, 2
+			t.Run(s.Name, func(t *testing.T) {
+				t.Parallel()
+				before, after := policybench.Run(s, policybench.Present, 1), policybench.Run(s, policybench.Production, 1)
+				for _, w := range s.Workloads {
+					got, want := after.Rank(w.Name).InTarget(), before.Rank(w.Name).InTarget()-fewer
+					if got < want {
+						t.Errorf("%s: got %.1f%% in target, want at least %.1f%%", w.Name, got, want)
+					}
+				}
+			})
+		}
+	}
+}
