--- a/internal/policybench/owner.go
+++ b/internal/policybench/owner.go
@@ -100,6 +100,9 @@
 		o.run(t)
 		o.sim.loop.at(c.deadline, func() { o.expire(t) })
 	case queue.Waiting:
+		if c.measured {
+			c.result.Queued++
+		}
 		o.tries[t.id] = t
 		o.account(c, 1, 0)
 		o.sim.loop.at(c.deadline, func() { o.expire(t) })
@@ -132,6 +135,9 @@
 func (o *owner) run(t *try) {
 	o.account(t.call, -1, 1)
 	t.started = o.sim.loop.now
+	if c := t.call; c.measured && t.started.Sub(t.sent) > c.work.Target/5 {
+		c.result.LongWaits++
+	}
 	t.start = o.limiter.Started(t.started, t.call.work.Name)
 	t.job = &job{left: t.call.service, done: func(ok bool) { o.complete(t, ok) }}
 	t.call.ran = true
@@ -195,7 +201,16 @@
 			r.load.SlotTime, r.load.Busy = o.limiter.SlotTime(t.call.work.Name), o.limiter.Busy()
 		}
 	}
-	o.sim.loop.after(t.latency, func() { o.sim.handleReply(t, r) })
+	after := t.latency
+	if d := o.sim.scenario.linkDelay(o.zone, o.sim.loop.now.Sub(epoch)); d > 0 {
+		if r.load != nil {
+			r.load.LinkDelay = d
+		}
+		if r.result == balance.OK && t.call.work.ResponseBytes >= balance.LargeBytes {
+			after += d
+		}
+	}
+	o.sim.loop.after(after, func() { o.sim.handleReply(t, r) })
 }
 
 // markLost simulates the loss of the node: tries in flight end without a complete
