Store rollouts of service versions in the config group

Cause: an operator's order to move a service to another software version had no place to be durable in, and upstreams did not say which version they run.

Change: rollouts are resources of a configuration that no customer file can replace, so each change is a version of the stream to nodes and leaves the numbers of whole configurations alone. A start is idempotent, and a change names the step that it follows. Operators order and read rollouts at any control. Heartbeats carry the software version to the registries. Nothing acts on a rollout yet.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -31,6 +31,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/replica"
 	"github.com/gooseberrypick/gooseberrypick/internal/versions"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
@@ -52,7 +53,7 @@
 	Dial wire.Dialer
 	// OperatorHandler returns a handler that replaces the default operator API; nil means
 	// the default API.
-	OperatorHandler func(WholeConfigStore) http.Handler
+	OperatorHandler func(OperatorStore) http.Handler
 }
 
 // WholeConfigStore accepts and returns whole configurations: each one replaces the one
@@ -65,6 +66,22 @@
 	NewestWholeConfig(ctx context.Context) ([]byte, error)
 }
 
+// RolloutStore starts and returns rollouts of service versions.
+type RolloutStore interface {
+	// StartRollout returns once the order is durable; a repeated order changes nothing. It
+	// returns an error of kind Conflict if another rollout of the service is running, and
+	// of kind BadRequest for an unknown service.
+	StartRollout(ctx context.Context, o RolloutOrder) error
+	// Rollout returns the newest rollout of a service, or an error of kind NotFound.
+	Rollout(ctx context.Context, service string) (customer.Rollout, error)
+}
+
+// OperatorStore is what an OperatorHandler works on.
+type OperatorStore interface {
+	WholeConfigStore
+	RolloutStore
+}
+
 // Control is one control process.
 type Control struct {
 	c         Config
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -328,7 +328,7 @@
 	for _, a := range l {
 		u = append(u, wire.Upstream{
 			Name: a.Name, Service: a.Service, State: a.State,
-			Slots: a.Slots, Connections: a.Connections, Since: a.Since,
+			Slots: a.Slots, Connections: a.Connections, Since: a.Since, Version: a.Version,
 		})
 	}
 	n.distribution.SetUpstreams(u)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -152,7 +152,7 @@
 }
 
 // internNames returns a copy of n in which the strings that many records have in common
-// (zone, home, service and state) are interned. An upstream that is named like its node
+// (zone, home, service, version and state) are interned. An upstream that is named like its node
 // shares the string of the node's name.
 func (r *Registry) internNames(n wire.NodeRecord) *wire.NodeRecord {
 	n.AvailabilityZone, n.Home = r.intern(n.AvailabilityZone), r.intern(n.Home)
@@ -164,7 +164,7 @@
 		if u.Name == n.Node {
 			u.Name = n.Node
 		}
-		u.Service, u.State = r.intern(u.Service), wire.UpstreamState(r.intern(string(u.State)))
+		u.Service, u.Version, u.State = r.intern(u.Service), r.intern(u.Version), wire.UpstreamState(r.intern(string(u.State)))
 		l[i] = u
 	}
 	n.Upstreams = l
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -40,6 +40,8 @@
 	Slots       int
 	Connections int
 	State       wire.UpstreamState
+	// Version is the software version of the upstream. It may be empty.
+	Version string `json:",omitempty"`
 	// Incarnation increases with each start of an upstream and Sequence with each of
 	// its announcements, so that late announcements are detected. Both are zero in
 	// the default API, which does not transmit them.
@@ -71,8 +73,8 @@
 type Announced struct {
 	Name string
 	Announcement
-	// Since is the time since which the upstream has had its state, address and
-	// incarnation.
+	// Since is the time since which the upstream has had its state, address, software
+	// version and incarnation.
 	Since   time.Time
 	expires time.Time
 }
@@ -154,6 +156,9 @@
 	if n.Slots < 1 || n.Connections < n.Slots || n.Connections > maxConnections {
 		return errkind.New(errkind.BadRequest, "Slots %d, Connections %d; expected at least 1 slot, as many connections, and at most %d", n.Slots, n.Connections, maxConnections)
 	}
+	if len(n.Version) > wire.MaxNameBytes {
+		return errkind.New(errkind.BadRequest, "Version of %d bytes; expected at most %d", len(n.Version), wire.MaxNameBytes)
+	}
 	switch n.State {
 	case wire.Starting, wire.Serving, wire.Leaving:
 		return nil
@@ -180,7 +185,7 @@
 	}
 	replaced := a.dropAddress(name, n)
 	e := Announced{Name: name, Announcement: n, Since: now, expires: now.Add(RenewWithin)}
-	if known && o.State == n.State && o.Address == n.Address && o.Incarnation == n.Incarnation {
+	if known && o.State == n.State && o.Address == n.Address && o.Incarnation == n.Incarnation && o.Version == n.Version {
 		e.Since = o.Since
 	}
 	a.byName[name] = e
--- a/internal/versions/command.go
+++ b/internal/versions/command.go
@@ -31,9 +31,11 @@
 type commandType string
 
 const (
-	typeAccept        commandType = "Accept"
-	typeRememberNodes commandType = "RememberNodes"
-	typeForgetNodes   commandType = "ForgetNodes"
+	typeAccept         commandType = "Accept"
+	typeRememberNodes  commandType = "RememberNodes"
+	typeForgetNodes    commandType = "ForgetNodes"
+	typeStartRollout   commandType = "StartRollout"
+	typeAdvanceRollout commandType = "AdvanceRollout"
 	// typePacked holds the compressed form of another command.
 	typePacked commandType = "Packed"
 )
@@ -164,6 +166,10 @@
 		return decodeBody[RememberNodes](e)
 	case typeForgetNodes:
 		return decodeBody[ForgetNodes](e)
+	case typeStartRollout:
+		return decodeBody[StartRollout](e)
+	case typeAdvanceRollout:
+		return decodeBody[AdvanceRollout](e)
 	}
 	return nil, errkind.New(errkind.Outdated, "unknown command type %q", e.Type)
 }
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -1,6 +1,6 @@
 // Package versions implements the replicated state machine of the config group. It
-// holds the accepted versions with their history, the request IDs, and the names of
-// the known nodes.
+// holds the accepted versions with their history, the request IDs, the rollouts of
+// service versions, and the names of the known nodes.
 //
 // Versions are numbered in one sequence for the whole system; each version replaces
 // the configuration of one customer. An accept names the base version that it was
@@ -152,6 +152,10 @@
 			delete(m.nodes, n)
 		}
 		return Result{}, nil
+	case StartRollout:
+		return m.startRollout(c), nil
+	case AdvanceRollout:
+		return m.advanceRollout(c), nil
 	}
 	return refused(errkind.BadRequest, "unknown command"), nil
 }
--- a/internal/versions/view.go
+++ b/internal/versions/view.go
@@ -299,7 +299,7 @@
 		}
 	}
 	m := customer.Change{Customer: name}
-	for _, k := range []customer.ResourceKind{customer.KindService, customer.KindRank, customer.KindAccount, customer.KindLimits, customer.KindRoute} {
+	for _, k := range []customer.ResourceKind{customer.KindService, customer.KindRank, customer.KindAccount, customer.KindLimits, customer.KindRoute, customer.KindRollout} {
 		for i, d := range l {
 			for _, r := range d.Upsert {
 				if r.Kind == k && last[key{r.Kind, r.Name}] == i {
@@ -308,7 +308,7 @@
 			}
 		}
 	}
-	for _, k := range []customer.ResourceKind{customer.KindRoute, customer.KindLimits, customer.KindAccount, customer.KindRank, customer.KindService} {
+	for _, k := range []customer.ResourceKind{customer.KindRollout, customer.KindRoute, customer.KindLimits, customer.KindAccount, customer.KindRank, customer.KindService} {
 		for i, d := range l {
 			for _, r := range d.Remove {
 				if r.Kind == k && last[key{r.Kind, r.Name}] == i {
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -26,6 +26,8 @@
 	Connections int           `cbor:"5,keyasint"`
 	// Since is when the upstream entered State; the warm-up ramp starts then.
 	Since time.Time `cbor:"6,keyasint"`
+	// Version is the software version of the upstream. It may be empty.
+	Version string `cbor:"7,keyasint,omitempty"`
 }
 
 // NodeRecord is the registry entry of one node. Only the node itself increments
@@ -53,14 +55,14 @@
 // Upper bounds of the encoded size of a record and of an upstream, without strings.
 const (
 	recordOverhead   = 40
-	upstreamOverhead = 48
+	upstreamOverhead = 52
 )
 
 // EncodedBytes returns an upper bound of the encoded size of r.
 func (r NodeRecord) EncodedBytes() int {
 	n := recordOverhead + len(r.Node) + len(r.AvailabilityZone) + len(r.PeerAddress) + len(r.Home)
 	for _, u := range r.Upstreams {
-		n += upstreamOverhead + len(u.Name) + len(u.Service) + len(u.State)
+		n += upstreamOverhead + len(u.Name) + len(u.Service) + len(u.State) + len(u.Version)
 	}
 	return n
 }
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -42,6 +42,8 @@
 	Address     string
 	Slots       int
 	Connections int
+	// Version is the software version of the upstream. It may be empty.
+	Version string
 	// Failed is called when an announcement fails; it may be nil.
 	Failed func(error)
 	// Client sends requests to the node; nil means a client with a timeout of 2 s.
@@ -72,6 +74,7 @@
 	Slots       int
 	Connections int
 	State       string
+	Version     string `json:",omitempty"`
 }
 
 type renewal struct{ RenewWithin string }
@@ -99,7 +102,7 @@
 func (a *Announcer) Announce(ctx context.Context) (time.Duration, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	b, err := json.Marshal(announcement{a.c.Service, a.c.Address, a.c.Slots, a.c.Connections, a.state})
+	b, err := json.Marshal(announcement{a.c.Service, a.c.Address, a.c.Slots, a.c.Connections, a.state, a.c.Version})
 	if err != nil {
 		return 0, errors.Wrap(err, "encode announcement")
 	}
--- a/pkg/customer/config.go
+++ b/pkg/customer/config.go
@@ -97,6 +97,7 @@
 	ranks    map[string]Rank
 	accounts map[string]Account
 	routes   map[string]Route
+	rollouts map[string]Rollout
 	limits   Limits
 
 	// encoded guards resources and digest, which the first call of Resources or Digest
@@ -114,6 +115,7 @@
 		ranks:    map[string]Rank{},
 		accounts: map[string]Account{},
 		routes:   map[string]Route{},
+		rollouts: map[string]Rollout{},
 	}
 }
 
@@ -189,6 +191,7 @@
 		ranks:    maps.Clone(c.ranks),
 		accounts: maps.Clone(c.accounts),
 		routes:   maps.Clone(c.routes),
+		rollouts: maps.Clone(c.rollouts),
 		limits:   c.limits,
 	}
 }
--- a/pkg/customer/resource.go
+++ b/pkg/customer/resource.go
@@ -24,12 +24,14 @@
 	KindAccount ResourceKind = "Account"
 	KindLimits  ResourceKind = "Limits"
 	KindRoute   ResourceKind = "Route"
+	KindRollout ResourceKind = "Rollout"
 )
 
 // limitsName is the name of the one resource of kind KindLimits.
 const limitsName = "limits"
 
-// Resource is an encoded service, rank, account or route of a configuration, or its limits.
+// Resource is an encoded service, rank, account, route or rollout of a configuration, or
+// its limits.
 type Resource struct {
 	Kind ResourceKind `cbor:"1,keyasint"`
 	Name string       `cbor:"2,keyasint"`
@@ -45,8 +47,8 @@
 	Remove   []Resource `cbor:"3,keyasint,omitempty"`
 }
 
-// Resources returns all resources of c: services, ranks, accounts, limits, then routes, each in the
-// order of their names. The caller must not modify the list.
+// Resources returns all resources of c: services, ranks, accounts, limits, routes, then
+// rollouts, each in the order of their names. The caller must not modify the list.
 func (c *Config) Resources() []Resource {
 	c.encoded.Do(c.encode)
 	return c.resources
@@ -59,7 +61,7 @@
 }
 
 func (c *Config) encode() {
-	l := make([]Resource, 0, len(c.services)+len(c.ranks)+len(c.accounts)+len(c.routes)+1)
+	l := make([]Resource, 0, len(c.services)+len(c.ranks)+len(c.accounts)+len(c.routes)+len(c.rollouts)+1)
 	for _, s := range c.Services() {
 		l = append(l, encode(KindService, s.Name, s))
 	}
@@ -75,6 +77,9 @@
 	for _, r := range c.Routes() {
 		l = append(l, encode(KindRoute, r.Name(), r))
 	}
+	for _, r := range c.Rollouts() {
+		l = append(l, encode(KindRollout, r.Service, r))
+	}
 	h := xxhash.New()
 	for _, r := range l {
 		_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d\x00", r.Kind, r.Name, len(r.Data))
@@ -163,7 +168,7 @@
 
 // count returns the number of resources.
 func (c *Config) count() int {
-	n := len(c.services) + len(c.ranks) + len(c.accounts) + len(c.routes)
+	n := len(c.services) + len(c.ranks) + len(c.accounts) + len(c.routes) + len(c.rollouts)
 	if c.limits != (Limits{}) {
 		n++
 	}
@@ -183,6 +188,8 @@
 		c.limits = o.limits
 	case KindRoute:
 		c.routes[r.Name] = o.routes[r.Name]
+	case KindRollout:
+		c.rollouts[r.Name] = o.rollouts[r.Name]
 	}
 }
 
@@ -201,8 +208,10 @@
 		return 2
 	case KindLimits:
 		return 3
+	case KindRoute:
+		return 4
 	}
-	return 4
+	return 5
 }
 
 // WithChange returns a copy of c with d applied. It does not check references;
@@ -226,6 +235,8 @@
 			n.limits = Limits{}
 		case KindRoute:
 			delete(n.routes, r.Name)
+		case KindRollout:
+			delete(n.rollouts, r.Name)
 		default:
 			return nil, errors.Errorf("unknown resource kind %q", r.Kind)
 		}
@@ -248,6 +259,8 @@
 		return err
 	case KindRoute:
 		return decode(c.routes, r, Route.Name)
+	case KindRollout:
+		return decode(c.rollouts, r, func(r Rollout) string { return r.Service })
 	}
 	return errkind.New(errkind.Outdated, "unknown resource kind of a newer release")
 }
