Send requests to the versions that a rollout allows

Cause: nodes sent requests to every upstream of a service, whatever software version it ran, and nobody counted the answers of two versions side by side.

Change: the router divides the upstreams of a service by version while a rollout or a new version needs it, and keeps to the share per route after the choice of the service. The share goes to some new upstreams at a time, in turns. Nodes count answers, failures and times by upstream and route while a rollout runs, and report them to the leader together with the requests in flight at old upstreams.

The leader does not take the reports yet.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
@@ -106,6 +107,7 @@
 	claims        *idempotency.Client
 	controls      *controls
 	leader        *leaderClient
+	rollouts      *rolloutReporter
 	metrics       *nodeMetrics
 	ranks         *rankstats.Counters
 	router        *router.Router
@@ -165,6 +167,7 @@
 	n.leader = &leaderClient{pool: n.controls.pool, controls: n.distribution.Controls}
 	n.claims = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
 	n.newServers(now)
+	n.rollouts = n.newRolloutReporter(uint64(now.UnixNano()))
 	return n, nil
 }
 
@@ -183,6 +186,7 @@
 		Budget:         retry.Config{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Retried:        n.metrics.countRetry,
 		Tried:          n.metrics.countTry,
+		Rollout:        func(service string) (customer.Rollout, bool) { return n.distribution.Table().Rollout(service) },
 
 		RetryFailures: n.c.Interface.RetryFailures,
 	})
@@ -357,6 +361,7 @@
 	g.Go(func() error { n.distribution.Run(serving); return nil })
 	g.Go(func() error { n.local.Run(serving); return nil })
 	g.Go(func() error { n.maintain(serving); return nil })
+	g.Go(func() error { n.rollouts.run(serving); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/retry"
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -57,6 +58,9 @@
 	// Tried is called for each try; own states whether the upstream is in the node's
 	// own availability zone. It may be nil.
 	Tried func(service string, own bool)
+	// Rollout returns the rollout of a service that is in force now; nil means that there
+	// are none.
+	Rollout func(service string) (customer.Rollout, bool)
 }
 
 // Router routes requests. It is safe for concurrent use.
@@ -78,6 +82,9 @@
 	if c.Tried == nil {
 		c.Tried = func(string, bool) {}
 	}
+	if c.Rollout == nil {
+		c.Rollout = func(string) (customer.Rollout, bool) { return customer.Rollout{}, false }
+	}
 	return &Router{c: c, services: map[string]*service{}, splits: newSplits(c.Seed)}
 }
 
@@ -135,6 +142,7 @@
 	a, err := r.transport(ctx, q, t)
 	if err != nil {
 		s.finished(t, r.outcome(m, t, err))
+		s.recordEnding(m, t, endingOf(0, err), time.Since(t.started))
 		return nil, err
 	}
 	head := time.Since(t.started)
@@ -145,6 +153,7 @@
 			o.Load = r.load(l)
 		}
 		s.finished(t, o)
+		s.recordEnding(m, t, endingOf(a.Head.Status, err), head)
 	})
 	return &n, nil
 }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -25,6 +25,8 @@
 	service customer.Service
 	set     *balance.Set
 	byName  map[string]registry.Candidate
+	// versions divides set by software version while a rollout needs it.
+	versions upstreamVersions
 }
 
 func newService(name string, seed uint64, b retry.Config) *service {
@@ -33,6 +35,7 @@
 		balancer: balance.New(balance.Config{Seed: seed}),
 		budget:   retry.New(b),
 		set:      balance.NewSet(nil),
+		versions: newUpstreamVersions(seed),
 	}
 }
 
@@ -55,36 +58,53 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh(l, m.Service)
-	h, ok := s.balancer.Choose(now, s.set, balance.Query{
+	s.refresh(now, l, m.Service, c)
+	set, instead := s.sets(m, len(tried) == 0)
+	q := balance.Query{
 		Zone:    c.Zone,
 		Rank:    m.Rank.Name,
 		Exclude: tried,
 		Large:   large,
 		NoProbe: m.Route.Execution != customer.Idempotent,
-	})
+	}
+	h, ok := s.balancer.Choose(now, set, q)
+	if !ok && instead != nil {
+		h, ok = s.balancer.Choose(now, instead, q)
+	}
 	if !ok {
 		return try{}, false
 	}
 	n := h.Candidate.Name
 	s.balancer.Started(now, n, m.Rank.Name)
-	return try{candidate: s.byName[n], name: n, reason: h.Reason, started: now}, true
+	t := try{candidate: s.byName[n], name: n, reason: h.Reason, started: now}
+	s.versions.inFlight[t.candidate.Upstream.Version]++
+	return t, true
 }
 
-// refresh rebuilds the set if the list of candidates has been replaced, or the
-// service's configuration has changed. The registry never modifies a list in place.
-func (s *service) refresh(l []registry.Candidate, v customer.Service) {
-	if sameList(l, s.source) && s.service == v {
+// refresh rebuilds the sets if the list of candidates has been replaced, or the
+// service's configuration or its rollout has changed. The registry never modifies a list
+// in place.
+func (s *service) refresh(now time.Time, l []registry.Candidate, v customer.Service, c Config) {
+	r, known := c.Rollout(s.name)
+	if sameList(l, s.source) && s.service == v && s.versions.isCurrent(now, r, known) {
 		return
 	}
 	s.source, s.service = l, v
+	s.versions.setRollout(r, known)
+	s.versions.see(now, l)
 	s.byName = make(map[string]registry.Candidate, len(l))
+	for _, c := range l {
+		s.byName[candidateName(c)] = c
+	}
+	ordinary, next := s.versions.divide(now, l)
+	s.set, s.versions.next = newSet(ordinary, v), newSet(next, v)
+}
+
+func newSet(l []registry.Candidate, v customer.Service) *balance.Set {
 	k := make([]balance.Candidate, 0, len(l))
 	for _, c := range l {
-		n := c.Node + "/" + c.Upstream.Name
-		s.byName[n] = c
 		k = append(k, balance.Candidate{
-			Name:      n,
+			Name:      candidateName(c),
 			Node:      c.Node,
 			Zone:      c.AvailabilityZone,
 			Slots:     usableSlots(c.Upstream.Slots, v),
@@ -93,7 +113,7 @@
 			ColdStart: v.ColdStart,
 		})
 	}
-	s.set = balance.NewSet(k)
+	return balance.NewSet(k)
 }
 
 // usableSlots limits the announced slots to those of the customer file.
@@ -112,6 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Finished(time.Now(), t.name, o)
+	s.versions.finished(t.candidate.Upstream.Version)
 }
 
 // retryable reports whether q may run again and its body can be sent again.
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -264,6 +264,24 @@
 	return c.Service(name)
 }
 
+// Rollout returns the rollout of the named service.
+func (t *Table) Rollout(service string) (customer.Rollout, bool) {
+	c := t.configs[versions.RolloutCustomer]
+	if c == nil {
+		return customer.Rollout{}, false
+	}
+	return c.Rollout(service)
+}
+
+// RunningRollouts returns the rollouts that are running.
+func (t *Table) RunningRollouts() []customer.Rollout {
+	c := t.configs[versions.RolloutCustomer]
+	if c == nil {
+		return nil
+	}
+	return slices.DeleteFunc(c.Rollouts(), func(r customer.Rollout) bool { return !r.Running() })
+}
+
 // Ranks returns the ranks of the customer that owns the named service.
 func (t *Table) Ranks(service string) []customer.Rank {
 	c := t.configs[t.serviceCustomer[service]]
