Decide about rollouts at the leader of the controls

Cause: rollouts were stored and nodes reported counts, but nothing moved a share, completed a rollout or rolled it back.

Change: a pure decision compares both versions by route: failures, late answers and times, without upstreams and a node that stand out from their group. It keeps the canary within a part of the allowed exposure, most of it right before the step, and goes over a short ramp to all requests as late as the drain of old upstreams allows. The leader feeds it with the reports, completes a rollout only when all live nodes have left the old upstreams, and logs each decision with its inputs. A leader that takes over counts anew.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -91,6 +91,7 @@
 	config    *configStore
 	claims    *claims.Service
 	fleet     *fleet
+	rollouts  *rollouts
 	metrics   metrics.Registry
 	transport *transport
 	directory *directory
@@ -147,6 +148,7 @@
 	k.fleet = newFleet(fleetConfig{
 		Control: s.Name, Directory: k.directory, Source: k.config, Names: k.config, Pool: k.pool, Log: k.log,
 	})
+	k.rollouts = newRollouts(k.config, k.fleet.registry, k.metrics, k.log.WithName("rollout"))
 	return k.openServers()
 }
 
@@ -267,6 +269,7 @@
 	}
 	wire.HandleUnary(m, wire.MethodPropose, k.config.handlePropose)
 	wire.HandleUnary(m, wire.MethodNodeReports, k.handleNodeReports)
+	wire.HandleUnary(m, wire.MethodReportRollouts, k.rollouts.handleReport)
 	return m
 }
 
@@ -282,6 +285,7 @@
 	})
 	g.Go(func() error { k.fleet.run(serving); return nil })
 	g.Go(func() error { k.updateGauges(serving); return nil })
+	g.Go(func() error { k.rollouts.run(serving); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -108,8 +108,7 @@
 		switch {
 		case v.known && n == r.Version:
 			next = append(next, c)
-		case v.known && (r.Base != "" && n != r.Base || slices.Contains(r.Rejected, n)):
-		default:
+		case !v.known || r.IsOld(n):
 			ordinary = append(ordinary, c)
 		}
 	}
--- a/internal/router/version_counts.go
+++ b/internal/router/version_counts.go
@@ -34,6 +34,9 @@
 	notRun ending = iota
 	answered
 	failed
+	// timedOut tries failed because the answer did not come in time. They are no failures
+	// of an upstream that is still warming up.
+	timedOut
 )
 
 // endingOf classifies a try that got an answer with the given status, which may be
@@ -45,7 +48,9 @@
 		switch {
 		case e.Kind == errkind.Canceled || e.Execution == errkind.NotRun:
 			return notRun
-		case e.Kind == errkind.UpstreamFailed || e.Kind == errkind.AnswerIncomplete || e.Kind == errkind.DeadlineExceeded:
+		case e.Kind == errkind.DeadlineExceeded:
+			return timedOut
+		case e.Kind == errkind.UpstreamFailed || e.Kind == errkind.AnswerIncomplete:
 			return failed
 		}
 		return notRun
@@ -77,9 +82,11 @@
 		v.counts[k] = c
 	}
 	c.requests++
-	if e == failed {
+	warm := v.isWarm(t.started, t.name)
+	switch {
+	case e == failed || e == timedOut && warm:
 		c.failures++
-	} else if v.isWarm(t.started, t.name) {
+	case e == answered && warm:
 		c.times[wire.RolloutTimeBucket(head)]++
 	}
 }
--- a/pkg/customer/rollout.go
+++ b/pkg/customer/rollout.go
@@ -1,6 +1,9 @@
 package customer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RolloutState is the state of a rollout.
 type RolloutState string
@@ -55,6 +58,11 @@
 	return r.State == RolloutComplete || r.Running() && r.Share >= FullShare
 }
 
+// IsOld reports whether upstreams of the given version belong to the old group.
+func (r Rollout) IsOld(version string) bool {
+	return version != r.Version && (r.Base == "" || version == r.Base) && !slices.Contains(r.Rejected, version)
+}
+
 // Rollout returns the rollout of the named service.
 func (c *Config) Rollout(service string) (Rollout, bool) { r, ok := c.rollouts[service]; return r, ok }
 
