--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -85,9 +85,12 @@
 	// maxCanaryShare bounds the share before the step, in thousandths.
 	maxCanaryShare = 250
 	minCanaryShare = 10
-	// shareTolerance is the relative change of the share that is worth a new version of
-	// the configuration on all nodes.
-	shareTolerance = 0.5
+	// The share is raised by at least raiseFactor and lowered by at least lowerFactor,
+	// since each change is a new version of the configuration on all nodes. It stays the
+	// same for settledTime before the next phase.
+	raiseFactor = 1.5
+	lowerFactor = 2
+	settledTime = time.Second
 	// warmUp is how long new upstreams are twice as slow. They get half the load then.
 	warmUp = 4 * time.Second
 	// The canaries are loaded up to maxLoad times as much as old upstreams, as long as
@@ -203,14 +206,17 @@
 // canary returns the share before the step. It is what loads some new upstreams like old
 // ones, within what is left of the canary's part of the exposure.
 func (i Input) canary() Decision {
-	limit := i.canaryLimit()
+	limit, left := i.canaryLimit()
+	if i.Share > 0 && left < settledTime {
+		return Decision{Action: Wait, Reason: "comparing the versions"}
+	}
 	n, load := max(1, i.OldUpstreams), i.load()
 	k := 1
 	for k < i.NewUpstreams && equalShare(n, k+1)*load <= limit {
 		k++
 	}
 	s := int(min(limit, equalShare(n, k)*load))
-	if float64(max(s, i.Share)) <= (1+shareTolerance)*float64(min(s, i.Share)) && s > 0 && i.Share > 0 {
+	if i.Share > 0 && float64(s) < raiseFactor*float64(i.Share) && lowerFactor*s > i.Share {
 		return Decision{Action: Wait, Reason: "comparing the versions"}
 	}
 	return Decision{Action: SetShare, Share: s, Canaries: k, Reason: "canary", Detail: fmt.Sprintf("%d of %d new upstreams", k, i.NewUpstreams)}
@@ -218,14 +224,16 @@
 
 // canaryLimit returns the highest share that the exposure allows. Most of the canary's part
 // is used in the last seconds before the step: only what is known then counts, and the
-// version may have turned bad late.
-func (i Input) canaryLimit() float64 {
-	left, b := i.stepAt()-i.Elapsed, i.budget()
+// version may have turned bad late. It also returns the time left for that.
+func (i Input) canaryLimit() (limit float64, left time.Duration) {
+	left = i.stepAt() - i.Elapsed
+	b := i.budget()
 	if left > comparisonTime {
 		left -= comparisonTime
 		b *= earlyBudget
 	}
-	return max(minCanaryShare, min(maxCanaryShare, fullShare*(b-i.exposed())/max(left.Seconds(), 1)))
+	s := max(left, settledTime).Seconds()
+	return max(minCanaryShare, min(maxCanaryShare, fullShare*(b-i.exposed())/s)), left
 }
 
 // load returns how much the canaries are loaded relative to old upstreams.
