--- a/internal/control/rollout_controller_test.go
+++ b/internal/control/rollout_controller_test.go
@@ -95,6 +95,13 @@
 	p.controller.changes.Wait()
 }
 
+// removeUpstreams removes the upstreams of the nodes from a to b.
+func (p *rolloutPlay) removeUpstreams(a, b int) {
+	for i := a; i < b; i++ {
+		p.registry.Put(p.now, []wire.NodeRecord{{Node: fmt.Sprintf("n%d", i), Incarnation: 1, Sequence: 1}})
+	}
+}
+
 func (p *rolloutPlay) rollout() customer.Rollout {
 	r, _ := p.group.Current().Rollout("read")
 	return r
@@ -180,6 +187,15 @@
 	})
 }
 
+// Guards against a service that refuses requests because an order names the version that
+// all its upstreams run.
+func TestRolloutToPresentVersion(t *testing.T) {
+	p := newRolloutPlay(t)
+	p.removeUpstreams(0, playNodes/2)
+	p.runUntil(200 * time.Millisecond)
+	p.assert("without old upstreams", customer.RolloutRunning, true)
+}
+
 // Guards against a bad version that stays, at the canary or after the step.
 func TestRolloutRollsBack(t *testing.T) {
 	t.Run("canary", func(t *testing.T) {
@@ -196,11 +212,17 @@
 		p.runUntil(10200 * time.Millisecond)
 		p.assert("bad", customer.RolloutRolledBack, false)
 	})
+	t.Run("all new upstreams lost", func(t *testing.T) {
+		p := newRolloutPlay(t)
+		p.runUntil(10 * time.Second)
+		p.assert("full share", customer.RolloutRunning, true)
+		p.removeUpstreams(playNodes/2, playNodes)
+		p.runUntil(10200 * time.Millisecond)
+		p.assert("lost", customer.RolloutRolledBack, false)
+	})
 	t.Run("without new upstreams", func(t *testing.T) {
 		p := newRolloutPlay(t)
-		for i := playNodes / 2; i < playNodes; i++ {
-			p.registry.Put(p.now, []wire.NodeRecord{{Node: fmt.Sprintf("n%d", i), Incarnation: 1, Sequence: 1}})
-		}
+		p.removeUpstreams(playNodes/2, playNodes)
 		p.runUntil(12 * time.Second)
 		p.assert("waiting", customer.RolloutRunning, false)
 		p.runUntil(12200 * time.Millisecond)
--- a/internal/versions/rollout.go
+++ b/internal/versions/rollout.go
@@ -26,7 +26,7 @@
 )
 
 // StartRollout starts the rollout of a service to the upstreams of Version. A repeated
-// order changes nothing.
+// order changes nothing, and neither does one for the version that is in use.
 type StartRollout struct {
 	Service string        `cbor:"1,keyasint"`
 	Version string        `cbor:"2,keyasint"`
@@ -105,7 +105,7 @@
 	if known {
 		same := o.Version == s.Version && o.Within == s.Within
 		switch {
-		case same && (o.Running() || s.Time.Sub(time.UnixMilli(o.EndedMillis)) < repeatWindow):
+		case o.Version == s.Version && o.State == customer.RolloutComplete, same && (o.Running() || s.Time.Sub(time.UnixMilli(o.EndedMillis)) < repeatWindow):
 			return Result{Version: o.Order, Repeated: true}
 		case o.Running():
 			return refused(errkind.Conflict, "a rollout of service %q to version %q is running", s.Service, o.Version)
--- a/internal/versions/rollout_test.go
+++ b/internal/versions/rollout_test.go
@@ -90,6 +90,13 @@
 		assertVersion(t, apply(t, m, startAt("v2", 10*time.Second+repeatWindow)), 4)
 		assertRollout(t, m, "v2", customer.RolloutRunning)
 	})
+	t.Run("version in use", func(t *testing.T) {
+		m := withService(t)
+		apply(t, m, startAt("v2", 0))
+		advance(t, m, customer.RolloutComplete, customer.FullShare, 10*time.Second)
+		assertVersion(t, apply(t, m, startAt("v2", time.Hour)), 2)
+		assertRollout(t, m, "v2", customer.RolloutComplete)
+	})
 	t.Run("unknown service", func(t *testing.T) {
 		o := startAt("v2", 0)
 		o.Service = "other"
