--- a/internal/control/rollout_controller_test.go
+++ b/internal/control/rollout_controller_test.go
@@ -43,8 +43,10 @@
 	sequence   uint64
 	// silent nodes send no reports; busy ones have a request in flight at an old upstream.
 	silent, busy map[string]bool
-	// failing is the part of the answers of the new version that fail.
+	// failing is the part of the answers of the new version that fail. Besides, each node
+	// has counted the given number of earlier failures at each new upstream.
 	failing float64
+	earlier uint64
 	counts  map[string]*[2]float64 // by node: requests at the old and the new version
 }
 
@@ -132,7 +134,8 @@
 		for u := range playNodes / 2 {
 			c := wire.RolloutCounts{Requests: uint64(k) / (playNodes / 2)}
 			if v == 1 {
-				c.Failures = uint64(float64(c.Requests) * p.failing)
+				c.Failures = uint64(float64(c.Requests)*p.failing) + p.earlier
+				c.Requests += p.earlier
 			}
 			c.Times = []uint64{c.Requests - c.Failures}
 			s.Upstreams = append(s.Upstreams, wire.RolloutUpstream{Name: fmt.Sprintf("u%d-%d", v, u), Version: fmt.Sprintf("v%d", v+1), Counts: []wire.RolloutCounts{c}})
@@ -260,15 +263,22 @@
 		p.runUntil(12 * time.Second)
 		p.assert("end", customer.RolloutComplete, true)
 	})
-	t.Run("old failures", func(t *testing.T) {
+	t.Run("earlier failures", func(t *testing.T) {
 		p := newRolloutPlay(t)
 		p.runUntil(4 * time.Second)
 		p.group.leading = false
-		p.failing = 0.3
 		p.runUntil(4200 * time.Millisecond)
-		p.failing = 0 // reports now have fewer failures, as if they had come from before
+		p.earlier = 3
 		p.group.leading = true
 		p.runUntil(12 * time.Second)
 		p.assert("end", customer.RolloutComplete, true)
 	})
+	t.Run("member that does not lead", func(t *testing.T) {
+		p := newRolloutPlay(t)
+		p.group.leading = false
+		p.runUntil(3 * time.Second)
+		if got := p.rollout().Step; got != 0 {
+			t.Errorf("got step %d, want 0", got)
+		}
+	})
 }
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -38,6 +38,7 @@
 	assertReports("no rollout", 5*time.Second, 0, 0)
 	running = []customer.Rollout{{Order: 2, State: customer.RolloutRunning}}
 	assertReports("running", 5*time.Second, 9, 11)
+	assertReports("just reported", rolloutReportInterval/2, 0, 1)
 	running = []customer.Rollout{{Order: 2, Step: 1, State: customer.RolloutRunning}}
 	assertReports("new step", 2*rolloutTick, 1, 1)
 	fail = errors.New("no leader")
--- a/internal/rollout/tally_test.go
+++ b/internal/rollout/tally_test.go
@@ -37,6 +37,7 @@
 		"one lost":                   {false, []sent{{1, 3, 30, 3}}, 30, 3},
 		"repeated":                   {false, []sent{{1, 1, 10, 1}, {1, 1, 10, 1}}, 10, 1},
 		"out of order":               {false, []sent{{1, 2, 30, 3}, {1, 1, 10, 1}}, 30, 3},
+		"newer after an old one":     {false, []sent{{1, 2, 30, 3}, {1, 1, 10, 1}, {1, 3, 40, 4}}, 40, 4},
 		"restarted node":             {false, []sent{{1, 2, 30, 3}, {2, 1, 5, 0}}, 35, 3},
 		"late report before restart": {false, []sent{{2, 1, 5, 0}, {1, 9, 30, 3}}, 5, 0},
 		"taken over":                 {true, []sent{{1, 7, 30, 3}, {1, 8, 40, 4}}, 10, 1},
@@ -63,6 +64,8 @@
 	a.Add(now, q, r)
 	assertCount(t, "recent", total(a.Evidence(now).Recent["r"]), 10, 5)
 	assertCount(t, "all", total(a.Evidence(now).New["r"]), 110, 5)
+	now = now.Add(recentTime + time.Millisecond)
+	assertCount(t, "without new reports", total(a.Evidence(now).Recent["r"]), 0, 0)
 }
 
 // Guards against a node that is cut off from the upstreams and makes the version look bad.
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -165,9 +165,9 @@
 	f := newVersionedService()
 	f.set("v1", 3, "v2", 3)
 	f.send(t, 500) // fills the retry budget
-	f.order(customer.Rollout{Version: "v2", State: customer.RolloutRunning, Share: 20})
+	f.order(customer.Rollout{Version: "v2", State: customer.RolloutRunning, Share: 500})
 	f.failing = "v2"
-	assertCounts(t, "failing version", f.send(t, 100), "v1", 100, "v2", 2)
+	assertCounts(t, "failing version", f.send(t, 8), "v1", 8, "v2", 4)
 }
 
 // Guards against a share that is spread over all new upstreams, which would be loaded too
