Blame a version only for failures at several of its upstreams

Cause: a partly failing new upstream beside one chance failure of another one was taken for a bad version: 5 failures of 34 requests do not stand out enough among 7 of 90.

Change: the failures without the upstream that has the most must be unusual too.

--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -23,6 +23,9 @@
 	badChance, doubtfulChance, suspiciousChance = 1e-3, 5e-3, 3e-2
 	minBadFailures                              = 3
 	minSuspiciousFailures                       = 2
+	// othersChance is the chance that the failures of the upstreams other than the one with
+	// the most must stay below too.
+	othersChance = 0.06
 	// minLoneFailures is the number of failures of a single upstream for which the version
 	// is bad.
 	minLoneFailures = 25
@@ -175,7 +178,8 @@
 	p := max(k.floor, k.factor*(o.Failures+k.priorEvents)/(o.Requests+k.priorRequests))
 	c := upperTail(n.Requests, n.Failures, p)
 	// A single upstream is not enough, since the others take their turn soon.
-	enough := i.NewUpstreams == 1 || n.Failures >= minLoneFailures || several(next)
+	m := withoutMostFailures(n, next)
+	enough := i.NewUpstreams == 1 || n.Failures >= minLoneFailures || upperTail(m.Requests, m.Failures, p) < othersChance
 	v.note(verdict{
 		enough && n.Failures >= minBadFailures && c < badChance, enough && c < doubtfulChance, c < suspiciousChance, k.reason,
 		fmt.Sprintf("%s: %.0f of %.0f %s, old %.0f of %.0f", route, n.Failures, n.Requests, k.name, o.Failures, o.Requests),
@@ -218,15 +222,15 @@
 	return Count{Requests: n, Failures: late}
 }
 
-// several reports whether more than one upstream has failures.
-func several(l map[string]Count) bool {
-	n := 0
-	for _, c := range l {
-		if c.Failures > 0 {
-			n++
+// withoutMostFailures returns the sum less the upstream with the most failures.
+func withoutMostFailures(sum Count, l map[string]Count) Count {
+	var most Count
+	for _, u := range sortedKeys(l) {
+		if l[u].Failures > most.Failures {
+			most = l[u]
 		}
 	}
-	return n > 1
+	return Count{Requests: sum.Requests - most.Requests, Failures: sum.Failures - most.Failures}
 }
 
 func total(l map[string]Count) Count {
--- a/internal/rollout/plays_test.go
+++ b/internal/rollout/plays_test.go
@@ -97,6 +97,7 @@
 	for _, kind := range sortedKeys(badPlays) {
 		for _, when := range sortedKeys(badTimes) {
 			over, missed, slow, n, worst, sum := 0, 0, 0, 0, 0.0, 0.0
+			byLoad := make([]int, len(loads))
 			for k, l := range loads {
 				for seed := range *playSeeds {
 					p := badTimes[when](badPlays[kind](l))
@@ -110,6 +111,7 @@
 					}
 					if x > 1 {
 						over++
+						byLoad[k]++
 						t.Logf("%s %s: load %d, seed %d: %s at %s (%s): %.0f of %.0f allowed", kind, when, k, seed, r.action, r.ended, r.reason, r.exposed, r.exposureLimit())
 					}
 					if r.fiftieth > 0 && r.lastSent > r.fiftieth+5*time.Second {
@@ -117,7 +119,7 @@
 					}
 				}
 			}
-			t.Logf("| %s | %s | %d | %.2f | %.2f | %d | %d | %d |", kind, when, n, sum/float64(n), worst, over, missed, slow)
+			t.Logf("| %s | %s | %d | %.2f | %.2f | %v | %d | %d |", kind, when, n, sum/float64(n), worst, byLoad, missed, slow)
 			if evident(kind, when) && over > allowed(n) {
 				t.Errorf("%s %s: got %d of %d above the limit, want at most %d", kind, when, over, n, allowed(n))
 			}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -78,11 +78,10 @@
 	exposureRequests = 50
 	// canaryBudget is the part of the exposure that the canary uses before the step.
 	canaryBudget = 0.45
-	// comparisonTime is the least time before the step in which the canary's part is used,
-	// apart from earlyBudget of it, and comparisonAnswers the least number of mean times.
-	comparisonTime    = 2500 * time.Millisecond
-	comparisonAnswers = 8
-	earlyBudget       = 0.2
+	// comparisonTime is the time before the step in which the canary's part is used, apart
+	// from earlyBudget of it.
+	comparisonTime = 2500 * time.Millisecond
+	earlyBudget    = 0.2
 	// maxCanaryShare bounds the share before the step, in thousandths.
 	maxCanaryShare = 250
 	minCanaryShare = 10
@@ -228,21 +227,14 @@
 	return Decision{Action: SetShare, Share: s, Canaries: k, Reason: "canary", Detail: fmt.Sprintf("%d of %d new upstreams", k, i.NewUpstreams)}
 }
 
-// comparison returns the time before the step in which most of the canary's part is used.
-// Answers that take several times as long as usual must arrive in it.
-func (i Input) comparison() time.Duration {
-	d := time.Duration(comparisonAnswers * i.Evidence.meanOld() * float64(time.Second))
-	return min(max(comparisonTime, d), i.Within/3)
-}
-
 // canaryLimit returns the highest share that the exposure allows. Most of the canary's part
 // is used in the last seconds before the step: only what is known then counts, and the
 // version may have turned bad late. It also returns the time left for that.
 func (i Input) canaryLimit() (limit float64, left time.Duration) {
 	left = i.stepAt() - i.Elapsed
 	b := i.budget()
-	if c := i.comparison(); left > c {
-		left -= c
+	if left > comparisonTime {
+		left -= comparisonTime
 		b *= earlyBudget
 	}
 	s := max(left, settledTime).Seconds()
