--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/table"
 	"github.com/gooseberrypick/gooseberrypick/internal/upstream"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/customer"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
@@ -108,6 +109,7 @@
 	claims        *idempotency.Client
 	controls      *controls
 	leader        *leaderClient
+	rollouts      *rolloutReporter
 	metrics       *nodeMetrics
 	ranks         *rankstats.Counters
 	router        *router.Router
@@ -168,6 +170,7 @@
 	n.leader = &leaderClient{pool: n.controls.pool, controls: n.distribution.Controls}
 	n.claims = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
 	n.newServers(now)
+	n.rollouts = n.newRolloutReporter(uint64(now.UnixNano()))
 	return n, nil
 }
 
@@ -189,6 +192,7 @@
 		ZonePrice:      s.ZonePrice,
 		Crossed:        n.metrics.countCrossing,
 		CrossedBytes:   n.metrics.countCrossedBytes,
+		Rollout:        func(service string) (customer.Rollout, bool) { return n.distribution.Table().Rollout(service) },
 
 		RetryFailures: n.c.Interface.RetryFailures,
 	})
@@ -334,7 +338,7 @@
 	for _, a := range l {
 		u = append(u, wire.Upstream{
 			Name: a.Name, Service: a.Service, State: a.State,
-			Slots: a.Slots, Connections: a.Connections, Since: a.Since,
+			Slots: a.Slots, Connections: a.Connections, Since: a.Since, Version: a.Version,
 		})
 	}
 	n.distribution.SetUpstreams(u)
@@ -377,6 +381,7 @@
 	g.Go(func() error { n.distribution.Run(serving); return nil })
 	g.Go(func() error { n.local.Run(serving); return nil })
 	g.Go(func() error { n.maintain(serving); return nil })
+	g.Go(func() error { n.rollouts.run(serving); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,6 +66,9 @@
 	// may be nil.
 	Crossed      func(service, reason string)
 	CrossedBytes func(service string, n int64)
+	// Rollout returns the rollout of a service that is in force now; nil means that there
+	// are none.
+	Rollout func(service string) (customer.Rollout, bool)
 }
 
 // Router routes requests. It is safe for concurrent use.
@@ -93,6 +96,9 @@
 	if c.CrossedBytes == nil {
 		c.CrossedBytes = func(string, int64) {}
 	}
+	if c.Rollout == nil {
+		c.Rollout = func(string) (customer.Rollout, bool) { return customer.Rollout{}, false }
+	}
 	return &Router{c: c, services: map[string]*service{}, splits: newSplits(c.Seed)}
 }
 
@@ -179,6 +185,7 @@
 	a, err := r.transport(ctx, q, t)
 	if err != nil {
 		s.finished(t, r.outcome(m, t, err))
+		s.recordEnding(m, t, endingOf(0, err), time.Since(t.started))
 		return nil, err
 	}
 	head := time.Since(t.started)
@@ -192,6 +199,7 @@
 			o.Load = r.load(l)
 		}
 		s.finished(t, o)
+		s.recordEnding(m, t, endingOf(a.Head.Status, err), head)
 	})
 	return &n, nil
 }
