Enforce the limits of accounts over all nodes

Cause: accounts have limits in the configuration, and nothing applies them.

Nodes renew their shares, take tokens for waiting requests in one call at a time, and refuse the rest with the new error kind LimitExceeded (429, not-run). The caller package checks the limit before it reads a body and takes an admission back if the request has not run. Leases use CLOCK_BOOTTIME.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -119,6 +119,7 @@
 		e = errkind.Wrap(err, errkind.Leaving, "%v", context.Cause(x.stopCtx)).WithExecution(e.Execution)
 		err = e
 	}
+	x.refund(e)
 	x.setConnection()
 	if x.upload == nil && hasBody(x.r) {
 		// net/http reads the rest of the body before it sends the response.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -73,12 +73,23 @@
 	Run(ctx context.Context, m table.Match, key string, r *call.Request) (*call.Response, error)
 }
 
+// Limits limits the requests of accounts over all nodes.
+type Limits interface {
+	// Admit returns nil if the account of m may send one more request now, or an error
+	// with a retry delay. It may wait for the decision, at most until end.
+	Admit(ctx context.Context, end time.Time, m table.Match) error
+	// Refund takes back the admission of a request that has not run.
+	Refund(m table.Match)
+}
+
 // Config configures a Handler.
 type Config struct {
 	Table      func() *table.Table
 	Router     Router
 	AtMostOnce AtMostOnceRunner
-	Log        logr.Logger
+	// Limits is nil if accounts have no limits.
+	Limits Limits
+	Log    logr.Logger
 	// Observe is called after each request with the time since the caller first sent
 	// it.
 	Observe func(m table.Match, status int, kind errkind.Kind, x errkind.Execution, took time.Duration)
@@ -161,6 +172,8 @@
 	cancel func()
 	// upload is the request body, or nil for a request without one.
 	upload *upload
+	// admitted says that the request was admitted by Limits.
+	admitted bool
 	// reserved is the part of Handler.bufferedBytes that this request holds.
 	reserved int64
 }
@@ -197,6 +210,9 @@
 		return
 	}
 	d, err := x.validate()
+	if err == nil {
+		err = x.admit(d)
+	}
 	if err != nil {
 		x.fail(err)
 		return
@@ -300,6 +316,25 @@
 	x.respond(a)
 }
 
+// admit checks the limit of the account before anything of the body is read. It waits at
+// most for d from the start of the request.
+func (x *exchange) admit(d time.Duration) error {
+	if x.c.Limits == nil || x.match.Account.RatePerSecond <= 0 {
+		return nil
+	}
+	err := x.c.Limits.Admit(x.r.Context(), x.start.Add(d), x.match)
+	x.admitted = err == nil
+	return err
+}
+
+// refund takes back the admission of a request that was refused without having run.
+func (x *exchange) refund(e *errkind.Error) {
+	if x.admitted && e.Execution == errkind.NotRun {
+		x.admitted = false
+		x.c.Limits.Refund(x.match)
+	}
+}
+
 // watchCaller withdraws the request once the caller has closed the connection, until the
 // returned function is called. net/http does so only from the end of the request body on,
 // which is not read while a large body waits to be admitted.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
+	"github.com/gooseberrypick/gooseberrypick/internal/boottime"
 	"github.com/gooseberrypick/gooseberrypick/internal/claims"
 	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
@@ -50,6 +51,8 @@
 	Log      logr.Logger
 	// Dial opens connections to other controls; nil means TCP.
 	Dial wire.Dialer
+	// Clock returns the time for leases; nil means boottime.Now.
+	Clock func() time.Duration
 	// OperatorHandler returns a handler that replaces the default operator API; nil means
 	// the default API.
 	OperatorHandler func(WholeConfigStore) http.Handler
@@ -74,6 +77,7 @@
 	config    *configStore
 	claims    *claims.Service
 	fleet     *fleet
+	grantor   *grantor
 	metrics   metrics.Registry
 	transport *transport
 	directory *directory
@@ -90,6 +94,9 @@
 	if c.Dial == nil {
 		c.Dial = wire.DialTCP
 	}
+	if c.Clock == nil {
+		c.Clock = boottime.Now
+	}
 	l, err := openListeners(&c)
 	if err != nil {
 		return nil, err
@@ -130,6 +137,7 @@
 	k.fleet = newFleet(fleetConfig{
 		Control: s.Name, Directory: k.directory, Source: k.config, Names: k.config, Pool: k.pool, Log: k.log,
 	})
+	k.grantor = newGrantor(k.config, s.LimitTolerance, k.c.Clock, k.metrics, k.log)
 	return k.openServers()
 }
 
@@ -245,6 +253,7 @@
 	m := wire.NewMux()
 	k.groups.register(m, k.directory)
 	k.fleet.register(m)
+	k.grantor.register(m)
 	if k.c.Settings.ClaimGroups > 0 {
 		registerClaims(m, k.claims, k.config.peers)
 	}
@@ -291,6 +300,7 @@
 			return
 		case <-t.C:
 		}
+		k.grantor.updateGauges()
 		s := k.config.group.Status()
 		for n, v := range map[string]int64{
 			"version":         int64(k.config.Current().Version()),
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -131,6 +131,7 @@
 	n.router.Budgets(func(service, rank string, left float64) {
 		metrics.GetOrRegisterGaugeFloat64(fmt.Sprintf("retry_budget{service=%q,rank=%q}", service, rank), m.registry).Update(left)
 	})
+	n.limits.sample()
 	arriving, waiting := n.peerServer.LargeBodies()
 	metrics.GetOrRegisterGauge("large_bodies_arriving", m.registry).Update(int64(arriving))
 	metrics.GetOrRegisterGauge("large_bodies_waiting", m.registry).Update(int64(waiting))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
+	"github.com/gooseberrypick/gooseberrypick/internal/boottime"
 	"github.com/gooseberrypick/gooseberrypick/internal/caller"
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/distribution"
@@ -76,6 +77,8 @@
 	Dial wire.Dialer
 	// Listen opens the node's ports; nil means TCP.
 	Listen func(address string) (net.Listener, error)
+	// Clock returns the time for leases; nil means boottime.Now.
+	Clock func() time.Duration
 	// Interface replaces parts of the default interface. The zero value replaces
 	// nothing.
 	Interface Interface
@@ -106,6 +109,7 @@
 	claims        *idempotency.Client
 	controls      *controls
 	leader        *leaderClient
+	limits        *limiter
 	metrics       *nodeMetrics
 	ranks         *rankstats.Counters
 	router        *router.Router
@@ -129,6 +133,9 @@
 	if c.Listen == nil {
 		c.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
+	if c.Clock == nil {
+		c.Clock = boottime.Now
+	}
 	l, peerDialer, err := openListeners(c)
 	if err != nil {
 		return nil, err
@@ -146,7 +153,7 @@
 		Log:              c.Log.WithName("distribution"),
 		Seed:             uint64(now.UnixNano()),
 		MaxBackoff:       c.Settings.ReconnectLimit,
-		OnApplied:        n.metrics.setVersion,
+		OnApplied:        n.applied,
 		Ranks:            n.ranks.Sample,
 	})
 	n.local = upstream.NewLocal(upstream.Config{
@@ -163,6 +170,7 @@
 	n.peerServer = peer.NewServer(peer.ServerConfig{Transport: n.local, LinkMbps: c.Settings.LinkMbps})
 	n.controls = &controls{pool: wire.NewPool(peerDialer), addresses: c.Settings.Control, preferred: n.distribution.Control}
 	n.leader = &leaderClient{pool: n.controls.pool, controls: n.distribution.Controls}
+	n.limits = newLimiter(c.Settings.Name, uint64(now.UnixNano()), n.leader, c.Clock, n.metrics.registry, c.Log.WithName("quota"))
 	n.claims = idempotency.New(idempotency.Config{Node: c.Settings.Name, Controls: n.controls.list, Log: c.Log.WithName("idempotency")})
 	n.newServers(now)
 	return n, nil
@@ -190,6 +198,7 @@
 		Table:      n.distribution.Table,
 		Router:     n.router,
 		AtMostOnce: &atMostOnceRunner{client: n.claims, router: n.router},
+		Limits:     n.limits,
 		Log:        n.c.Log.WithName("caller"),
 		Observe:    n.observeResponse,
 		Dialect:    n.c.Interface.Dialect,
@@ -214,6 +223,12 @@
 	}))
 }
 
+// applied is called with each table that is put in force.
+func (n *Node) applied(t *table.Table) {
+	n.metrics.setVersion(t)
+	n.limits.setTable(t)
+}
+
 // observeResponse records one response to a caller in the metrics and rank statistics.
 func (n *Node) observeResponse(t table.Match, status int, kind errkind.Kind, x errkind.Execution, took time.Duration) {
 	n.metrics.observeResponse(t, status, kind, took)
@@ -356,6 +371,7 @@
 	})
 	g.Go(func() error { n.distribution.Run(serving); return nil })
 	g.Go(func() error { n.local.Run(serving); return nil })
+	g.Go(func() error { n.limits.run(serving); return nil })
 	g.Go(func() error { n.maintain(serving); return nil })
 	g.Go(func() error {
 		select {
@@ -412,6 +428,7 @@
 	n.handler.StartDraining(end)
 	var canceled atomic.Int64
 	defer time.AfterFunc(time.Until(end), func() { canceled.Store(n.handler.CancelRequests()) }).Stop()
+	n.limits.leave()
 	n.distribution.Leave(ctx)
 	time.Sleep(min(lameDuckPeriod, limit/4))
 	n.peerServer.Refuse()
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -35,6 +35,7 @@
 	sent      time.Duration // when the last renewal was sent
 	tolerance Tolerance
 	accounts  map[string]*held
+	left      bool
 }
 
 // held is what a node holds of one account.
@@ -111,6 +112,16 @@
 	return dropped
 }
 
+// Leave drops all shares and takes no new ones. It is called before the node is removed
+// from the list of known nodes, since a new grantor waits only for these. Tokens of the
+// reserve can still be taken.
+func (h *Holder) Leave(now time.Duration) {
+	h.left, h.full = true, true
+	for _, a := range h.accounts {
+		a.setShare(now, Share{})
+	}
+}
+
 // Offer counts a request of an account.
 func (h *Holder) Offer(account string) {
 	if a := h.accounts[account]; a != nil {
@@ -223,7 +234,7 @@
 		}
 	}
 	for _, i := range g.Items {
-		if a := h.accounts[i.Account]; a != nil && a.seq < seq {
+		if a := h.accounts[i.Account]; a != nil && a.seq < seq && !h.left {
 			soon = a.apply(now, i) || soon
 		} else if a == nil && i.Changed {
 			h.full = true // the account was removed since the renewal was sent
@@ -270,7 +281,7 @@
 		return 0, minWait
 	}
 	i, a := g.Items[0], h.accounts[account]
-	if a != nil && !g.Stale && !g.Resync && a.seq == seq && h.renewal < seq && now < h.lease && g.Epoch == h.epoch {
+	if a != nil && !g.Stale && !g.Resync && a.seq == seq && h.renewal < seq && now < h.lease && g.Epoch == h.epoch && !h.left {
 		a.apply(now, i)
 		a.changed = i.Changed
 	}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -126,3 +126,6 @@
 	Granted int
 	Wait    time.Duration
 }
+
+// Account returns the name of an account that is unique over all customers.
+func Account(customer, account string) string { return customer + "/" + account }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -229,6 +229,18 @@
 	}
 }
 
+// Guards against a node that gets shares again after it has left, when a new grantor does
+// not wait for its report.
+func TestLeave(t *testing.T) {
+	p := newPair(t, 100, 100)
+	p.h.Leave(p.now)
+	p.idle(time.Second)
+	assertEqual(t, "share", p.h.Share("a"), Share{})
+	k, _ := p.take(3)
+	assertEqual(t, "granted from the reserve", k, 3)
+	assertEqual(t, "share after a take", p.h.Share("a"), Share{})
+}
+
 // Guards against replies that arrive in another order than their calls were sent. The
 // grantor counts only what the reply to the last call allows.
 func TestOldRepliesAreNotUsed(t *testing.T) {
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -38,6 +38,7 @@
 	InProgress       Kind = "InProgress"
 	OutcomeUnknown   Kind = "OutcomeUnknown"
 	AnswerNotKept    Kind = "AnswerNotKept"
+	LimitExceeded    Kind = "LimitExceeded"
 	QueueFull        Kind = "QueueFull"
 	DeadlineTooShort Kind = "DeadlineTooShort"
 	DeadlineExceeded Kind = "DeadlineExceeded"
@@ -95,7 +96,7 @@
 	QueueFull: GroupOverload, DeadlineTooShort: GroupOverload, DeadlineExceeded: GroupOverload,
 	BadRequest: GroupCaller, Unauthorized: GroupCaller, NotFound: GroupCaller, TooLarge: GroupCaller,
 	NoRoute: GroupCaller, KeyRequired: GroupCaller, KeyReused: GroupCaller, InProgress: GroupCaller,
-	Canceled: GroupCaller, Conflict: GroupCaller, InvalidFile: GroupCaller, Usage: GroupCaller,
+	LimitExceeded: GroupCaller, Canceled: GroupCaller, Conflict: GroupCaller, InvalidFile: GroupCaller, Usage: GroupCaller,
 }
 
 // Answer is the response to an error of a kind.
@@ -127,6 +128,7 @@
 	InProgress:       {http.StatusConflict, Unknown, ExitUnknown, shortRetry},
 	OutcomeUnknown:   {http.StatusConflict, Unknown, ExitUnknown, 0},
 	AnswerNotKept:    {http.StatusConflict, Unknown, ExitUnknown, 0},
+	LimitExceeded:    {http.StatusTooManyRequests, NotRun, ExitRefused, shortRetry},
 	QueueFull:        {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
 	DeadlineTooShort: {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
 	DeadlineExceeded: {http.StatusGatewayTimeout, Unknown, ExitUnknown, 0},
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -18,6 +18,8 @@
 	maxUrgentReserve  = 10
 	maxRetryBurst     = 1000
 	maxLinkMbps       = 1_000_000
+	maxLimitWindow    = time.Minute
+	maxLimitRequests  = 10_000
 	// Below the minimum, the repeated connections of nodes would prevent starting
 	// controls from finishing their start.
 	minReconnectLimit = 100 * time.Millisecond
@@ -156,6 +158,11 @@
 	if c.d.Valid("ClaimRetention") && s.ClaimRetention < minClaimRetention {
 		c.d.Fault("ClaimRetention", fmt.Sprintf("%s is out of range", s.ClaimRetention), "at least 1h")
 	}
+	if t := s.LimitTolerance; c.d.Has("LimitTolerance") && c.d.Valid("LimitTolerance") &&
+		(t.Window <= 0 || t.Window > maxLimitWindow || t.Share < 0 || t.Share > 1 || t.Requests < 0 || t.Requests > maxLimitRequests) {
+		c.d.Fault("LimitTolerance", fmt.Sprintf("Window %s, Share %v, Requests %v is out of range", t.Window, t.Share, t.Requests),
+			"a Window above 0, at most 1m, a Share from 0 to 1 and Requests from 0 to 10000")
+	}
 	c.common(s.LogLevel, s.StopLimit, s.StopMargin)
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -149,8 +149,10 @@
 	ClaimGroups int        `jsonc:"optional"`
 	// ClaimRetention is how long a claim is kept.
 	ClaimRetention time.Duration `jsonc:"optional"`
-	LogLevel       string        `jsonc:"optional"`
-	Pprof          bool          `jsonc:"optional"`
+	// LimitTolerance states by how much the requests of an account may exceed its limit.
+	LimitTolerance LimitTolerance `jsonc:"optional"`
+	LogLevel       string         `jsonc:"optional"`
+	Pprof          bool           `jsonc:"optional"`
 	// StopLimit bounds the time of a graceful shutdown. StopMargin is subtracted from
 	// it, for a StopLimit after which a supervisor kills the process.
 	StopLimit  time.Duration `jsonc:"optional"`
@@ -166,6 +168,15 @@
 	return 1
 }
 
+// LimitTolerance states by how much the requests of an account that arrive within any
+// window of length Window may exceed its limit: by the part Share of what it allows, and
+// Requests more. The zero value allows no excess.
+type LimitTolerance struct {
+	Window   time.Duration
+	Share    float64
+	Requests float64
+}
+
 // Member is a voting control.
 type Member struct {
 	Name    string
