--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -11,12 +11,16 @@
 	// traffic that moves within about a second.
 	demandTime = 2 * time.Second
 	// A changed demand is reported if it differs by demandPart of the larger value and
-	// by demandStep.
+	// by demandStep, a third of the demand that shares follow.
 	demandPart = 0.35
-	demandStep = 0.4 // requests per second
+	demandStep = 1.0 // requests per second
+	// dropDeviations is the number of standard deviations by which the requests of an
+	// interval are below the average if traffic has moved away.
+	dropDeviations = 1.5
 	// fullInterval is the number of renewals after which one reports all accounts. It
-	// repairs what lost replies left different at the grantor.
-	fullInterval = 16
+	// repairs what may differ at the grantor. A lost reply causes a full report at once,
+	// so this is rarely needed; 83 accounts take 3 KB.
+	fullInterval = 60
 )
 
 // Holder is the state of a node: its shares and their buckets.
@@ -195,6 +199,7 @@
 		h.sinceFull, h.full = 0, false
 	}
 	for k, a := range h.accounts {
+		a.notice(now)
 		d := h.Demand(now, k)
 		if c := math.Abs(d - a.reported); c >= demandStep && c >= demandPart*max(d, a.reported) {
 			a.changed = true
@@ -207,6 +212,18 @@
 	return r
 }
 
+// notice lowers the demand at once if the account sends much less than on average and the
+// bucket is full. Its share refills in vain then: before, an account lost the tokens of
+// about two seconds when its traffic moved to other nodes, and requests within the limit
+// were refused there.
+func (a *held) notice(now time.Duration) {
+	d := (now - a.counted).Seconds()
+	want, got := a.demand*d, float64(a.offered)
+	if d > 0 && want-got > dropDeviations*math.Sqrt(want) && a.bucket.Tokens(now) >= a.bucket.capacity {
+		a.demand = got / d
+	}
+}
+
 // report returns what the node reports about an account.
 func (a *held) report(account string) ReportItem {
 	i := ReportItem{Account: account, Share: a.share, Demand: a.demand, Refund: a.refund}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -39,7 +39,7 @@
 	held     Share
 	holdings map[string]*holding
 	planned  time.Duration
-	isNew    bool // not planned yet
+	isNew    bool // planned at once
 }
 
 // holding is what one node may hold of an account.
@@ -268,6 +268,9 @@
 	if h.seq >= r.Seq {
 		return
 	}
+	if h.demand >= minDemand && i.Demand < h.demand/2 {
+		a.isNew = true // planned at once, since the share refills in vain
+	}
 	h.demand = i.Demand
 	l.setShare(now, a, h, i.Share)
 	a.reserve.Refund(now, max(0, i.Refund))
@@ -310,7 +313,7 @@
 	for _, i := range r.Items {
 		a := l.accounts[i.Account]
 		if a == nil || a.limit.Rate <= 0 {
-			g.Items = append(g.Items, GrantItem{Account: i.Account, Wait: minWait})
+			g.Items = append(g.Items, GrantItem{Wait: minWait})
 			continue
 		}
 		h := a.holdings[r.Node]
@@ -326,7 +329,7 @@
 		if valid {
 			o, _ = l.offer(now, r, a, h)
 		}
-		o.Account, o.Granted = i.Account, k
+		o.Granted = k
 		if k < i.Want {
 			o.Wait = l.wait(now, a, h)
 		}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -115,6 +115,7 @@
 
 // GrantItem is the part of a Grant for one account.
 type GrantItem struct {
+	// Account is empty in the reply to a call for tokens, which is about one account.
 	Account string
 	// Changed says that the node shall hold Share from now on, with Tokens in addition
 	// to those in its bucket.
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -37,6 +37,9 @@
 	// holderPreference multiplies the demand of nodes that have a share. Without it, the
 	// shares of a small account would move with each request.
 	holderPreference = 3
+	// slackForNodes is the part of the slack of the capacity that nodes get. The rest makes
+	// up for tokens that are lost while shares move.
+	slackForNodes = 0.8
 	// minBurstPart is the smallest part of the capacity that nodes get, for limits
 	// without a tolerance.
 	minBurstPart = 0.2
@@ -75,7 +78,7 @@
 		return strings.Compare(x.name, y.name)
 	})
 	capacity := a.limit.Capacity()
-	left := capacity * min(max(a.limit.Slack/capacity, minBurstPart), float64(MaxNodeBurst)/Whole)
+	left := capacity * min(max(slackForNodes*a.limit.Slack/capacity, minBurstPart), float64(MaxNodeBurst)/Whole)
 	demand := 0.0
 	for i := range c {
 		k := &c[i]
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"flag"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"testing"
 	"time"
 )
 
-var seeds = flag.Uint64("seeds", 12, "number of schedules of TestNoWindowExceedsTheBound")
+var (
+	seeds     = flag.Uint64("seeds", 12, "number of schedules of TestNoWindowExceedsTheBound")
+	moveSeeds = flag.Uint64("move-seeds", 6, "number of schedules of TestNoRefusalWithinTheLimit")
+)
 
 // Guards against more requests of an account in a window than its limit and tolerance
 // allow, whatever messages are lost, late or doubled and whichever processes are paused,
@@ -77,7 +84,7 @@
 // offer offers requests of an account at the given rate in clumps at the given nodes. With
 // within, it leaves out those that exceed the limit.
 func (s *sim) offer(account string, perSecond float64, nodes []int, within bool) {
-	const clump = 3
+	clump := s.clump
 	b := s.within[account]
 	if b == nil {
 		l := s.newest()[account]
@@ -86,7 +93,7 @@
 		b.Refund(s.now, l.Burst)
 		s.within[account] = b
 	}
-	for p := perSecond / clump * simStep.Seconds(); p > 0; p-- {
+	for p := perSecond / float64(clump) * simStep.Seconds(); p > 0; p-- {
 		if s.Float64() >= p {
 			continue
 		}
@@ -110,7 +117,7 @@
 // Guards against refusals of accounts that send their usual rate, below their limits, also
 // when all traffic moves to nodes that have never had any.
 func TestNoRefusalWithinTheLimit(t *testing.T) {
-	for seed := range uint64(4) {
+	for seed := range *moveSeeds {
 		limits := map[string]AccountLimit{"l": {897, 897}, "m": {130, 130}, "s": {25, 25}, "xs": {5, 5}}
 		s := newSim(t, seed, 82, limits)
 		places := [][]int{span(0, 60), span(60, 82), span(0, 3), span(3, 30), {40}, span(0, 82)}
@@ -120,7 +127,8 @@
 				continue
 			}
 			p := places[i/int(10*time.Second/simStep)%len(places)]
-			for k, l := range limits {
+			for _, k := range slices.Sorted(maps.Keys(limits)) {
+				l := limits[k]
 				s.offer(k, l.Rate/1.6, p, true)
 			}
 		}
@@ -141,7 +149,8 @@
 	s := newSim(t, 1, 82, limits)
 	for s.now < time.Hour+20*time.Second {
 		s.step()
-		for k, l := range limits {
+		for _, k := range slices.Sorted(maps.Keys(limits)) {
+			l := limits[k]
 			s.offer(k, l.Rate/1.6, span(0, 82), true)
 		}
 	}
@@ -152,11 +161,13 @@
 	const peak = 6 * time.Second
 	for end := s.now + peak; s.now < end; {
 		s.step()
-		for k, l := range limits {
+		for _, k := range slices.Sorted(maps.Keys(limits)) {
+			l := limits[k]
 			s.offer(k, l.Rate/1.6*7, span(0, 82), false)
 		}
 	}
-	for k, l := range limits {
+	for _, k := range slices.Sorted(maps.Keys(limits)) {
+		l := limits[k]
 		got, want := len(s.admitted[k])-before[k], l.Rate*peak.Seconds()
 		if float64(got) < 0.95*want {
 			t.Errorf("%s: got %d admitted during the peak, want at least 95%% of %.0f", k, got, want)
@@ -166,3 +177,43 @@
 	t.Logf("%d calls in %s", s.calls-calls, peak)
 	s.assertBound(1)
 }
+
+// Guards against refusals and against many messages in the normal operation of 82 nodes and
+// 83 accounts, of which the largest sends 30% of 1,829 requests per second.
+func TestTrafficOfAFleet(t *testing.T) {
+	limits, sum := map[string]AccountLimit{}, 0.0
+	for i := range 83 {
+		r := max(3, 560*math.Pow(float64(i+1), -1.2))
+		sum += r
+		limits[fmt.Sprintf("a%d", i)] = AccountLimit{Rate: 1.6 * r, Burst: 1.6 * r}
+	}
+	for _, clump := range []int{1, 3} {
+		s := newSim(t, 1, 82, limits)
+		s.clump = clump
+		for s.now < time.Hour+10*time.Second {
+			s.step()
+		}
+		start := *s
+		for s.now < start.now+20*time.Second {
+			s.step()
+			for _, k := range slices.Sorted(maps.Keys(limits)) {
+				l := limits[k]
+				s.offer(k, l.Rate/1.6, span(0, 82), true)
+			}
+		}
+		admitted := 0
+		for k := range limits {
+			admitted += len(s.admitted[k])
+			if got := s.refused[k]; got > 0 {
+				t.Errorf("clumps of %d: %s: got %d refused and %d admitted, want none refused", clump, k, got, len(s.admitted[k]))
+			}
+		}
+		seconds := (s.now - start.now).Seconds()
+		takes := float64(s.takes-start.takes) / seconds
+		t.Logf("clumps of %d: %.0f requests, %.0f renewals, %.0f calls for tokens and %.0f items per second", clump,
+			float64(admitted)/seconds, float64(s.calls-start.calls)/seconds-takes, takes, float64(s.items-start.items)/seconds)
+		if want := 0.9 * sum / float64(clump); takes > want {
+			t.Errorf("clumps of %d: got %.0f calls for tokens per second, want at most %.0f, one for 90%% of the clumps", clump, takes, want)
+		}
+	}
+}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -73,14 +74,16 @@
 	refused   map[string]int
 	within    map[string]*Bucket // the limits as one bucket for all nodes
 	calls     int
-	items     int
+	takes     int
+	items     int // in calls and replies
 	faulty    bool
+	clump     int // requests that arrive at a node at the same time
 	incs      uint64
 }
 
 func newSim(t *testing.T, seed uint64, nodes int, limits map[string]AccountLimit) *sim {
 	s := &sim{
-		Rand: rand.New(rand.NewPCG(seed, 1)), t: t, now: time.Hour,
+		Rand: rand.New(rand.NewPCG(seed, 1)), clump: 3, t: t, now: time.Hour,
 		tolerance: Tolerance{Window: 5 * time.Second, Share: 0.1, Requests: 20},
 		limits:    []map[string]AccountLimit{limits}, limitsAt: []time.Duration{0},
 		admitted: map[string][]request{}, refused: map[string]int{}, within: map[string]*Bucket{},
@@ -132,6 +135,9 @@
 func (s *sim) call(i int, r Report, take bool, waiters []time.Duration) {
 	s.calls++
 	s.items += len(r.Items)
+	if take {
+		s.takes++
+	}
 	to := s.leader
 	if to < 0 || s.faulty && s.IntN(10) == 0 {
 		to = s.IntN(len(s.ledgers))
@@ -164,7 +170,8 @@
 		n.next = s.now + simRenewal
 		s.call(i, n.h.Renewal(s.now), false, nil)
 	}
-	for k, l := range n.waiting {
+	for _, k := range slices.Sorted(maps.Keys(n.waiting)) {
+		l := n.waiting[k]
 		if len(l) == 0 || n.asking[k].until > s.now {
 			continue
 		}
--- a/internal/wire/quota.go
+++ b/internal/wire/quota.go
@@ -8,8 +8,8 @@
 
 // Methods of the grantor of account limits, on the leader of the config group.
 const (
-	MethodRenewShares = "/node/RenewShares"
-	MethodTakeTokens  = "/node/TakeTokens"
+	MethodRenewShares = "/quota/Renew"
+	MethodTakeTokens  = "/quota/Take"
 )
 
 // Units of numbers in the messages of this file: integers are shorter than floating-point
@@ -59,7 +59,7 @@
 
 // ShareResponseItem is a quota.GrantItem on its way.
 type ShareResponseItem struct {
-	Account string `cbor:"1,keyasint"`
+	Account string `cbor:"1,keyasint,omitempty"`
 	Changed bool   `cbor:"2,keyasint,omitempty"`
 	Rate    uint32 `cbor:"3,keyasint,omitempty"`
 	Burst   uint32 `cbor:"4,keyasint,omitempty"`
