Cap the shares of flooded nodes first

Shares in proportion to demand, and capacity in the order of demand, went to the few nodes of the callers that repeat; all others depended on the grantor.

Change: rate and capacity are capped at one level for all nodes, so that nodes with an ordinary demand get all of it.

--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -59,9 +59,9 @@
 	tokens   float64
 }
 
-// plan computes the target shares of an account. Nodes get capacity in the order of their
-// demand until the part for nodes is used up, and rate by their demand. Nodes without
-// capacity get no rate.
+// plan computes the target shares of an account. Nodes get rate and capacity by their
+// demand, as far as the parts for nodes allow: those with the highest demand are cut first.
+// Nodes without capacity get no rate.
 func (l *Ledger) plan(now time.Duration, a *account) {
 	if !a.isNew && now-a.planned < planInterval || a.limit.Rate <= 0 {
 		return
@@ -79,27 +79,66 @@
 	})
 	capacity := a.limit.Capacity()
 	left := capacity * min(max(slackForNodes*a.limit.Slack/capacity, minBurstPart), float64(MaxNodeBurst)/Whole)
-	demand := 0.0
-	for i := range c {
-		k := &c[i]
-		if k.tokens = min(k.tokens, left); k.tokens < minTokens {
-			k.tokens, k.rate = 0, 0
-		}
-		left -= k.tokens
-		demand += k.rate
-	}
+	capTokens(c, left)
 	forNodes := a.limit.Rate * MaxNodeRate / Whole
+	demand := sumOf(c, candidate.demandRate)
 	equal := min(max(forNodes-demand, a.limit.Rate*minEqualPart), a.limit.Rate*maxEqualPart)
-	scale := min(1, (forNodes-equal)/max(demand, math.SmallestNonzeroFloat64))
+	most := level(c, candidate.demandRate, forNodes-equal)
 	for _, k := range c {
 		t := Share{Burst: uint32(k.tokens / capacity * Whole)}
 		if k.tokens > 0 {
-			t.Rate = uint32((k.rate*scale + equal/float64(len(c))) / a.limit.Rate * Whole)
+			t.Rate = uint32((min(k.rate, most) + equal/float64(len(c))) / a.limit.Rate * Whole)
 		}
 		k.holding.target = t
 	}
 }
 
+// demandRate returns the rate that the demand of the node asks for.
+func (c candidate) demandRate() float64 { return c.rate }
+
+// wantedTokens returns the capacity that the demand of the node asks for.
+func (c candidate) wantedTokens() float64 { return c.tokens }
+
+// capTokens limits the capacity of each node, so that all together get at most left. Where
+// not even minTokens are left for each, the nodes at the end of c get none.
+func capTokens(c []candidate, left float64) {
+	n := min(len(c), int(left/minTokens))
+	most := level(c[:n], candidate.wantedTokens, left)
+	for i := range c {
+		k := &c[i]
+		if k.tokens = min(k.tokens, most); i >= n {
+			k.tokens, k.rate = 0, 0
+		}
+	}
+}
+
+// level returns the largest value to which the values of the candidates can be capped so
+// that their sum is at most total. Nodes with an ordinary demand then get all of it, while
+// a few nodes that are flooded share what is left: in proportion to demand, they would take
+// the shares of all others.
+func level(c []candidate, value func(candidate) float64, total float64) float64 {
+	l := make([]float64, 0, len(c))
+	for _, k := range c {
+		l = append(l, value(k))
+	}
+	slices.Sort(l)
+	for i, v := range l {
+		if n := float64(len(l) - i); v*n > total {
+			return max(total/n, 0)
+		}
+		total -= v
+	}
+	return math.Inf(1)
+}
+
+func sumOf(c []candidate, value func(candidate) float64) float64 {
+	n := 0.0
+	for _, k := range c {
+		n += value(k)
+	}
+	return n
+}
+
 func newCandidate(name string, h *holding) candidate {
 	c := candidate{name: name, holding: h, tokens: baseTokens}
 	d := h.demand
