Test old reports of a takeover and shared calls for tokens

Cause: two guards could be removed without a failing test: the epoch of a full report, which only few random schedules need, and the pace of calls for tokens that the grantor grants.

Change: a test for each.

--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -249,3 +249,25 @@
 		equal(t, "renewals", g.count(wire.MethodRenewShares), before)
 	})
 }
+
+// Guards against a call for each request of an account that the node has no share of,
+// although the grantor admits all of them.
+func TestCallsForTokensAreShared(t *testing.T) {
+	runLimiters(t, 1, 1000, 1000, func(t *testing.T, g *testGrantor, l []*limiter) {
+		l[0].leave()
+		before := g.count(wire.MethodTakeTokens)
+		var w sync.WaitGroup
+		for range 200 { // one second
+			time.Sleep(5 * time.Millisecond)
+			w.Go(func() {
+				if err := l[0].Admit(t.Context(), time.Now().Add(time.Second), limitMatch(1000)); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		w.Wait()
+		if got := g.count(wire.MethodTakeTokens) - before; got > callsPerSecond+callsBurst {
+			t.Errorf("got %d calls in a second, want at most %d", got, callsPerSecond+callsBurst)
+		}
+	})
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -167,6 +167,21 @@
 	assertEqual(t, "complete after the leases", p.l.Complete(), true)
 }
 
+// Guards against a report that was sent before a takeover, arrives after it, and hides what
+// the earlier grantor has given the node since then.
+func TestReportOfAnEarlierEpoch(t *testing.T) {
+	p := newPair(t, 100, 100)
+	old := p.h.Renewal(p.now)
+	old.Full = true
+	p.idle(time.Second)
+	p.l.Takeover(p.now, 2, []string{"n"})
+	assertEqual(t, "asked for a new report", p.l.Renew(p.now, old).Resync, true)
+	assertEqual(t, "complete after the old report", p.l.Complete(), false)
+	p.renew()
+	assertEqual(t, "complete after the new report", p.l.Complete(), true)
+	assertEqual(t, "held", p.l.accounts["a"].held, p.h.Share("a"))
+}
+
 // Guards against tokens that serve requests long after they left the reserve, which has
 // refilled since then.
 func TestLateTokensAreDropped(t *testing.T) {
