--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -20,6 +20,7 @@
 	maxLinkMbps       = 1_000_000
 	maxLimitWindow    = time.Minute
 	maxLimitRequests  = 10_000
+	maxZonePrice      = 1_000_000_000
 	// Below the minimum, the repeated connections of nodes would prevent starting
 	// controls from finishing their start.
 	minReconnectLimit = 100 * time.Millisecond
@@ -71,6 +72,9 @@
 	if c.d.Valid("LinkMbps") && (s.LinkMbps < 0 || s.LinkMbps > maxLinkMbps) {
 		c.d.Fault("LinkMbps", fmt.Sprintf("%v is out of range", s.LinkMbps), "a number from 0 to 1000000")
 	}
+	if c.d.Valid("ZonePrice") && (s.ZonePrice < 0 || s.ZonePrice > maxZonePrice) {
+		c.d.Fault("ZonePrice", fmt.Sprintf("%v is out of range", s.ZonePrice), "a number from 0 to 1000000000")
+	}
 	if c.d.Valid("CallerDrain") && (s.CallerDrain < 0 || s.CallerDrain > s.StopLimit) {
 		c.d.Fault("CallerDrain", fmt.Sprintf("%s is out of range", s.CallerDrain), "a duration from 0s to StopLimit")
 	}
