Keep the nodes that may hold leases in the config group

Cause: after a restart of all controls, the leader withheld the limits for 7 s: it waited for all nodes that were ever known, and many had been replaced.

Change: the set of nodes that may hold leases is replicated. The commands are never forwarded to another leader.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -273,6 +273,7 @@
 		return wire.Serve(serving, k.listeners.peer, k.mux(), wire.ServeOptions{Log: k.log, MaxConnections: maxInnerConnections})
 	})
 	g.Go(func() error { k.fleet.run(serving); return nil })
+	g.Go(func() error { k.grantor.run(serving); return nil })
 	g.Go(func() error { k.updateGauges(serving); return nil })
 	g.Go(func() error {
 		select {
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -17,17 +17,15 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/settings"
 )
 
-// knownInterval is how long the list of known nodes is used before it is read again. A node
-// becomes known about 500 ms after it connects.
-const knownInterval = 500 * time.Millisecond
-
 // quotaSource is the part of the config group that a grantor uses.
 type quotaSource interface {
 	Current() *versions.View
-	Nodes() []versions.Node
+	LeaseHolders() []string
 	ReadBarrier(ctx context.Context) error
 	// leadership returns the term of the group, and whether this control leads it.
 	leadership() (term uint64, leads bool)
+	// proposeAsLeader appends a command to the log of this control only if it leads.
+	proposeAsLeader(ctx context.Context, command []byte) error
 }
 
 // leadership implements quotaSource.
@@ -36,6 +34,17 @@
 	return s.Term, s.Role == replica.LeaderRole
 }
 
+// proposeAsLeader implements quotaSource. Unlike propose, it never forwards the command: a
+// change of the lease holders that reached a later leader could contradict its grants.
+func (c *configStore) proposeAsLeader(ctx context.Context, command []byte) error {
+	v, err := c.group.Propose(ctx, command)
+	if err != nil {
+		return err
+	}
+	_, err = v.(versions.Result).Outcome()
+	return err
+}
+
 // grantor grants the shares of account limits to nodes while this control leads the config
 // group. Its state is in memory: after a change of the leader, nodes report their shares.
 type grantor struct {
@@ -50,17 +59,18 @@
 	ledger    *quota.Ledger
 	version   uint64
 	limited   bool // some account has a limit
-	known     map[string]bool
-	knownAt   time.Duration
-	// reported says that the completion of the takeover was logged.
-	reported bool
+	holders   *leaseHolders
+	// reported says that the completion of the takeover, which began at takeoverAt, was
+	// logged.
+	reported   bool
+	takeoverAt time.Duration
 }
 
 func newGrantor(s quotaSource, t settings.LimitTolerance, clock func() time.Duration, m metrics.Registry, l logr.Logger) *grantor {
 	x := quota.Tolerance{Window: t.Window, Share: t.Share, Requests: t.Requests}
 	return &grantor{
 		source: s, barrier: &sharedBarrier{read: s.ReadBarrier}, clock: clock, log: l.WithName("quota"), metrics: m,
-		tolerance: x, ledger: quota.NewLedger(x),
+		tolerance: x, ledger: quota.NewLedger(x), holders: newLeaseHolders(nil),
 	}
 }
 
@@ -95,33 +105,24 @@
 	now := g.clock()
 	g.refresh(now, term)
 	r := q.Report()
-	r.Known = g.known[r.Node]
+	g.holders.reported(now, r.Node)
+	r.Known = g.holders.mayHold(r.Node)
 	return wire.NewShareResponse(decide(g.ledger, now, r)), nil
 }
 
-// refresh brings the ledger up to date with the term, the newest version, the known nodes
-// and the time. The caller holds mu.
+// refresh brings the ledger up to date with the term, the newest version and the time. The caller holds mu.
 func (g *grantor) refresh(now time.Duration, term uint64) {
 	takeover := term != g.ledger.Epoch()
-	if takeover || now-g.knownAt >= knownInterval {
-		l := g.source.Nodes()
-		g.known, g.knownAt = make(map[string]bool, len(l)), now
-		for _, n := range l {
-			g.known[n.Name] = true
-		}
-	}
 	if v := g.source.Current(); v.Version() != g.version {
 		g.setLimits(now, v)
 	}
 	if takeover {
-		names := make([]string, 0, len(g.known))
-		for k := range g.known {
-			names = append(names, k)
-		}
+		names := g.source.LeaseHolders()
+		g.holders = newLeaseHolders(names)
 		g.ledger.Takeover(now, term, names)
-		g.reported = false
+		g.reported, g.takeoverAt = false, now
 		if g.limited {
-			g.log.Info("took over as grantor of account limits", "term", term, "version", g.version, "knownNodes", len(names))
+			g.log.Info("took over as grantor of account limits", "term", term, "version", g.version, "leaseHolders", len(names))
 		}
 	}
 	gone, _ := g.ledger.Expire(now)
@@ -131,7 +132,7 @@
 	if !g.reported && g.ledger.Complete() {
 		g.reported = true
 		if g.limited {
-			g.log.Info("shares of account limits are known", "term", term, "knownNodes", len(g.known))
+			g.log.Info("shares of account limits are known", "term", term, "took", (now - g.takeoverAt).String())
 		}
 	}
 }
--- a/internal/control/quota_test.go
+++ b/internal/control/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -50,6 +51,14 @@
 	return nil
 }
 
+func (s *quotaTestSource) proposeAsLeader(_ context.Context, command []byte) error {
+	if _, leads := s.leadership(); !leads {
+		return errkind.New(errkind.NotLeader, "not the leader")
+	}
+	_, err := s.Apply(1, command).(versions.Result).Outcome()
+	return err
+}
+
 func runGrantor(t *testing.T, f func(t *testing.T, s *quotaTestSource, g *grantor)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -142,3 +151,67 @@
 		}
 	})
 }
+
+// Guards against a new leader that withholds the limits for seconds, because it waits for
+// nodes that were replaced long ago, and against one that does not wait for a node that may
+// still hold a share.
+func TestLeaseHolders(t *testing.T) {
+	runGrantor(t, func(t *testing.T, s *quotaTestSource, g *grantor) {
+		report := func(node string, seq uint64) {
+			t.Helper()
+			if _, err := g.handle(t.Context(), &wire.ShareRequest{Node: node, Incarnation: 1, Seq: seq, Full: true, Epoch: 3}, (*quota.Ledger).Renew); err != nil {
+				t.Fatal(err)
+			}
+		}
+		assertHolders := func(what string, want ...string) {
+			t.Helper()
+			if got := s.LeaseHolders(); !slices.Equal(got, want) {
+				t.Errorf("%s: got %v, want %v", what, got, want)
+			}
+		}
+		report("a", 1)
+		report("b", 1)
+		if g.holders.mayHold("a") {
+			t.Error("a node may hold shares before the controls have agreed on it")
+		}
+		g.updateHolders(t.Context())
+		assertHolders("after the first reports", "a", "b")
+		time.Sleep(holderSilence - time.Second)
+		report("b", 2)
+		g.updateHolders(t.Context())
+		assertHolders("while a lease may last", "a", "b")
+		time.Sleep(2 * time.Second)
+		report("b", 3)
+		s.leads = false
+		g.updateHolders(t.Context())
+		assertHolders("without leadership", "a", "b")
+		s.leads = true
+		g.updateHolders(t.Context())
+		assertHolders("after a long silence", "b")
+		s.term = 4
+		report("b", 4)
+		if !g.ledger.Complete() && !g.holders.mayHold("b") {
+			t.Error("the next leader does not know the holder")
+		}
+	})
+}
+
+// Guards against a share that is granted while the removal of its node may be in the log.
+func TestRemovalIsNotOvertaken(t *testing.T) {
+	h := newLeaseHolders([]string{"a"})
+	if c := h.change(time.Hour, true); len(c.Remove) != 1 {
+		t.Fatalf("got %+v, want the removal of a silent node", c)
+	}
+	h.reported(time.Hour, "a") // the outcome of the removal is not known
+	if h.mayHold("a") {
+		t.Error("a node that is being removed gets shares")
+	}
+	c := h.change(time.Hour, true)
+	if len(c.Add) != 1 || len(c.Remove) != 0 {
+		t.Errorf("got %+v, want to add the node again", c)
+	}
+	h.changed(c)
+	if !h.mayHold("a") {
+		t.Error("a node that was added again gets no shares")
+	}
+}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -75,8 +75,8 @@
 // Report is what a node tells the grantor about its accounts.
 type Report struct {
 	Node string
-	// Known is set by the grantor if the node is in the replicated list of nodes. Others
-	// get no shares, since the next grantor would not wait for them.
+	// Known is set by the grantor if the node is in the replicated set of lease holders.
+	// Others get no shares, since the next grantor would not wait for them.
 	Known       bool
 	Incarnation uint64
 	// Seq orders the calls of one incarnation.
--- a/internal/versions/command.go
+++ b/internal/versions/command.go
@@ -34,6 +34,7 @@
 	typeAccept        commandType = "Accept"
 	typeRememberNodes commandType = "RememberNodes"
 	typeForgetNodes   commandType = "ForgetNodes"
+	typeLeaseHolders  commandType = "LeaseHolders"
 	// typePacked holds the compressed form of another command.
 	typePacked commandType = "Packed"
 )
@@ -75,6 +76,14 @@
 	Names []string `cbor:"1,keyasint"`
 }
 
+// LeaseHolders changes the set of nodes that may hold leases of account limits. A leader
+// adds a node before it grants the first share to it, and removes it after its lease has
+// ended, so that the next leader knows whose shares may be outstanding.
+type LeaseHolders struct {
+	Add    []string `cbor:"1,keyasint,omitempty"`
+	Remove []string `cbor:"2,keyasint,omitempty"`
+}
+
 var (
 	encoder = newEncoder()
 	decoder = newDecoder()
@@ -117,6 +126,9 @@
 // Encode returns the encoded command to propose.
 func (f ForgetNodes) Encode() ([]byte, error) { return encode(typeForgetNodes, f) }
 
+// Encode returns the encoded command to propose.
+func (h LeaseHolders) Encode() ([]byte, error) { return encode(typeLeaseHolders, h) }
+
 func encode(t commandType, body any) ([]byte, error) {
 	b, err := encoder.Marshal(body)
 	if err != nil {
@@ -164,6 +176,8 @@
 		return decodeBody[RememberNodes](e)
 	case typeForgetNodes:
 		return decodeBody[ForgetNodes](e)
+	case typeLeaseHolders:
+		return decodeBody[LeaseHolders](e)
 	}
 	return nil, errkind.New(errkind.Outdated, "unknown command type %q", e.Type)
 }
--- a/internal/versions/snapshot.go
+++ b/internal/versions/snapshot.go
@@ -22,6 +22,8 @@
 	History   []*record       `cbor:"4,keyasint"`
 	Requests  []request       `cbor:"5,keyasint"`
 	Nodes     []Node          `cbor:"6,keyasint"`
+	// LeaseHolders is absent in snapshots of earlier releases.
+	LeaseHolders []string `cbor:"7,keyasint,omitempty"`
 }
 
 type customerState struct {
@@ -35,7 +37,7 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	v := m.current.Load()
-	s := snapshotState{Format: snapshotFormat, Version: v.version, History: v.history, Nodes: m.sortedNodes()}
+	s := snapshotState{Format: snapshotFormat, Version: v.version, History: v.history, Nodes: m.sortedNodes(), LeaseHolders: slices.Sorted(maps.Keys(m.leaseHolders))}
 	for _, k := range slices.Sorted(maps.Keys(v.configs)) {
 		r := *v.newest[k]
 		r.Change = nil // the history holds it
@@ -67,6 +69,10 @@
 	for _, n := range s.Nodes {
 		m.nodes[n.Name] = n
 	}
+	m.leaseHolders = map[string]bool{}
+	for _, n := range s.LeaseHolders {
+		m.leaseHolders[n] = true
+	}
 	close(m.current.Swap(v).superseded)
 	return nil
 }
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -86,11 +86,12 @@
 	requests     map[string]request
 	requestOrder []string // request IDs, oldest first
 	nodes        map[string]Node
+	leaseHolders map[string]bool
 }
 
 // New returns a state machine without versions.
 func New() *StateMachine {
-	m := &StateMachine{requests: map[string]request{}, nodes: map[string]Node{}}
+	m := &StateMachine{requests: map[string]request{}, nodes: map[string]Node{}, leaseHolders: map[string]bool{}}
 	m.current.Store(newView())
 	return m
 }
@@ -105,6 +106,27 @@
 	return m.sortedNodes()
 }
 
+// LeaseHolders returns the names of the nodes that may hold leases of account limits, in
+// their order.
+func (m *StateMachine) LeaseHolders() []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Sorted(maps.Keys(m.leaseHolders))
+}
+
+func (m *StateMachine) changeLeaseHolders(c LeaseHolders) Result {
+	if len(m.leaseHolders)+len(c.Add) > maxNodes {
+		return refused(errkind.TooLarge, "%d nodes may hold leases", maxNodes)
+	}
+	for _, n := range c.Add {
+		m.leaseHolders[n] = true
+	}
+	for _, n := range c.Remove {
+		delete(m.leaseHolders, n)
+	}
+	return Result{}
+}
+
 func (m *StateMachine) sortedNodes() []Node {
 	return slices.SortedFunc(maps.Values(m.nodes), func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
 }
@@ -152,6 +174,8 @@
 			delete(m.nodes, n)
 		}
 		return Result{}, nil
+	case LeaseHolders:
+		return m.changeLeaseHolders(c), nil
 	}
 	return refused(errkind.BadRequest, "unknown command"), nil
 }
