Log the lease holders that did not report after a takeover

Cause: the log did not tell for which nodes a new leader withheld the limits.

Change: one line with their number and the first name.

--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -125,7 +125,11 @@
 			g.log.Info("took over as grantor of account limits", "term", term, "version", g.version, "leaseHolders", len(names))
 		}
 	}
-	gone, _ := g.ledger.Expire(now)
+	missing := g.ledger.Missing()
+	gone, completed := g.ledger.Expire(now)
+	if completed && g.limited {
+		g.log.Info("lease holders did not report after the takeover", "nodes", len(missing), "first", missing[0])
+	}
 	if len(gone) > 0 && g.limited {
 		g.log.Info("leases of account limits ended", "nodes", len(gone), "first", gone[0], "reason", "no renewal within "+quota.GrantorLease.String())
 	}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -363,6 +363,9 @@
 // Complete reports whether the shares of all nodes are known.
 func (l *Ledger) Complete() bool { return l.complete }
 
+// Missing returns the nodes that have not reported since the takeover.
+func (l *Ledger) Missing() []string { return slices.Sorted(maps.Keys(l.waiting)) }
+
 // Epoch returns the epoch in which the Ledger grants.
 func (l *Ledger) Epoch() uint64 { return l.epoch }
 
