Leave half of each limit to a new grantor

For 7 s it could grant a quarter of each limit only; usual traffic is 0.62 of it.

Change: nodes get at most half of the rate of a limit instead of three quarters. A node that stops tells the grantor, which then drops it from the lease holders at once.

--- a/internal/control/lease_holders.go
+++ b/internal/control/lease_holders.go
@@ -39,6 +39,10 @@
 // reported records that a node reported its shares.
 func (h *leaseHolders) reported(now time.Duration, node string) { h.lastReport[node] = now }
 
+// left records that a node gave up its shares and will use none. An older report that
+// arrives later only adds it again.
+func (h *leaseHolders) left(node string) { delete(h.lastReport, node) }
+
 // mayHold reports whether shares may be granted to a node.
 func (h *leaseHolders) mayHold(node string) bool { return h.set[node] && !h.removing[node] }
 
@@ -54,7 +58,7 @@
 			delete(h.lastReport, n)
 		}
 	}
-	for n := range h.set {
+	for n := range h.set { // in any order: the command is applied as a set
 		if _, alive := h.lastReport[n]; !alive && complete {
 			h.removing[n] = true
 			c.Remove = append(c.Remove, n)
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -105,7 +105,11 @@
 	now := g.clock()
 	g.refresh(now, term)
 	r := q.Report()
-	g.holders.reported(now, r.Node)
+	if r.Leaving {
+		g.holders.left(r.Node)
+	} else {
+		g.holders.reported(now, r.Node)
+	}
 	r.Known = g.holders.mayHold(r.Node)
 	return wire.NewShareResponse(decide(g.ledger, now, r)), nil
 }
--- a/internal/control/quota_test.go
+++ b/internal/control/quota_test.go
@@ -188,6 +188,16 @@
 		s.leads = true
 		g.updateHolders(t.Context())
 		assertHolders("after a long silence", "b")
+		if _, err := g.handle(t.Context(), &wire.ShareRequest{Node: "c", Incarnation: 1, Seq: 1, Full: true, Epoch: 3}, (*quota.Ledger).Renew); err != nil {
+			t.Fatal(err)
+		}
+		g.updateHolders(t.Context())
+		assertHolders("after another node has come", "b", "c")
+		if _, err := g.handle(t.Context(), &wire.ShareRequest{Node: "c", Incarnation: 1, Seq: 2, Full: true, Epoch: 3, Leaving: true}, (*quota.Ledger).Renew); err != nil {
+			t.Fatal(err)
+		}
+		g.updateHolders(t.Context())
+		assertHolders("after it has left", "b")
 		s.term = 4
 		report("b", 4)
 		if !g.ledger.Complete() && !g.holders.mayHold("b") {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -194,7 +194,7 @@
 	h.seq++
 	h.renewal, h.sent = h.seq, now
 	h.sinceFull++
-	r := Report{Node: h.node, Incarnation: h.incarnation, Seq: h.seq, Epoch: h.epoch, Full: h.full || h.unanswered || h.sinceFull >= fullInterval}
+	r := Report{Node: h.node, Incarnation: h.incarnation, Seq: h.seq, Epoch: h.epoch, Full: h.full || h.unanswered || h.sinceFull >= fullInterval, Leaving: h.left}
 	if r.Full {
 		h.sinceFull, h.full = 0, false
 	}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -6,8 +6,10 @@
 	// Whole is the share of the whole limit. Shares are integers, so that sums are exact.
 	Whole = 1 << 20
 	// MaxNodeRate bounds the sum of the rates of all nodes. A new grantor relies on it, so
-	// a release must not raise it while an older one runs.
-	MaxNodeRate = Whole * 3 / 4
+	// a release must not raise it while an older one runs. The rest is what it can grant
+	// while shares of lost nodes may be outstanding, and the nodes' part is what they can
+	// use while no grantor replies; neither matters more.
+	MaxNodeRate = Whole / 2
 	// MaxNodeBurst bounds the sum of the capacities of all nodes in the same way.
 	MaxNodeBurst = Whole / 2
 	// slackPart is the part of the tolerance that is added to the burst. The rest covers
@@ -84,8 +86,10 @@
 	// Epoch is that of the grantor whose reply the node used last.
 	Epoch uint64
 	// Full says that the node has no shares of accounts that are not in Items.
-	Full  bool
-	Items []ReportItem
+	Full bool
+	// Leaving says that the node stops: it has no shares and will use none.
+	Leaving bool
+	Items   []ReportItem
 }
 
 // ReportItem is what a node reports about one account.
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -22,7 +22,7 @@
 	// minEqualPart and maxEqualPart of the limit: so nodes with little traffic rarely ask,
 	// and enough is left in the reserve if the account sends elsewhere.
 	minEqualPart = 0.02
-	maxEqualPart = 0.5
+	maxEqualPart = 0.33
 	// baseTokens is the capacity of an idle node. With less than minTokens, a bucket
 	// would rarely hold a whole token, so a node gets at least as many or none.
 	baseTokens = 2.0
--- a/internal/wire/quota.go
+++ b/internal/wire/quota.go
@@ -28,6 +28,7 @@
 	Seq         uint64             `cbor:"3,keyasint"`
 	Epoch       uint64             `cbor:"4,keyasint,omitempty"`
 	Full        bool               `cbor:"5,keyasint,omitempty"`
+	Leaving     bool               `cbor:"7,keyasint,omitempty"`
 	Items       []ShareRequestItem `cbor:"6,keyasint,omitempty"`
 }
 
@@ -70,7 +71,7 @@
 
 // NewShareRequest returns the message for r.
 func NewShareRequest(r quota.Report) *ShareRequest {
-	q := &ShareRequest{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Epoch: r.Epoch, Full: r.Full}
+	q := &ShareRequest{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Epoch: r.Epoch, Full: r.Full, Leaving: r.Leaving}
 	for _, i := range r.Items {
 		q.Items = append(q.Items, ShareRequestItem{
 			Account: i.Account, Rate: i.Share.Rate, Burst: i.Share.Burst,
@@ -82,7 +83,7 @@
 
 // Report returns the report that q carries.
 func (q *ShareRequest) Report() quota.Report {
-	r := quota.Report{Node: q.Node, Incarnation: q.Incarnation, Seq: q.Seq, Epoch: q.Epoch, Full: q.Full}
+	r := quota.Report{Node: q.Node, Incarnation: q.Incarnation, Seq: q.Seq, Epoch: q.Epoch, Full: q.Full, Leaving: q.Leaving}
 	for _, i := range q.Items {
 		r.Items = append(r.Items, quota.ReportItem{
 			Account: i.Account, Share: quota.Share{Rate: min(i.Rate, quota.Whole), Burst: min(i.Burst, quota.Whole)},
