--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
+	"github.com/gooseberrypick/gooseberrypick/internal/boottime"
 	"github.com/gooseberrypick/gooseberrypick/internal/claims"
 	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
@@ -51,6 +52,8 @@
 	Log      logr.Logger
 	// Dial opens connections to other controls; nil means TCP.
 	Dial wire.Dialer
+	// Clock returns the time for leases; nil means boottime.Now.
+	Clock func() time.Duration
 	// OperatorHandler returns a handler that replaces the default operator API; nil means
 	// the default API.
 	OperatorHandler func(OperatorStore) http.Handler
@@ -92,6 +95,7 @@
 	claims    *claims.Service
 	fleet     *fleet
 	rollouts  *rollouts
+	grantor   *grantor
 	metrics   metrics.Registry
 	transport *transport
 	directory *directory
@@ -108,6 +112,9 @@
 	if c.Dial == nil {
 		c.Dial = wire.DialTCP
 	}
+	if c.Clock == nil {
+		c.Clock = boottime.Now
+	}
 	l, err := openListeners(&c)
 	if err != nil {
 		return nil, err
@@ -149,6 +156,7 @@
 		Control: s.Name, Directory: k.directory, Source: k.config, Names: k.config, Pool: k.pool, Log: k.log,
 	})
 	k.rollouts = newRollouts(k.config, k.fleet.registry, k.metrics, k.log.WithName("rollout"))
+	k.grantor = newGrantor(k.config, s.LimitTolerance, k.c.Clock, k.metrics, k.log)
 	return k.openServers()
 }
 
@@ -264,6 +272,7 @@
 	m := wire.NewMux()
 	k.groups.register(m, k.directory)
 	k.fleet.register(m)
+	k.grantor.register(m)
 	if k.c.Settings.ClaimGroups > 0 {
 		registerClaims(m, k.claims, k.config.peers)
 	}
@@ -284,6 +293,7 @@
 		return wire.Serve(serving, k.listeners.peer, k.mux(), wire.ServeOptions{Log: k.log, MaxConnections: maxInnerConnections})
 	})
 	g.Go(func() error { k.fleet.run(serving); return nil })
+	g.Go(func() error { k.grantor.run(serving); return nil })
 	g.Go(func() error { k.updateGauges(serving); return nil })
 	g.Go(func() error { k.rollouts.run(serving); return nil })
 	g.Go(func() error {
@@ -312,6 +322,7 @@
 			return
 		case <-t.C:
 		}
+		k.grantor.updateGauges()
 		s := k.config.group.Status()
 		for n, v := range map[string]int64{
 			"version":         int64(k.config.Current().Version()),
