Add settings for the memory of a VM and the connections of callers

Cause: tests of callers outside the limits need a small process, and the number of connections of callers was a constant.

Change: MemoryMb and CallerConnections, with defaults as today. MemoryMb has no effect yet.

Result: the tests of pkg/settings, internal/caller and internal/node pass. TestPagesOfKeys fails as before this commit (KeyRequired of a route is not listed).

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -6,7 +6,7 @@
 //
 //	h := caller.New(caller.Config{Table: tables.Load, Router: r, AtMostOnce: o, Log: l})
 //	s := caller.NewServer(h)
-//	err := s.Serve(caller.NewListener(listener, caller.MaxConnections, h))
+//	err := s.Serve(caller.NewListener(listener, 4096, h))
 //
 // Idempotent requests without a body that a caller sends on one HTTP/1.1 connection before
 // the first is answered run at the same time, up to 16 for each connection and MaxPipelined
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// MaxConnections bounds the connections of callers at one node.
-	MaxConnections = 4096
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 5 * time.Minute
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -196,7 +197,7 @@
 		Origin:     s.Service,
 	})
 	n.callers = caller.NewServer(n.handler)
-	n.listeners.caller = caller.NewListener(n.listeners.caller, caller.MaxConnections, n.handler)
+	n.listeners.caller = caller.NewListener(n.listeners.caller, cmp.Or(s.CallerConnections, settings.DefaultCallerConnections), n.handler)
 	announcements := n.announcements.Handler()
 	if f := n.c.Interface.Announcements; f != nil {
 		announcements = f(n.announcements)
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -18,6 +18,10 @@
 	maxUrgentReserve  = 10
 	maxRetryBurst     = 1000
 	maxLinkMbps       = 1_000_000
+	// Below the minimum, a process does not have the memory that it needs without load.
+	minMemoryMb          = 48
+	maxMemoryMb          = 1 << 20
+	maxCallerConnections = 1 << 16
 	// Below the minimum, the repeated connections of nodes would prevent starting
 	// controls from finishing their start.
 	minReconnectLimit = 100 * time.Millisecond
@@ -72,10 +76,20 @@
 	if c.d.Valid("CallerDrain") && (s.CallerDrain < 0 || s.CallerDrain > s.StopLimit) {
 		c.d.Fault("CallerDrain", fmt.Sprintf("%s is out of range", s.CallerDrain), "a duration from 0s to StopLimit")
 	}
+	c.memory(s.MemoryMb)
+	if c.d.Valid("CallerConnections") && (s.CallerConnections < 1 || s.CallerConnections > maxCallerConnections) {
+		c.d.Fault("CallerConnections", fmt.Sprintf("%d is out of range", s.CallerConnections), "a whole number from 1 to 65536")
+	}
 	c.tls(s.TLS)
 	c.common(s.LogLevel, s.StopLimit, s.StopMargin)
 }
 
+func (c checker) memory(n int) {
+	if c.d.Valid("MemoryMb") && n != 0 && (n < minMemoryMb || n > maxMemoryMb) {
+		c.d.Fault("MemoryMb", fmt.Sprintf("%d is out of range", n), "a whole number from 48 to 1048576, or 0")
+	}
+}
+
 // controls checks the addresses by which a node finds the controls.
 func (c checker) controls(s *Node) {
 	switch {
@@ -148,6 +162,7 @@
 	if c.d.Valid("DataFolder") && s.DataFolder == "" {
 		c.d.Fault("DataFolder", "empty", "a folder")
 	}
+	c.memory(s.MemoryMb)
 	c.tls(s.TLS)
 	c.operators(s.Operators)
 	if c.d.Valid("ClaimGroups") && (s.ClaimGroups < s.minClaimGroups() || s.ClaimGroups > maxClaimGroups) {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -39,6 +39,12 @@
 	// DefaultReconnectLimit is long enough to spread the reconnects of a large fleet
 	// when all controls come back.
 	DefaultReconnectLimit = 5 * time.Second
+	// DefaultNodeMemoryMb and DefaultControlMemoryMb are the memory of the smallest VMs.
+	DefaultNodeMemoryMb    = 184
+	DefaultControlMemoryMb = 280
+	// DefaultCallerConnections is the number of connections that the load of a node needs
+	// at most.
+	DefaultCallerConnections = 4096
 	// DefaultElectionTimeout tolerates a slow sync of a busy disk, during which a
 	// control neither sends nor receives messages.
 	DefaultElectionTimeout = time.Second
@@ -96,6 +102,11 @@
 	// LinkMbps is the rate of the VM's network link in Mbit/s. It bounds how many large
 	// bodies arrive at the same time. Zero means unknown.
 	LinkMbps float64 `jsonc:"optional"`
+	// MemoryMb is the memory of the VM in MB, which bounds what connections may hold.
+	// Zero means unknown: DefaultNodeMemoryMb.
+	MemoryMb int `jsonc:"optional"`
+	// CallerConnections is the greatest number of connections of callers.
+	CallerConnections int `jsonc:"optional"`
 	// TLS configures the connections to and from other nodes and controls.
 	TLS      TLS    `jsonc:"optional"`
 	LogLevel string `jsonc:"optional"`
@@ -140,6 +151,9 @@
 	// Interface is the interface to operators.
 	Interface  Interface `jsonc:"optional"`
 	DataFolder string
+	// MemoryMb is the memory of the VM in MB, as in Node. Zero means
+	// DefaultControlMemoryMb.
+	MemoryMb int `jsonc:"optional"`
 	// TLS configures the connections to and from nodes and other controls, and the
 	// operator API, which requires no client certificate.
 	TLS TLS `jsonc:"optional"`
@@ -203,6 +217,7 @@
 	s := &Node{
 		LogLevel: DefaultLogLevel, StopLimit: DefaultStopLimit, Interface: OwnInterface, RetryBudget: RetryBudget{Share: DefaultRetryShare, Burst: DefaultRetryBurst},
 		CallerDrain: DefaultCallerDrain, ReconnectLimit: DefaultReconnectLimit, UrgentReserve: DefaultUrgentReserve,
+		CallerConnections: DefaultCallerConnections,
 	}
 	d := jsonc.Parse(file, data)
 	d.Decode(s)
