Bound what connections hold, on every port

Cause: net/http makes map entries of each header line, so heads of 60 KB of short lines took 500 MB on 400 connections; requests were read ahead up to 68 KB on each connection; HTTP ports other than the callers' allowed 1 MB of head (a control's admin port) or had no limit of connections; the ports of the inner protocol kept incomplete messages of up to 4 MB for as long as a connection stayed open, and together the ports allowed more connections than the process may have descriptors.

Change: package budget shares one number of bytes between all connections of a process, and closes the newest of those that hold most. Heads of callers are checked for lines (256), bytes and time before net/http parses them; refusals (431, 408, 413, 503) state not-run and close the connection. customer.Limits of the configuration in force is followed. Requests are read ahead only while the budget has room. Frames and HTTP heads at the other ports are counted as well. Ports get shares of the descriptors. MemoryMb sets the budget, the memory for bodies, and the limit of the garbage collector.

FuzzPipelining now allows the 408 of a head that does not arrive, where net/http says nothing or 400.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -30,6 +30,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/budget"
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/priorwait"
@@ -90,6 +91,9 @@
 	// above zero.
 	MaxRequests  int64
 	MaxBodyBytes int64
+	// Budget bounds what the connections of callers hold together; nil means a budget of
+	// DefaultBudgetBytes.
+	Budget *budget.Budget
 }
 
 // Handler implements http.Handler for callers.
@@ -105,6 +109,9 @@
 	// stopCtx is canceled by CancelRequests.
 	stopCtx context.Context
 	stop    context.CancelCauseFunc
+
+	refusals      *refusals
+	limitsInForce atomic.Pointer[tableLimits]
 }
 
 // New returns a Handler.
@@ -121,7 +128,8 @@
 	if c.Dialect == nil {
 		c.Dialect = dialect.Default()
 	}
-	h := &Handler{c: c, priorWait: priorwait.New[string]()}
+	c.Budget = newBudget(c.Budget)
+	h := &Handler{c: c, priorWait: priorwait.New[string](), refusals: newRefusals()}
 	h.stopCtx, h.stop = context.WithCancelCause(context.Background())
 	return h
 }
@@ -191,6 +199,12 @@
 		x.fail(errkind.New(errkind.Canceled, "caller closed the connection before the request was read").WithExecution(errkind.NotRun))
 		return
 	}
+	release, err := x.admitHead()
+	defer release()
+	if err != nil {
+		x.fail(err)
+		return
+	}
 	x.pipeline()
 	if err := x.authenticate(t); err != nil {
 		x.fail(err)
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/budget"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
@@ -22,8 +23,10 @@
 	// unanswered one.
 	maxPipelined = 16
 	// maxHeldBytes bounds the bytes of a connection that are read ahead: a head of
-	// the greatest size with a request before it.
-	maxHeldBytes = maxHeaderBytes + 4096
+	// the greatest size with a request before it. Above freeHeldBytes, they need room in
+	// the budget.
+	maxHeldBytes  = maxHeaderBytes + 4096
+	freeHeldBytes = 4096
 	// readAheadBytes is the least room for one read ahead.
 	readAheadBytes = 2048
 	// lingerTime is how long a connection is drained before it is closed with unread
@@ -93,6 +96,17 @@
 	// interrupted by wake.
 	receiving, woken bool
 	first            [1]byte
+
+	// holder counts what the connection holds; counted is whether it holds anything.
+	holder  *budget.Holder
+	counted bool
+	// headRead is set from the end of a head until its response is complete.
+	headRead bool
+	// phaseEnd is when the head must have arrived or, before its first byte, begun. It
+	// replaces readDeadline until headRead is set.
+	phaseEnd time.Time
+	// refused is set once the connection has written a refusal itself.
+	refused atomic.Bool
 }
 
 // arrival is the time at which the bytes before end had arrived.
@@ -104,6 +118,10 @@
 func newConn(c net.Conn, l *listener) *conn {
 	k := &conn{Conn: c, l: l}
 	k.cond = sync.NewCond(&k.mu)
+	k.holder = l.h.c.Budget.Open(k.giveWay)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.startPhase(l.h.limits().firstByteTimeout)
 	return k
 }
 
@@ -137,8 +155,17 @@
 
 // deliver reads bytes of the request that net/http reads from c.
 func (c *conn) deliver(p []byte) (int, error) {
+	if c.framing.opaque {
+		// All bytes that net/http has are of the head if it reads on before it has read one.
+		if err := c.checkHead(); err != nil {
+			return 0, err
+		}
+	}
 	if len(c.held) > 0 {
 		n := c.frame(c.held[:min(len(p), len(c.held))])
+		if err := c.checkFramedHead(); err != nil {
+			return 0, err
+		}
 		copy(p, c.held[:n])
 		c.arrived = c.take(n)
 		return n, nil
@@ -151,6 +178,9 @@
 		return 0, err
 	}
 	k := c.frame(p[:n])
+	if err := c.checkFramedHead(); err != nil {
+		return 0, err
+	}
 	c.arrived = time.Time{}
 	c.hold(p[k:n])
 	return k, nil
@@ -161,6 +191,9 @@
 	if c.framing.atBoundary() {
 		c.busy, c.ahead = true, false
 	}
+	if !c.headRead && !c.framing.inHead && !c.framing.opaque || c.framing.opaque && c.framing.headBytes == 0 {
+		c.startPhase(c.l.h.limits().headerTimeout)
+	}
 	return c.framing.consume(b)
 }
 
@@ -199,7 +232,7 @@
 	if c.readErr != nil {
 		return c.readErr
 	}
-	if len(c.held) >= maxHeldBytes {
+	if len(c.held) >= maxHeldBytes || len(c.held) >= freeHeldBytes && !c.mayHold(readAheadBytes) {
 		c.awaitRoom()
 		return nil
 	}
@@ -232,7 +265,7 @@
 func (c *conn) receive(b []byte) (int, error) {
 	if c.woken {
 		c.woken = false
-		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails only on a closed connection
+		_ = c.Conn.SetReadDeadline(c.effectiveDeadline()) // fails only on a closed connection
 	}
 	c.receiving = true
 	c.mu.Unlock()
@@ -247,6 +280,9 @@
 		if c.woken {
 			return 0, nil
 		}
+		if c.phaseOver() {
+			return 0, c.endPhase()
+		}
 		return 0, err
 	}
 	c.readErr = err
@@ -265,7 +301,7 @@
 
 // startPipelined starts held requests as long as they may run ahead.
 func (c *conn) startPipelined() {
-	for c.ahead && !c.sealed && !c.closing && c.readErr == nil && len(c.pipelined) < maxPipelined {
+	for c.ahead && !c.sealed && !c.closing && c.readErr == nil && len(c.pipelined) < maxPipelined && c.mayHold(pipelinedCost) {
 		if c.nextBytes == 0 || !c.next.atBoundary() {
 			c.nextBytes += c.next.consume(c.held[c.nextBytes:])
 		}
@@ -310,7 +346,13 @@
 func (c *conn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy, c.headRead = false, false
+	c.holder.Protect(false)
+	c.count()
+	if c.framing.opaque {
+		c.framing.resetHead()
+	}
+	c.startPhase(c.l.h.limits().idleTimeout)
 	c.advance()
 }
 
@@ -382,15 +424,18 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readDeadline = t
 	if c.broken {
 		return net.ErrClosed
 	}
+	if !c.headRead && !c.framing.http2 && time.Now().Before(t) {
+		return nil // phaseEnd counts
+	}
+	c.readDeadline = t
 	c.cond.Broadcast()
 	if c.woken {
 		return nil // the woken Read sets it
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.effectiveDeadline())
 }
 
 // SetDeadline implements net.Conn.
@@ -431,8 +476,9 @@
 		return
 	}
 	c.broken = true
+	c.holder.Close()
 	c.wake()
-	if !c.stopped.Load() && c.consumed == 0 && len(c.held) == 0 || c.CloseWrite() != nil {
+	if !c.refused.Load() && !c.stopped.Load() && c.consumed == 0 && len(c.held) == 0 || c.CloseWrite() != nil {
 		c.Conn.Close()
 		return
 	}
--- a/internal/caller/framing.go
+++ b/internal/caller/framing.go
@@ -20,6 +20,8 @@
 // from then on: no later request is told apart.
 type framing struct {
 	opaque bool
+	// http2 is whether the connection begins as one of HTTP/2.
+	http2  bool
 	inHead bool
 	// firstLine is whether the current line is the request line.
 	firstLine bool
@@ -30,8 +32,14 @@
 	// line is the start of the current line, lineBytes its length so far.
 	line      [framedLineBytes]byte
 	lineBytes int
+	// headBytes and headLines count the current head. If the connection is opaque, they
+	// count everything, until they are reset.
+	headBytes, headLines int
 }
 
+// resetHead starts a new count of the head.
+func (f *framing) resetHead() { f.headBytes, f.headLines = 0, 0 }
+
 // atBoundary reports whether all requests so far are complete.
 func (f *framing) atBoundary() bool { return !f.opaque && !f.inHead && f.bodyLeft == 0 }
 
@@ -39,6 +47,8 @@
 // one if none is under way.
 func (f *framing) consume(b []byte) int {
 	if f.opaque {
+		f.headBytes += len(b)
+		f.headLines += bytes.Count(b, []byte("\n"))
 		return len(b)
 	}
 	if !f.inHead && f.bodyLeft > 0 {
@@ -48,10 +58,12 @@
 	}
 	if !f.inHead {
 		f.inHead, f.firstLine, f.hasLength, f.lineBytes = true, true, false, 0
+		f.resetHead()
 	}
 	n := f.consumeHead(b)
+	f.headBytes += n
 	if f.opaque {
-		return len(b)
+		return n + f.consume(b[n:])
 	}
 	if !f.inHead && f.bodyLeft > 0 {
 		return n + f.consume(b[n:])
@@ -113,9 +125,11 @@
 	}
 	first := f.firstLine
 	f.firstLine, f.lineBytes = false, 0
+	f.headLines++
 	switch {
 	case first:
 		f.opaque = whole && !bytes.Contains(l, []byte(" HTTP/1.")) // also the preface of HTTP/2
+		f.http2 = whole && string(l) == "PRI * HTTP/2.0"
 	case whole && len(l) == 0:
 		f.inHead = false
 	default:
--- a/internal/caller/pipelined_fuzz_test.go
+++ b/internal/caller/pipelined_fuzz_test.go
@@ -5,11 +5,14 @@
 	"net"
 	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/standin"
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 // requestTime is longer than the deadline of the routes.
@@ -18,6 +21,9 @@
 // variable matches what differs between two runs: times and generated request IDs.
 var variable = regexp.MustCompile(`Date: [^\r]*|[0-9a-f]{24}`)
 
+// badRequest is the response of net/http to a malformed request.
+const badRequest = "HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n400 Bad Request"
+
 // FuzzPipelining guards against any stream of bytes that is served differently from
 // net/http, which serves one request of a connection at a time: other responses, another
 // order, or other requests passed on.
@@ -42,9 +48,17 @@
 		if len(stream) > 4096 || len(stream)/segment > 64 {
 			return // more work, but no further case
 		}
+		if strings.Count(stream, "\n") > wire.MaxHeaderLines {
+			return // FuzzHeadLimits
+		}
 		synctest.Test(t, func(t *testing.T) {
 			got, gotStarted := serveStream(t, stream, segment, func(l net.Listener, h *Handler) net.Listener { return NewListener(l, 1, h) })
 			want, wantStarted := serveStream(t, stream, segment, func(l net.Listener, _ *Handler) net.Listener { return l })
+			// A head that does not arrive is answered with 408. net/http closes the connection,
+			// or answers 400 once the caller has closed it.
+			if rest, _, ok := strings.Cut(got, "HTTP/1.1 408 "); ok && strings.Contains(got, string(errkind.HeadTimeout)) {
+				got, want = rest, strings.TrimSuffix(want, badRequest)
+			}
 			if got != want {
 				t.Errorf("got the responses\n%q, want\n%q", got, want)
 			}
--- a/internal/caller/pipelined_test.go
+++ b/internal/caller/pipelined_test.go
@@ -131,6 +131,11 @@
 	t.Helper()
 	c := pipeliningConfig(t, u)
 	c.MaxBodyBytes = bodyBytes
+	return startPipelining(t, u, c)
+}
+
+func startPipelining(t *testing.T, u *slowUpstream, c Config) *pipelining {
+	t.Helper()
 	p := &pipelining{t: t, u: u, h: New(c), n: standin.NewNetwork()}
 	p.s = NewServer(p.h)
 	l, _ := p.n.Listen("node:1")
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -154,6 +154,9 @@
 	if u == nil {
 		return nil
 	}
+	if err := x.limitBody(u); err != nil {
+		return err
+	}
 	atMostOnce := x.match.Route.Execution == customer.AtMostOnce
 	limit := int64(call.WholeBodyBytes)
 	if atMostOnce {
@@ -207,6 +210,8 @@
 	switch {
 	case err == nil:
 		return b.Bytes(), nil
+	case errkind.Of(err) == errkind.TooLarge:
+		return nil, errkind.From(err).WithExecution(errkind.NotRun)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return nil, errkind.New(errkind.DeadlineExceeded, "the deadline passed before the body had arrived").WithExecution(errkind.NotRun)
 	case ctx.Err() != nil:
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -28,7 +28,7 @@
 	return &http.Server{
 		Handler:           h,
 		Protocols:         p,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    maxConfiguredHeaderBytes, // conn applies the limit in force
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		HTTP2: &http.HTTP2Config{
@@ -40,6 +40,9 @@
 			return context.WithValue(ctx, connKey{}, c)
 		},
 		ConnState: func(c net.Conn, s http.ConnState) {
+			if k, ok := c.(*conn); ok && s == http.StateActive {
+				k.headComplete()
+			}
 			if a, ok := c.(interface{ answered() }); ok && s == http.StateIdle {
 				a.answered()
 			}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -25,7 +26,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
+	"github.com/gooseberrypick/gooseberrypick/internal/budget"
 	"github.com/gooseberrypick/gooseberrypick/internal/claims"
+	"github.com/gooseberrypick/gooseberrypick/internal/memory"
 	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/operator"
 	"github.com/gooseberrypick/gooseberrypick/internal/replica"
@@ -39,7 +42,15 @@
 	// maxInnerConnections limits the connections from nodes and controls. At the target
 	// size, 725 nodes each keep a stream and some connections for claims open.
 	maxInnerConnections = 8192
-	headerTimeout       = 5 * time.Second
+	// maxHTTPConnections bounds the connections of operators and to the admin port, each.
+	maxHTTPConnections  = 256
+	maxAdminHeaderBytes = 16 << 10
+	// The following are the greatest shares of the descriptors for the connections to a
+	// port.
+	innerDescriptors = 0.75
+	httpDescriptors  = 1.0 / 16
+	headerTimeout    = 5 * time.Second
+	idleTimeout      = time.Minute
 	// gaugeInterval is the interval between updates of the gauges.
 	gaugeInterval = time.Second
 )
@@ -81,6 +92,8 @@
 	operators *http.Server
 	admin     *http.Server
 	listeners listeners
+	// budget bounds what the connections to all listeners hold together.
+	budget *budget.Budget
 }
 
 type listeners struct{ operator, peer, admin net.Listener }
@@ -101,7 +114,9 @@
 		groups:    groups{},
 		metrics:   metrics.NewRegistry(),
 		listeners: l,
+		budget:    budget.New(memory.ConnectionBytes(cmp.Or(c.Settings.MemoryMb, settings.DefaultControlMemoryMb))),
 	}
+	memory.Limit(c.Settings.MemoryMb)
 	if err := k.open(); err != nil {
 		k.close()
 		return nil, err
@@ -170,12 +185,15 @@
 		h = f(b)
 	}
 	k.operators = operator.NewServer(h)
-	k.admin = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: admin.New(admin.Config{
+	k.admin = &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxAdminHeaderBytes, Handler: admin.New(admin.Config{
 		Metrics: k.metrics,
 		Ready:   k.ready,
 		Version: func() any { return k.memberReport() },
 		Pprof:   s.Pprof,
 	})}
+	local := wire.LimitByDescriptors(maxHTTPConnections, httpDescriptors)
+	k.listeners.operator = wire.GuardHTTP(k.operators, wire.LimitListener(k.listeners.operator, local), k.budget)
+	k.listeners.admin = wire.GuardHTTP(k.admin, wire.LimitListener(k.listeners.admin, local), k.budget)
 	return nil
 }
 
@@ -261,7 +279,9 @@
 	g.Go(func() error { return ignoreClosed(k.operators.Serve(k.listeners.operator)) })
 	g.Go(func() error { return ignoreClosed(k.admin.Serve(k.listeners.admin)) })
 	g.Go(func() error {
-		return wire.Serve(serving, k.listeners.peer, k.mux(), wire.ServeOptions{Log: k.log, MaxConnections: maxInnerConnections})
+		return wire.Serve(serving, k.listeners.peer, k.mux(), wire.ServeOptions{
+			Log: k.log, MaxConnections: wire.LimitByDescriptors(maxInnerConnections, innerDescriptors), Budget: k.budget,
+		})
 	})
 	g.Go(func() error { k.fleet.run(serving); return nil })
 	g.Go(func() error { k.updateGauges(serving); return nil })
@@ -292,6 +312,8 @@
 		case <-t.C:
 		}
 		s := k.config.group.Status()
+		held, limit := k.budget.Held()
+		c := k.budget.Counts()
 		for n, v := range map[string]int64{
 			"version":         int64(k.config.Current().Version()),
 			"nodes":           int64(k.fleet.registry.Len()),
@@ -301,6 +323,11 @@
 			"current":         boolToInt(s.Current),
 			"leading":         boolToInt(s.Role == replica.LeaderRole),
 			"raft_applied":    int64(s.Applied),
+
+			"connection_bytes":               held,
+			"connection_bytes_limit":         limit,
+			"connections_closed_for_memory":  c.Closed,
+			"connections_refused_for_memory": c.Refused,
 		} {
 			metrics.GetOrRegisterGauge(n, k.metrics).Update(v)
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -122,6 +122,15 @@
 func (m *nodeMetrics) sample(n *Node) {
 	metrics.GetOrRegisterGauge("nodes", m.registry).Update(int64(n.registry.Len()))
 	metrics.GetOrRegisterGauge("requests", m.registry).Update(n.handler.InFlight())
+	held, limit := n.budget.Held()
+	metrics.GetOrRegisterGauge("connection_bytes", m.registry).Update(held)
+	metrics.GetOrRegisterGauge("connection_bytes_limit", m.registry).Update(limit)
+	k := n.budget.Counts()
+	metrics.GetOrRegisterGauge("connections_closed_for_memory", m.registry).Update(k.Closed)
+	metrics.GetOrRegisterGauge("connections_refused_for_memory", m.registry).Update(k.Refused)
+	n.handler.Refusals(func(reason string, v int64) {
+		metrics.GetOrRegisterGauge(fmt.Sprintf("caller_refusals{reason=%q}", reason), m.registry).Update(v)
+	})
 	metrics.GetOrRegisterGauge("log_lines_dropped", m.registry).Update(logging.Dropped())
 	for name, l := range n.local.Loads(time.Now()) {
 		metrics.GetOrRegisterGauge(fmt.Sprintf("upstream_in_flight{upstream=%q}", name), m.registry).Update(int64(l.InFlight))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,10 +24,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/admin"
+	"github.com/gooseberrypick/gooseberrypick/internal/budget"
 	"github.com/gooseberrypick/gooseberrypick/internal/caller"
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/distribution"
 	"github.com/gooseberrypick/gooseberrypick/internal/idempotency"
+	"github.com/gooseberrypick/gooseberrypick/internal/memory"
 	"github.com/gooseberrypick/gooseberrypick/internal/mtls"
 	"github.com/gooseberrypick/gooseberrypick/internal/peer"
 	"github.com/gooseberrypick/gooseberrypick/internal/rankstats"
@@ -49,6 +51,11 @@
 	// the same VM and for administration.
 	maxLocalConnections = 256
 	maxLocalHeaderBytes = 16 << 10
+	// The following are the greatest shares of the descriptors for the connections to a
+	// port; about a fifth is left for connections that the node opens.
+	callerDescriptors = 0.5
+	peerDescriptors   = 0.25
+	localDescriptors  = 1.0 / 64
 	// lameDuckPeriod is how long a stopping node still accepts requests, so that the
 	// rest of the fleet learns of the stop first. It is well below the limit of 3 s
 	// after which no new work may arrive.
@@ -117,7 +124,9 @@
 	// readiness is nil without ReadyListen.
 	readiness *http.Server
 	listeners listeners
-	stopping  chan struct{}
+	// budget bounds what the connections to all listeners hold together.
+	budget   *budget.Budget
+	stopping chan struct{}
 }
 
 type listeners struct{ caller, upstream, peer, admin, ready net.Listener }
@@ -150,6 +159,8 @@
 		OnApplied:        n.metrics.setVersion,
 		Ranks:            n.ranks.Sample,
 	})
+	n.budget = budget.New(memory.ConnectionBytes(n.memoryMb()))
+	memory.Limit(c.Settings.MemoryMb)
 	n.local = upstream.NewLocal(upstream.Config{
 		Table:   n.distribution.Table,
 		Log:     c.Log.WithName("upstream"),
@@ -195,9 +206,13 @@
 		Observe:    n.observeResponse,
 		Dialect:    n.c.Interface.Dialect,
 		Origin:     s.Service,
+		Budget:     n.budget,
+
+		MaxBodyBytes: memory.BodyBytes(n.memoryMb()),
 	})
 	n.callers = caller.NewServer(n.handler)
-	n.listeners.caller = caller.NewListener(n.listeners.caller, cmp.Or(s.CallerConnections, settings.DefaultCallerConnections), n.handler)
+	n.listeners.caller = caller.NewListener(n.listeners.caller,
+		wire.LimitByDescriptors(cmp.Or(s.CallerConnections, settings.DefaultCallerConnections), callerDescriptors), n.handler)
 	announcements := n.announcements.Handler()
 	if f := n.c.Interface.Announcements; f != nil {
 		announcements = f(n.announcements)
@@ -213,8 +228,15 @@
 		Version: func() any { return n.status() },
 		Pprof:   s.Pprof,
 	}))
+	n.listeners.upstream = wire.GuardHTTP(n.upstreams, n.listeners.upstream, n.budget)
+	n.listeners.admin = wire.GuardHTTP(n.admin, n.listeners.admin, n.budget)
+	if n.readiness != nil && n.listeners.ready != nil {
+		n.listeners.ready = wire.GuardHTTP(n.readiness, n.listeners.ready, n.budget)
+	}
 }
 
+func (n *Node) memoryMb() int { return cmp.Or(n.c.Settings.MemoryMb, settings.DefaultNodeMemoryMb) }
+
 // observeResponse records one response to a caller in the metrics and rank statistics.
 func (n *Node) observeResponse(t table.Match, status int, kind errkind.Kind, x errkind.Execution, took time.Duration) {
 	n.metrics.observeResponse(t, status, kind, took)
@@ -270,8 +292,12 @@
 		}
 		*e.to = k
 	}
-	l.upstream = wire.LimitListener(l.upstream, maxLocalConnections)
-	l.admin = wire.LimitListener(l.admin, maxLocalConnections)
+	local := wire.LimitByDescriptors(maxLocalConnections, localDescriptors)
+	l.upstream = wire.LimitListener(l.upstream, local)
+	l.admin = wire.LimitListener(l.admin, local)
+	if l.ready != nil {
+		l.ready = wire.LimitListener(l.ready, local)
+	}
 	return l, nil
 }
 
@@ -353,7 +379,9 @@
 		g.Go(func() error { return ignoreServerClosed(n.readiness.Serve(n.listeners.ready)) })
 	}
 	g.Go(func() error {
-		return wire.Serve(serving, n.listeners.peer, m, wire.ServeOptions{Log: n.c.Log.WithName("peer"), MaxConnections: maxPeerConnections})
+		return wire.Serve(serving, n.listeners.peer, m, wire.ServeOptions{
+			Log: n.c.Log.WithName("peer"), MaxConnections: wire.LimitByDescriptors(maxPeerConnections, peerDescriptors), Budget: n.budget,
+		})
 	})
 	g.Go(func() error { n.distribution.Run(serving); return nil })
 	g.Go(func() error { n.local.Run(serving); return nil })
--- a/internal/wire/limit.go
+++ b/internal/wire/limit.go
@@ -4,8 +4,20 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
+// LimitByDescriptors returns n or, if that is less, the given share of the descriptors
+// that the process may open, so that the connections to one port leave descriptors for
+// the others.
+func LimitByDescriptors(n int, share float64) int {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil || float64(r.Cur)*share >= float64(n) {
+		return n
+	}
+	return max(1, int(float64(r.Cur)*share))
+}
+
 // LimitListener returns a listener that keeps at most n connections open. It closes
 // further ones immediately, so that a flood of connections cannot exhaust file
 // descriptors.
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/budget"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -93,6 +94,8 @@
 	Log logr.Logger
 	// MaxConnections limits the number of open connections; zero means no limit.
 	MaxConnections int
+	// Budget bounds the incomplete messages of all connections; nil means no bound.
+	Budget *budget.Budget
 }
 
 // Serve handles calls on l until ctx is done. It closes l.
@@ -100,6 +103,9 @@
 	if o.MaxConnections > 0 {
 		l = LimitListener(l, o.MaxConnections)
 	}
+	if o.Budget != nil {
+		l = guardMessages(l, o.Budget)
+	}
 	s := drpcserver.NewWithOptions(m, drpcserver.Options{
 		Manager: managerOptions(),
 		Log: func(err error) {
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -31,6 +31,8 @@
 	Unauthorized     Kind = "Unauthorized"
 	NotFound         Kind = "NotFound"
 	TooLarge         Kind = "TooLarge"
+	HeadTooLarge     Kind = "HeadTooLarge"
+	HeadTimeout      Kind = "HeadTimeout"
 	NoRoute          Kind = "NoRoute"
 	NoUpstream       Kind = "NoUpstream"
 	KeyRequired      Kind = "KeyRequired"
@@ -93,7 +95,7 @@
 
 var groups = map[Kind]Group{
 	QueueFull: GroupOverload, DeadlineTooShort: GroupOverload, DeadlineExceeded: GroupOverload,
-	BadRequest: GroupCaller, Unauthorized: GroupCaller, NotFound: GroupCaller, TooLarge: GroupCaller,
+	BadRequest: GroupCaller, Unauthorized: GroupCaller, NotFound: GroupCaller, TooLarge: GroupCaller, HeadTooLarge: GroupCaller, HeadTimeout: GroupCaller,
 	NoRoute: GroupCaller, KeyRequired: GroupCaller, KeyReused: GroupCaller, InProgress: GroupCaller,
 	Canceled: GroupCaller, Conflict: GroupCaller, InvalidFile: GroupCaller, Usage: GroupCaller,
 }
@@ -119,6 +121,8 @@
 	BadRequest:       {http.StatusBadRequest, NotRun, ExitRefused, 0},
 	Unauthorized:     {http.StatusUnauthorized, NotRun, ExitRefused, 0},
 	NotFound:         {http.StatusNotFound, NotRun, ExitRefused, 0},
+	HeadTooLarge:     {http.StatusRequestHeaderFieldsTooLarge, NotRun, ExitRefused, 0},
+	HeadTimeout:      {http.StatusRequestTimeout, NotRun, ExitRefused, 0},
 	TooLarge:         {http.StatusRequestEntityTooLarge, NotRun, ExitRefused, 0},
 	NoRoute:          {http.StatusNotFound, NotRun, ExitRefused, 0},
 	NoUpstream:       {http.StatusServiceUnavailable, NotRun, ExitRefused, shortRetry},
