Make room for ordinary callers where connections run out

Cause: connections whose callers send or read nothing kept all connections of a node, so that an ordinary caller got none until their deadlines had passed. A malformed status of an upstream made the handler panic, which closed the caller's connection.

Change: at the limit of connections, a node closes those that have waited longest, and at least 1 s, for the rest of a head or body or for their callers to read; not those that are idle after a response or whose requests are under way. A response with a status below 200 or above 999 is answered with 502.

TestKeys now waits for the node before it changes the table, which the node reads after a response since it follows the idle time in force.

--- a/internal/abuse/system_test.go
+++ b/internal/abuse/system_test.go
@@ -164,7 +164,7 @@
 		}
 		defer a.Body.Close()
 		if b, err := io.ReadAll(a.Body); err != nil || string(b) != "ok" {
-			return fmt.Errorf("status %d, %q, %v", a.StatusCode, b, err)
+			return fmt.Errorf("status %d, %q, %w", a.StatusCode, b, err)
 		}
 		return nil
 	})
--- a/internal/caller/account_test.go
+++ b/internal/caller/account_test.go
@@ -78,8 +78,10 @@
 		assertStatus(t, "no key", send(""), http.StatusUnauthorized)
 		assertStatus(t, "unknown key", send("Gooseberrypick-Key: k2\r\n"), http.StatusUnauthorized)
 		assertStatus(t, "two keys", send("Gooseberrypick-Key: k1\r\nGooseberrypick-Key: k1\r\n"), http.StatusUnauthorized)
+		synctest.Wait() // until the node has looked at its table after the last response
 		b = accountTable(t, 2)
 		assertStatus(t, "withdrawn key", send("Gooseberrypick-Key: k1\r\n"), http.StatusUnauthorized)
+		synctest.Wait()
 		b = table.Empty
 		assertStatus(t, "no configuration", send("Gooseberrypick-Key: k1\r\n"), http.StatusServiceUnavailable)
 		if len(r.requests) != 1 {
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -14,12 +14,19 @@
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
+// maxStatus is the highest status of three digits.
+const maxStatus = 999
+
 // buffers is a pool of buffers for copying response bodies.
 var buffers = sync.Pool{New: func() any { return new([call.ChunkBytes]byte) }}
 
 // respond forwards the upstream's response to the caller. If the body is cut off, the
 // connection is aborted, so that the caller cannot treat a part as complete.
 func (x *exchange) respond(a *call.Response) {
+	if s := a.Head.Status; s < http.StatusOK || s > maxStatus {
+		x.fail(errkind.New(errkind.UpstreamFailed, "the upstream answered with the status %03d", s))
+		return
+	}
 	b := buffers.Get().(*[call.ChunkBytes]byte)
 	defer buffers.Put(b)
 	n, err := 0, error(nil)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -110,7 +110,10 @@
 	stopCtx context.Context
 	stop    context.CancelCauseFunc
 
-	refusals      *refusals
+	refusals *refusals
+	// limitsTable returns the table in force, whose limits are in limitsInForce once they
+	// have been used.
+	limitsTable   func() *table.Table
 	limitsInForce atomic.Pointer[tableLimits]
 }
 
@@ -129,7 +132,7 @@
 		c.Dialect = dialect.Default()
 	}
 	c.Budget = newBudget(c.Budget)
-	h := &Handler{c: c, priorWait: priorwait.New[string](), refusals: newRefusals()}
+	h := &Handler{c: c, priorWait: priorwait.New[string](), refusals: newRefusals(), limitsTable: c.Table}
 	h.stopCtx, h.stop = context.WithCancelCause(context.Background())
 	return h
 }
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -102,11 +102,20 @@
 	counted bool
 	// headRead is set from the end of a head until its response is complete.
 	headRead bool
+	// headBegun is set from the first byte of a head until its response is complete.
+	headBegun bool
 	// phaseEnd is when the head must have arrived or, before its first byte, begun. It
 	// replaces readDeadline until headRead is set.
 	phaseEnd time.Time
 	// refused is set once the connection has written a refusal itself.
 	refused atomic.Bool
+	// lastBytes is when the caller last sent something or, before that, when it
+	// connected. writingSince is when a write began that is in progress, in nanoseconds
+	// since 1970, or zero.
+	lastBytes    time.Time
+	writingSince atomic.Int64
+	// served is whether a request of this connection has been answered.
+	served bool
 }
 
 // arrival is the time at which the bytes before end had arrived.
@@ -116,7 +125,7 @@
 }
 
 func newConn(c net.Conn, l *listener) *conn {
-	k := &conn{Conn: c, l: l}
+	k := &conn{Conn: c, l: l, lastBytes: time.Now()}
 	k.cond = sync.NewCond(&k.mu)
 	k.holder = l.h.c.Budget.Open(k.giveWay)
 	k.mu.Lock()
@@ -191,8 +200,8 @@
 	if c.framing.atBoundary() {
 		c.busy, c.ahead = true, false
 	}
-	if !c.headRead && !c.framing.inHead && !c.framing.opaque || c.framing.opaque && c.framing.headBytes == 0 {
-		c.startPhase(c.l.h.limits().headerTimeout)
+	if !c.headRead && !c.headBegun {
+		c.beginHead()
 	}
 	return c.framing.consume(b)
 }
@@ -273,6 +282,7 @@
 	c.mu.Lock()
 	c.receiving = false
 	if n > 0 {
+		c.lastBytes = time.Now()
 		return n, nil // an error is returned again by the next Read
 	}
 	var t net.Error
@@ -346,7 +356,7 @@
 func (c *conn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.headRead = false, false
+	c.busy, c.headBegun, c.headRead, c.served = false, false, false, true
 	c.holder.Protect(false)
 	c.count()
 	if c.framing.opaque {
@@ -420,32 +430,6 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// SetReadDeadline implements net.Conn.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.broken {
-		return net.ErrClosed
-	}
-	if !c.headRead && !c.framing.http2 && time.Now().Before(t) {
-		return nil // phaseEnd counts
-	}
-	c.readDeadline = t
-	c.cond.Broadcast()
-	if c.woken {
-		return nil // the woken Read sets it
-	}
-	return c.Conn.SetReadDeadline(c.effectiveDeadline())
-}
-
-// SetDeadline implements net.Conn.
-func (c *conn) SetDeadline(t time.Time) error {
-	if err := c.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return c.SetWriteDeadline(t)
-}
-
 // NetConn returns the connection that c wraps.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -103,6 +103,12 @@
 	c.setPhase(time.Time{})
 }
 
+// beginHead starts the time in which the head must arrive.
+func (c *conn) beginHead() {
+	c.headBegun = true
+	c.startPhase(c.l.h.limits().headerTimeout)
+}
+
 // startPhase sets the time for the next part of a request.
 func (c *conn) startPhase(d time.Duration) { c.setPhase(time.Now().Add(d)) }
 
@@ -129,7 +135,7 @@
 // endPhase ends a connection on which a head did not arrive in time. An idle one is closed
 // without a response.
 func (c *conn) endPhase() error {
-	if c.framing.atBoundary() || c.framing.opaque && c.framing.headBytes == 0 {
+	if !c.headBegun {
 		c.readErr = io.EOF
 		return io.EOF
 	}
@@ -147,8 +153,8 @@
 	b := errorResponse(c.l.h.c.Dialect, err)
 	c.mu.Unlock()
 	defer c.mu.Lock()
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // fails only on a closed connection
-	_, _ = c.Conn.Write(b)                                      // an error means that the caller has gone
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout)) // fails only on a closed connection
+	_, _ = c.Conn.Write(b)                                 // an error means that the caller has gone
 	return errRefused
 }
 
@@ -158,5 +164,60 @@
 	if c.refused.Load() {
 		return 0, net.ErrClosed
 	}
+	c.writingSince.Store(time.Now().UnixNano())
+	defer c.writingSince.Store(0)
 	return c.Conn.Write(b)
 }
+
+// waitingSince returns since when the connection has waited for its caller, or zero if it
+// does not: for the first head, for the rest of a head or of a body, or for the caller to
+// read. One that is idle after a response does not, nor does one whose request is under way.
+func (c *conn) waitingSince() time.Time {
+	if n := c.writingSince.Load(); n > 0 {
+		return time.Unix(0, n)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.broken: // only waits until the caller has read the last response
+		return c.lastBytes
+	case !c.receiving, c.framing.opaque && c.headRead, c.framing.atBoundary() && (c.headRead || c.served):
+		return time.Time{}
+	}
+	return c.lastBytes
+}
+
+// evict closes the connection to make room for another one.
+func (c *conn) evict() {
+	c.l.h.refusals.count(reasonEvicted)
+	c.Conn.Close()
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken {
+		return net.ErrClosed
+	}
+	if !c.headRead && !c.framing.http2 && time.Now().Before(t) {
+		if c.framing.opaque && time.Until(t) <= headerTimeout {
+			c.beginHead() // net/http has the begin of a head, which came with the last request
+		}
+		return nil // phaseEnd counts
+	}
+	c.readDeadline = t
+	c.cond.Broadcast()
+	if c.woken {
+		return nil // the woken Read sets it
+	}
+	return c.Conn.SetReadDeadline(c.effectiveDeadline())
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
--- a/internal/caller/guard_test.go
+++ b/internal/caller/guard_test.go
@@ -193,3 +193,45 @@
 		}
 	})
 }
+
+// Guards against connections that send or read nothing and keep ordinary callers out: they
+// are closed to make room, while one that is idle after a response or whose request is
+// under way stays.
+func TestRoomForConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name, sent string
+		closed     bool
+	}{
+		{"sends nothing", "", true},
+		{"head that stops", getHead, true},
+		{"body that stops", "POST /a/0s HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", true},
+		{"idle after a response", getHead + "\r\n", false},
+		{"request under way", "GET /a/10s HTTP/1.1\r\nHost: h\r\n\r\n", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, _ := newGuarded(t, func(*Config) {})
+				for i := range connectionsOfTests {
+					c := p.c
+					if i > 0 {
+						c = p.dial()
+					}
+					go io.WriteString(c, tt.sent)
+					go io.Copy(io.Discard, c)
+				}
+				time.Sleep(evictAfter)
+				synctest.Wait()
+				p.c = p.dial()
+				p.r = bufio.NewReader(p.c)
+				go io.WriteString(p.c, getHead+"\r\n")
+				a, err := http.ReadResponse(p.r, nil)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, a.Body)
+				}
+				if got := err == nil; got != tt.closed {
+					t.Errorf("got a response %v (%v), want %v", got, err, tt.closed)
+				}
+			})
+		})
+	}
+}
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -35,7 +35,7 @@
 // limits returns the limits of the table in force. Where several customers have limits, the
 // widest counts, since the customer is not known before the head has been read.
 func (h *Handler) limits() limits {
-	t := h.c.Table()
+	t := h.limitsTable()
 	if k := h.limitsInForce.Load(); k != nil && k.table == t {
 		return k.limits
 	}
--- a/internal/caller/pipelined_test.go
+++ b/internal/caller/pipelined_test.go
@@ -134,13 +134,16 @@
 	return startPipelining(t, u, c)
 }
 
+// connectionsOfTests is the limit of connections of a node in tests.
+const connectionsOfTests = 8
+
 func startPipelining(t *testing.T, u *slowUpstream, c Config) *pipelining {
 	t.Helper()
 	p := &pipelining{t: t, u: u, h: New(c), n: standin.NewNetwork()}
 	p.s = NewServer(p.h)
 	l, _ := p.n.Listen("node:1")
 	done := make(chan error)
-	go func() { done <- p.s.Serve(NewListener(l, 8, p.h)) }()
+	go func() { done <- p.s.Serve(NewListener(l, connectionsOfTests, p.h)) }()
 	t.Cleanup(func() { p.s.Close(); <-done })
 	p.c = p.dial()
 	p.r = bufio.NewReader(p.c)
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -21,9 +21,11 @@
 	reasonBodyBytes   refusalReason = "body_bytes"
 	reasonBudget      refusalReason = "budget"
 	reasonGaveWay     refusalReason = "gave_way"
+	reasonConnections refusalReason = "connections"
+	reasonEvicted     refusalReason = "evicted"
 )
 
-var refusalReasons = []refusalReason{reasonHeaderLines, reasonHeaderBytes, reasonHeaderTime, reasonBodyBytes, reasonBudget, reasonGaveWay}
+var refusalReasons = []refusalReason{reasonHeaderLines, reasonHeaderBytes, reasonHeaderTime, reasonBodyBytes, reasonBudget, reasonGaveWay, reasonConnections, reasonEvicted}
 
 // refusalLogInterval bounds the log lines about refused heads.
 const refusalLogInterval = 100 * time.Millisecond
--- a/internal/wire/guard.go
+++ b/internal/wire/guard.go
@@ -15,12 +15,12 @@
 
 const (
 	// MaxHeaderLines bounds the header lines of a request. Ordinary ones have fewer than
-	// 20; each costs net/http about HeaderLineCost bytes beside its text.
+	// 20; each costs net/http about headerLineCost bytes beside its text.
 	MaxHeaderLines = 256
-	// HeaderLineCost and HeaderByteFactor estimate what a request head takes once it has
+	// headerLineCost and headerByteFactor estimate what a request head takes once it has
 	// been parsed and copied for another process.
-	HeaderLineCost   = 160
-	HeaderByteFactor = 3
+	headerLineCost   = 160
+	headerByteFactor = 3
 	// UncountedBytes is the part of what a connection holds that does not count: more than
 	// a head of 1 KB with 20 lines, so that ordinary requests do not take the lock.
 	UncountedBytes = 8 << 10
@@ -38,7 +38,7 @@
 
 // HeadCost returns the memory for a request head of the given size.
 func HeadCost(bytes, lines int) int64 {
-	return HeaderByteFactor*int64(bytes) + HeaderLineCost*int64(lines)
+	return headerByteFactor*int64(bytes) + headerLineCost*int64(lines)
 }
 
 // GuardHTTP bounds what the connections of s hold, which serves HTTP/1 on the returned
@@ -194,7 +194,7 @@
 		c.Close()
 		return 0, e
 	}
-	if cost := CountedBytes(HeaderByteFactor * c.message); cost > 0 || c.counted {
+	if cost := CountedBytes(headerByteFactor * c.message); cost > 0 || c.counted {
 		c.counted = cost > 0
 		if !c.holder.Set(cost) {
 			c.Close()
