--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -97,9 +97,10 @@
 	receiving, woken bool
 	first            [1]byte
 
-	// holder counts what the connection holds; counted is whether it holds anything.
-	holder  *budget.Holder
-	counted bool
+	// holder counts what the connection holds; counted is whether it holds anything, and
+	// protected whether it never gives way to others.
+	holder             *budget.Holder
+	counted, protected bool
 	// headRead is set from the end of a head until its response is complete.
 	headRead bool
 	// headBegun is set from the first byte of a head until its response is complete.
@@ -311,18 +312,20 @@
 
 // startPipelined starts held requests as long as they may run ahead.
 func (c *conn) startPipelined() {
-	for c.ahead && !c.sealed && !c.closing && c.readErr == nil && len(c.pipelined) < maxPipelined && c.mayHold(pipelinedCost) {
+	for c.ahead && !c.sealed && !c.closing && c.readErr == nil && len(c.pipelined) < maxPipelined {
 		if c.nextBytes == 0 || !c.next.atBoundary() {
 			c.nextBytes += c.next.consume(c.held[c.nextBytes:])
 		}
 		if c.nextBytes == 0 || c.next.inHead {
 			return // no complete head
 		}
-		if !c.next.atBoundary() || c.next.hasLength || !c.mayRunAhead(c.held[:c.nextBytes]) {
+		cost := pipelinedCost + wire.HeadCost(c.next.headBytes, c.next.headLines)
+		if !c.next.atBoundary() || c.next.hasLength || c.next.headLines > wire.MaxHeaderLines || !c.mayRunAhead(c.held[:c.nextBytes]) ||
+			!c.mayHold(cost-heldFactor*int64(c.nextBytes)) {
 			c.ahead = false
 			return
 		}
-		p := &pipelinedConn{c: c, head: slices.Clone(c.held[:c.nextBytes])}
+		p := &pipelinedConn{c: c, head: slices.Clone(c.held[:c.nextBytes]), cost: cost}
 		p.arrived = c.take(c.nextBytes)
 		c.pipelined = append(c.pipelined, p)
 		c.l.h.pipelined.Add(1)
@@ -357,7 +360,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.headBegun, c.headRead, c.served = false, false, false, true
-	c.holder.Protect(false)
 	c.count()
 	if c.framing.opaque {
 		c.framing.resetHead()
@@ -375,6 +377,7 @@
 	c.pipelined = slices.Delete(c.pipelined, i, i+1)
 	p.removed = true
 	c.l.h.pipelined.Add(-1)
+	c.count()
 	c.advance()
 }
 
--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -13,7 +13,7 @@
 
 const (
 	// pipelinedCost is about what net/http and its buffers take for a request that is
-	// started ahead.
+	// started ahead, beside its head.
 	pipelinedCost = 16 << 10
 	// heldFactor is the memory for a byte that is read ahead, with the room for growth.
 	heldFactor = 2
@@ -54,7 +54,10 @@
 
 // cost returns the memory that the connection holds.
 func (c *conn) cost() int64 {
-	n := heldFactor*int64(len(c.held)) + pipelinedCost*int64(len(c.pipelined))
+	n := heldFactor * int64(len(c.held))
+	for _, p := range c.pipelined {
+		n += p.cost
+	}
 	if c.busy && !c.framing.http2 {
 		if !c.framing.opaque || !c.headRead {
 			n += wire.HeadCost(c.framing.headBytes, c.framing.headLines)
@@ -70,9 +73,18 @@
 		return true // so that ordinary requests do not take the lock of the budget
 	}
 	c.counted = n > 0
+	c.protect()
 	return c.holder.Set(n)
 }
 
+// protect keeps the connection from giving way while a request may have been passed on.
+func (c *conn) protect() {
+	if p := c.headRead || len(c.pipelined) > 0; p != c.protected {
+		c.protected = p
+		c.holder.Protect(p)
+	}
+}
+
 // mayHold reports whether the connection may hold n more bytes. Nobody gives way, since
 // the caller can wait instead.
 func (c *conn) mayHold(n int64) bool {
@@ -81,6 +93,7 @@
 		return true
 	}
 	c.counted = true
+	c.protect()
 	return c.holder.TrySet(k)
 }
 
@@ -98,7 +111,7 @@
 	defer c.mu.Unlock()
 	c.headRead = true
 	if c.counted {
-		c.holder.Protect(true)
+		c.protect()
 	}
 	c.setPhase(time.Time{})
 }
--- a/internal/caller/guard_test.go
+++ b/internal/caller/guard_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -83,6 +85,7 @@
 		{"one line without end", "GET /" + strings.Repeat("x", testHeaderBytes+wire.HeadAllowance), 431},
 		{"as many lines as allowed", getHead + many(wire.MaxHeaderLines-4) + "\r\n", 200},
 		{"too many lines", getHead + many(wire.MaxHeaderLines), 431},
+		{"too many lines behind another request", getHead + "\r\n" + getHead + many(wire.MaxHeaderLines) + "\r\n", 200431},
 		{"too many folded lines", getHead + "x: y\r\n" + strings.Repeat(" z\r\n", wire.MaxHeaderLines+2) + strings.Repeat("b: c\r\n", 4096), 431},
 		{"a head that does not arrive", getHead, 408},
 		{"a line that does not arrive", "G", 408},
@@ -90,6 +93,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p, _ := newGuarded(t, func(*Config) {})
+				if tt.want > 999 { // two responses
+					p.wantStatus(tt.sent, tt.want/1000)
+					p.wantStatus("", tt.want%1000)
+					return
+				}
 				p.wantStatus(tt.sent, tt.want)
 				if tt.want == http.StatusOK {
 					p.wantStatus(getHead+"\r\n", tt.want) // the same again on the same connection
@@ -235,3 +243,65 @@
 		})
 	}
 }
+
+// Guards against a request that is under way, also one that was started ahead, and is
+// canceled because another connection needs the memory.
+func TestRequestUnderWayKeepsItsMemory(t *testing.T) {
+	large := headOf(testHeaderBytes - 1000)
+	for name, tt := range map[string]struct {
+		sent      string
+		responses int
+		budget    int64
+	}{
+		"alone":         {strings.Replace(large, "/a/0s", "/a/10s", 1), 1, 16 << 10},
+		"started ahead": {"GET /b/1s HTTP/1.1\r\nHost: h\r\n\r\n" + strings.Replace(large, "/a/0s", "/a/10s", 1), 2, 32 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, _ := newGuarded(t, func(c *Config) { c.Budget = budget.New(tt.budget) })
+				first := *p
+				go io.WriteString(first.c, tt.sent)
+				time.Sleep(2 * time.Second)
+				p.c = p.dial()
+				p.r = bufio.NewReader(p.c)
+				p.wantStatus(headOf(5000), 503)
+				for range tt.responses {
+					a, err := http.ReadResponse(first.r, nil)
+					if err != nil || a.StatusCode != 200 {
+						t.Fatalf("got %v, %v, want status 200", a, err)
+					}
+					_, _ = io.Copy(io.Discard, a.Body)
+				}
+			})
+		})
+	}
+}
+
+// Guards against limits that break HTTP/2 connections, which have no end of a head, and
+// against HTTP/2 requests that are exempt from them.
+func TestHeadLimitsHTTP2(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := newGuarded(t, func(*Config) {})
+		r := &http.Transport{Protocols: new(http.Protocols), DialContext: func(context.Context, string, string) (net.Conn, error) { return p.dial(), nil }}
+		r.Protocols.SetUnencryptedHTTP2(true)
+		defer r.CloseIdleConnections()
+		for _, tt := range []struct{ lines, bytes, want int }{
+			{10, 10, 200}, {wire.MaxHeaderLines + 1, 1, 431}, {1, testHeaderBytes + wire.HeadAllowance, 431}, {10, 10, 200},
+		} {
+			q, _ := http.NewRequest(http.MethodGet, "http://h/a/0s", nil)
+			for i := range tt.lines {
+				q.Header.Set(fmt.Sprint("X-", i), strings.Repeat("x", tt.bytes))
+			}
+			a, err := r.RoundTrip(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, a.Body)
+			a.Body.Close()
+			if a.StatusCode != tt.want {
+				t.Errorf("%d lines of %d bytes: got status %d, want %d", tt.lines, tt.bytes, a.StatusCode, tt.want)
+			}
+			time.Sleep(2 * testHeaderTimeout)
+		}
+	})
+}
--- a/internal/caller/pipelined.go
+++ b/internal/caller/pipelined.go
@@ -18,6 +18,8 @@
 	c       *conn
 	head    []byte
 	arrived time.Time
+	// cost is the memory for the request.
+	cost int64
 	// The fields below are guarded by c.mu.
 	response []byte // the part that waits for its turn
 	reserved int64  // the part of Handler.bufferedBytes that response holds
--- a/internal/wire/guard.go
+++ b/internal/wire/guard.go
@@ -93,6 +93,10 @@
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "")
 		return 0, errRefused
 	}
+	if len(p) == 1 {
+		// While a handler runs, net/http reads one byte at a time once the body has ended.
+		c.holder.Protect(c.requestRead())
+	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	c.bytes += n
@@ -110,6 +114,12 @@
 	return n, err
 }
 
+func (c *httpConn) requestRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headRead
+}
+
 func (c *httpConn) refuse(status int, header string) {
 	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // fails only on a closed connection
 	fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), header)
@@ -121,6 +131,7 @@
 	c.headRead = s == http.StateActive
 	if s == http.StateIdle {
 		c.bytes, c.lines = 0, 0
+		c.holder.Protect(false)
 		c.holder.Close()
 	}
 }
