Save a change of the read deadline for each request

Cause: the limits of time for heads cost a fourth change of a timer for each request.

Change: a deadline that is in effect already is not set again.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -108,6 +108,8 @@
 	// phaseEnd is when the head must have arrived or, before its first byte, begun. It
 	// replaces readDeadline until headRead is set.
 	phaseEnd time.Time
+	// appliedDeadline is the deadline of the connection below.
+	appliedDeadline time.Time
 	// refused is set once the connection has written a refusal itself.
 	refused atomic.Bool
 	// lastBytes is when the caller last sent something or, before that, when it
@@ -275,7 +277,7 @@
 func (c *conn) receive(b []byte) (int, error) {
 	if c.woken {
 		c.woken = false
-		_ = c.Conn.SetReadDeadline(c.effectiveDeadline()) // fails only on a closed connection
+		_ = c.applyDeadline(c.effectiveDeadline()) // fails only on a closed connection
 	}
 	c.receiving = true
 	c.mu.Unlock()
@@ -305,7 +307,7 @@
 func (c *conn) wake() {
 	if c.receiving && !c.woken {
 		c.woken = true
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		_ = c.applyDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 	c.cond.Broadcast()
 }
--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -128,10 +128,20 @@
 func (c *conn) setPhase(t time.Time) {
 	c.phaseEnd = t
 	if !c.woken && !c.broken {
-		_ = c.Conn.SetReadDeadline(c.effectiveDeadline()) // fails only on a closed connection
+		_ = c.applyDeadline(c.effectiveDeadline()) // fails only on a closed connection
 	}
 }
 
+// applyDeadline sets the deadline of the connection below unless it has it already, which
+// saves a change of a timer for each request.
+func (c *conn) applyDeadline(t time.Time) error {
+	if t.Equal(c.appliedDeadline) {
+		return nil
+	}
+	c.appliedDeadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
 // effectiveDeadline returns the deadline for reading from the caller.
 func (c *conn) effectiveDeadline() time.Time {
 	if c.headRead || c.framing.http2 || !c.readDeadline.IsZero() {
@@ -224,7 +234,7 @@
 	if c.woken {
 		return nil // the woken Read sets it
 	}
-	return c.Conn.SetReadDeadline(c.effectiveDeadline())
+	return c.applyDeadline(c.effectiveDeadline())
 }
 
 // SetDeadline implements net.Conn.
