Start the idle time after the last response

Cause: the idle time began with the response to the request that net/http serves on the connection, also while requests behind it that had been started ahead were under way. A connection with requests of more than the idle time (5 min, or that of the configuration) lost their responses.

Change: the idle time begins once all requests have been answered.

Result: TestIdleTimeBeginsAfterTheLastResponse failed before ("unexpected EOF" for the second response) and passes.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -371,7 +371,7 @@
 	if c.framing.opaque {
 		c.framing.resetHead()
 	}
-	c.startPhase(c.l.h.limits().idleTimeout)
+	c.startIdleTime()
 	c.advance()
 }
 
@@ -385,6 +385,7 @@
 	p.removed = true
 	c.l.h.pipelined.Add(-1)
 	c.count()
+	c.startIdleTime()
 	c.advance()
 }
 
--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -122,6 +122,18 @@
 	c.startPhase(c.l.h.limits().headerTimeout)
 }
 
+// startIdleTime starts the time in which the next head must begin, once all requests have
+// been answered.
+func (c *conn) startIdleTime() {
+	switch {
+	case c.busy:
+	case len(c.pipelined) > 0:
+		c.setPhase(time.Time{})
+	default:
+		c.startPhase(c.l.h.limits().idleTimeout)
+	}
+}
+
 // startPhase sets the time for the next part of a request.
 func (c *conn) startPhase(d time.Duration) { c.setPhase(time.Now().Add(d)) }
 
--- a/internal/caller/guard_test.go
+++ b/internal/caller/guard_test.go
@@ -334,3 +334,18 @@
 		p.wantStatus(getHead+"\r\n", 200)
 	})
 }
+
+// Guards against the idle time ending a connection on which requests that were started
+// ahead are still under way.
+func TestIdleTimeBeginsAfterTheLastResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := newGuarded(t, func(*Config) {})
+		p.send("GET /a/1s", "GET /b/20s", "GET /c/30s")
+		p.wantAnswer("/a/1s")
+		p.wantAnswer("/b/20s")
+		p.wantAnswer("/c/30s")
+		start := time.Now()
+		p.wantEnd()
+		wantTook(t, start, testIdleTimeout)
+	})
+}
