--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -6,7 +6,7 @@
 //
 //	h := caller.New(caller.Config{Table: tables.Load, Router: r, AtMostOnce: o, Log: l})
 //	s := caller.NewServer(h)
-//	err := s.Serve(caller.NewListener(listener, caller.MaxConnections, h))
+//	err := s.Serve(caller.NewListener(listener, 4096, h))
 //
 // Idempotent requests without a body that a caller sends on one HTTP/1.1 connection before
 // the first is answered run at the same time, up to 16 for each connection and MaxPipelined
@@ -30,6 +30,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/budget"
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
 	"github.com/gooseberrypick/gooseberrypick/internal/dialect"
 	"github.com/gooseberrypick/gooseberrypick/internal/priorwait"
@@ -101,6 +102,9 @@
 	// above zero.
 	MaxRequests  int64
 	MaxBodyBytes int64
+	// Budget bounds what the connections of callers hold together; nil means a budget of
+	// DefaultBudgetBytes.
+	Budget *budget.Budget
 }
 
 // Handler implements http.Handler for callers.
@@ -116,6 +120,12 @@
 	// stopCtx is canceled by CancelRequests.
 	stopCtx context.Context
 	stop    context.CancelCauseFunc
+
+	refusals *refusals
+	// limitsTable returns the table in force, whose limits are in limitsInForce once they
+	// have been used.
+	limitsTable   func() *table.Table
+	limitsInForce atomic.Pointer[tableLimits]
 }
 
 // New returns a Handler.
@@ -132,7 +142,8 @@
 	if c.Dialect == nil {
 		c.Dialect = dialect.Default()
 	}
-	h := &Handler{c: c, priorWait: priorwait.New[string]()}
+	c.Budget = newBudget(c.Budget)
+	h := &Handler{c: c, priorWait: priorwait.New[string](), refusals: newRefusals(), limitsTable: c.Table}
 	h.stopCtx, h.stop = context.WithCancelCause(context.Background())
 	return h
 }
@@ -204,6 +215,12 @@
 		x.fail(errkind.New(errkind.Canceled, "caller closed the connection before the request was read").WithExecution(errkind.NotRun))
 		return
 	}
+	release, err := x.admitHead()
+	defer release()
+	if err != nil {
+		x.fail(err)
+		return
+	}
 	x.pipeline()
 	if err := x.authenticate(t); err != nil {
 		x.fail(err)
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/budget"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 )
 
@@ -22,8 +23,10 @@
 	// unanswered one.
 	maxPipelined = 16
 	// maxHeldBytes bounds the bytes of a connection that are read ahead: a head of
-	// the greatest size with a request before it.
-	maxHeldBytes = maxHeaderBytes + 4096
+	// the greatest size with a request before it. Above freeHeldBytes, they need room in
+	// the budget.
+	maxHeldBytes  = maxHeaderBytes + 4096
+	freeHeldBytes = 4096
 	// readAheadBytes is the least room for one read ahead.
 	readAheadBytes = 2048
 	// lingerTime is how long a connection is drained before it is closed with unread
@@ -93,6 +96,31 @@
 	// interrupted by wake.
 	receiving, woken bool
 	first            [1]byte
+
+	// holder counts what the connection holds; counted is whether it holds anything, and
+	// protected whether it never gives way to others.
+	holder             *budget.Holder
+	counted, protected bool
+	// headRead is set from the end of a head until its response is complete.
+	headRead bool
+	// headBegun is set from the first byte of a head until its response is complete.
+	headBegun bool
+	// phaseEnd is when the head must have arrived or, before its first byte, begun. It
+	// replaces readDeadline until headRead is set.
+	phaseEnd time.Time
+	// appliedDeadline is the deadline of the connection below.
+	appliedDeadline time.Time
+	// refused is set once the connection has written a refusal itself.
+	refused atomic.Bool
+	// lastBytes is when the caller last sent something or, before that, when it
+	// connected. writingSince is when a write began that is in progress, in nanoseconds
+	// since 1970, or zero.
+	lastBytes    time.Time
+	writingSince atomic.Int64
+	// retired is set if the connection is to be closed before the next request.
+	retired bool
+	// served is whether a request of this connection has been answered.
+	served bool
 }
 
 // arrival is the time at which the bytes before end had arrived.
@@ -102,8 +130,12 @@
 }
 
 func newConn(c net.Conn, l *listener) *conn {
-	k := &conn{Conn: c, l: l}
+	k := &conn{Conn: c, l: l, lastBytes: time.Now()}
 	k.cond = sync.NewCond(&k.mu)
+	k.holder = l.h.c.Budget.Open(k.giveWay)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.startPhase(l.h.limits().firstByteTimeout)
 	return k
 }
 
@@ -115,6 +147,9 @@
 		if c.broken {
 			return 0, net.ErrClosed
 		}
+		if c.retired && c.framing.atBoundary() && !c.busy && len(c.pipelined) == 0 {
+			return 0, io.EOF
+		}
 		if c.mayDeliver() {
 			n, err := c.deliver(p)
 			if n > 0 || err != nil {
@@ -137,8 +172,17 @@
 
 // deliver reads bytes of the request that net/http reads from c.
 func (c *conn) deliver(p []byte) (int, error) {
+	if c.framing.opaque {
+		// All bytes that net/http has are of the head if it reads on before it has read one.
+		if err := c.checkHead(); err != nil {
+			return 0, err
+		}
+	}
 	if len(c.held) > 0 {
 		n := c.frame(c.held[:min(len(p), len(c.held))])
+		if err := c.checkFramedHead(); err != nil {
+			return 0, err
+		}
 		copy(p, c.held[:n])
 		c.arrived = c.take(n)
 		return n, nil
@@ -151,6 +195,9 @@
 		return 0, err
 	}
 	k := c.frame(p[:n])
+	if err := c.checkFramedHead(); err != nil {
+		return 0, err
+	}
 	c.arrived = time.Time{}
 	c.hold(p[k:n])
 	return k, nil
@@ -161,6 +208,9 @@
 	if c.framing.atBoundary() {
 		c.busy, c.ahead = true, false
 	}
+	if !c.headRead && !c.headBegun {
+		c.beginHead()
+	}
 	return c.framing.consume(b)
 }
 
@@ -199,7 +249,7 @@
 	if c.readErr != nil {
 		return c.readErr
 	}
-	if len(c.held) >= maxHeldBytes {
+	if len(c.held) >= maxHeldBytes || len(c.held) >= freeHeldBytes && !c.mayHold(readAheadBytes) {
 		c.awaitRoom()
 		return nil
 	}
@@ -232,7 +282,7 @@
 func (c *conn) receive(b []byte) (int, error) {
 	if c.woken {
 		c.woken = false
-		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails only on a closed connection
+		_ = c.applyDeadline(c.effectiveDeadline()) // fails only on a closed connection
 	}
 	c.receiving = true
 	c.mu.Unlock()
@@ -240,6 +290,7 @@
 	c.mu.Lock()
 	c.receiving = false
 	if n > 0 {
+		c.lastBytes = time.Now()
 		return n, nil // an error is returned again by the next Read
 	}
 	var t net.Error
@@ -247,6 +298,9 @@
 		if c.woken {
 			return 0, nil
 		}
+		if c.phaseOver() {
+			return 0, c.endPhase()
+		}
 		return 0, err
 	}
 	c.readErr = err
@@ -258,25 +312,27 @@
 func (c *conn) wake() {
 	if c.receiving && !c.woken {
 		c.woken = true
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		_ = c.applyDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 	c.cond.Broadcast()
 }
 
 // startPipelined starts held requests as long as they may run ahead.
 func (c *conn) startPipelined() {
-	for c.ahead && !c.sealed && !c.closing && c.readErr == nil && len(c.pipelined) < maxPipelined {
+	for c.ahead && !c.retired && !c.sealed && !c.closing && c.readErr == nil && len(c.pipelined) < maxPipelined {
 		if c.nextBytes == 0 || !c.next.atBoundary() {
 			c.nextBytes += c.next.consume(c.held[c.nextBytes:])
 		}
 		if c.nextBytes == 0 || c.next.inHead {
 			return // no complete head
 		}
-		if !c.next.atBoundary() || c.next.hasLength || !c.mayRunAhead(c.held[:c.nextBytes]) {
+		cost := pipelinedCost + wire.HeadCost(c.next.headBytes, c.next.headLines)
+		if !c.next.atBoundary() || c.next.hasLength || c.next.headLines > wire.MaxHeaderLines || !c.mayRunAhead(c.held[:c.nextBytes]) ||
+			!c.mayHold(cost-heldFactor*int64(c.nextBytes)) {
 			c.ahead = false
 			return
 		}
-		p := &pipelinedConn{c: c, head: slices.Clone(c.held[:c.nextBytes])}
+		p := &pipelinedConn{c: c, head: slices.Clone(c.held[:c.nextBytes]), cost: cost}
 		p.arrived = c.take(c.nextBytes)
 		c.pipelined = append(c.pipelined, p)
 		c.l.h.pipelined.Add(1)
@@ -310,7 +366,12 @@
 func (c *conn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy, c.headBegun, c.headRead, c.served = false, false, false, true
+	c.count()
+	if c.framing.opaque {
+		c.framing.resetHead()
+	}
+	c.startIdleTime()
 	c.advance()
 }
 
@@ -323,6 +384,8 @@
 	c.pipelined = slices.Delete(c.pipelined, i, i+1)
 	p.removed = true
 	c.l.h.pipelined.Add(-1)
+	c.count()
+	c.startIdleTime()
 	c.advance()
 }
 
@@ -378,29 +441,6 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// SetReadDeadline implements net.Conn.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readDeadline = t
-	if c.broken {
-		return net.ErrClosed
-	}
-	c.cond.Broadcast()
-	if c.woken {
-		return nil // the woken Read sets it
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// SetDeadline implements net.Conn.
-func (c *conn) SetDeadline(t time.Time) error {
-	if err := c.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return c.SetWriteDeadline(t)
-}
-
 // NetConn returns the connection that c wraps.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
@@ -431,8 +471,9 @@
 		return
 	}
 	c.broken = true
+	c.holder.Close()
 	c.wake()
-	if !c.stopped.Load() && c.consumed == 0 && len(c.held) == 0 || c.CloseWrite() != nil {
+	if !c.refused.Load() && !c.stopped.Load() && c.consumed == 0 && len(c.held) == 0 || c.CloseWrite() != nil {
 		c.Conn.Close()
 		return
 	}
