Finish begun bodies first, and end those that cannot arrive

Cause: The head of a response of unknown length was sent at once, and the entry node passed it on to the caller before any piece of the body had been granted. For the schedule the body had not begun; if it was past its target, it waited behind all that could meet theirs until its deadline, and the caller's connection was closed after the head. The same held for a body whose first 16 KiB were sent as small messages before it was known to be large, and for a response on its way to a caller that had taken the owner node's link already. What could not arrive by its deadline was held until then.

Change: The head of such a response waits for the link like a piece where the route's responses are large. A body of which a part was sent in any way counts as begun; it is passed only by more urgent ranks and by bodies of its rank with a target more than 250 ms earlier, and counts in full in the estimates for others. A body of known size that cannot be sent by its deadline any more is ended at once with DeadlineExceeded and an unknown outcome; the size of a response of unknown length is known once it is read ahead. An upload that is ended closes its stream without an end. The metric link_ended counts them.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -23,7 +25,7 @@
 	mu      sync.Mutex // guards everything below
 	s       *Scheduler
 	nextID  uint64
-	waiting map[uint64]chan struct{}
+	waiting map[uint64]chan error
 	// timer grants the next piece when the link has room again, at wake.
 	timer *time.Timer
 	wake  time.Time
@@ -35,6 +37,9 @@
 	SmallBytes, LargeBytes int64
 	// Refusals is the number of bodies that were refused.
 	Refusals int64
+	// Ended is the number of bodies that were ended since they could not be sent by their
+	// deadline any more.
+	Ended int64
 	// Bodies is the number of large bodies that are being sent or expected, and Waiting the
 	// number of their pieces that wait.
 	Bodies, Waiting int
@@ -50,6 +55,9 @@
 	RetryAfter time.Duration
 }
 
+// ErrTooLate states that a body can no longer be sent by its deadline.
+var ErrTooLate = errors.New("the link cannot send the body by its deadline any more")
+
 // Error implements error.
 func (e *BusyError) Error() string {
 	return fmt.Sprintf("the link is busy with large bodies, and it would be sent in %s", e.Delay.Round(time.Millisecond))
@@ -61,7 +69,7 @@
 	if mbps <= 0 {
 		return nil
 	}
-	l := &Link{s: NewScheduler(mbps), waiting: map[uint64]chan struct{}{}}
+	l := &Link{s: NewScheduler(mbps), waiting: map[uint64]chan error{}}
 	l.timer = time.AfterFunc(time.Hour, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -115,7 +123,9 @@
 		l.stats.Refusals++
 		return nil, &BusyError{Delay: e.Delay, RetryAfter: max(e.RetryAfter, minRetryAfter)}
 	}
-	return l.open(now, c, n), nil
+	l.nextID++
+	l.s.Expect(now, l.nextID, c, n)
+	return &Flow{link: l, id: l.nextID}, nil
 }
 
 func (l *Link) open(now time.Time, c Class, n int64) *Flow {
@@ -171,8 +181,14 @@
 	if len(l.waiting) == 0 {
 		return
 	}
+	for id, ok := l.s.Unfinishable(now); ok; id, ok = l.s.Unfinishable(now) {
+		l.stats.LargeBytes -= int64(l.s.Withdraw(id))
+		l.waiting[id] <- ErrTooLate
+		delete(l.waiting, id)
+		l.stats.Ended++
+	}
 	for id, ok := l.s.Next(now); ok; id, ok = l.s.Next(now) {
-		close(l.waiting[id])
+		l.waiting[id] <- nil
 		delete(l.waiting, id)
 	}
 }
@@ -193,7 +209,18 @@
 	f.link.s.SetLeft(f.id, n)
 }
 
-// Acquire returns once a piece of n bytes may be sent, or with the error of ctx.
+// Begin records that a part of the body has already been sent in another way.
+func (f *Flow) Begin() {
+	if f == nil {
+		return
+	}
+	f.link.mu.Lock()
+	defer f.link.mu.Unlock()
+	f.link.s.Begin(f.id)
+}
+
+// Acquire returns once a piece of n bytes may be sent, with ErrTooLate if the body cannot
+// be sent by its deadline any more, or with the error of ctx.
 func (f *Flow) Acquire(ctx context.Context, n int) error {
 	if f == nil {
 		return nil
@@ -203,8 +230,8 @@
 		return nil
 	}
 	select {
-	case <-c:
-		return nil
+	case err := <-c:
+		return err
 	case <-ctx.Done():
 		f.withdraw(c, n)
 		return ctx.Err()
@@ -213,31 +240,35 @@
 
 // ask returns nil if the piece may be sent at once, and otherwise a channel that is closed
 // when it may be sent.
-func (f *Flow) ask(n int) chan struct{} {
+func (f *Flow) ask(n int) chan error {
 	l, now := f.link, time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stats.LargeBytes += int64(n)
 	l.s.Ask(f.id, n)
-	if len(l.waiting) == 0 {
+	if _, tooLate := l.s.Unfinishable(now); len(l.waiting) == 0 && !tooLate {
 		if _, ok := l.s.Next(now); ok {
 			return nil
 		}
 	}
-	c := make(chan struct{})
+	c := make(chan error, 1)
 	l.waiting[f.id] = c
 	l.dispatch(now)
 	return c
 }
 
 // withdraw takes back a piece, which may have been granted in the meantime.
-func (f *Flow) withdraw(c chan struct{}, n int) {
+func (f *Flow) withdraw(c chan error, n int) {
 	l, now := f.link, time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stats.LargeBytes -= int64(n)
 	select {
-	case <-c:
+	case err := <-c:
+		if err != nil {
+			l.stats.LargeBytes += int64(n) // already subtracted
+			break
+		}
 		l.s.Return(now, n)
 	default:
 		delete(l.waiting, f.id)
--- a/internal/link/load_test.go
+++ b/internal/link/load_test.go
@@ -19,6 +19,12 @@
 	maxLarge           int64
 	target, deadline   time.Duration
 	lessUrgentEveryNth int
+	// work is how long the upstream takes, in which the size of the body is expected to be
+	// meanLarge.
+	work time.Duration
+	// sentBeforeEveryNth is how often the first part of a body has been sent as small
+	// messages before it was known to be large.
+	sentBeforeEveryNth int
 }
 
 // result is what the simulated callers got.
@@ -27,6 +33,9 @@
 	maxSmall time.Duration
 	offered, refused, onTime, late,
 	failed int
+	// begunFailed is the number of those among failed of which a part had been sent, and
+	// heldFailed that of those that were held until their deadline.
+	begunFailed, heldFailed int
 	// goodput and wasted are the bytes per second of the bodies that arrived by their
 	// deadline, of parts of the others, and of what was offered.
 	goodput, wasted, offeredBytes float64
@@ -54,6 +63,8 @@
 type transfer struct {
 	Class
 	left, bytes int64
+	answerAt    time.Time
+	id          uint64
 }
 
 // simulation plays a load on a Scheduler in virtual time.
@@ -65,6 +76,8 @@
 	now       time.Time
 	nextID    uint64
 	transfers map[uint64]*transfer
+	// answers are the bodies whose upstream still works, in the order in which it ends.
+	answers []*transfer
 	result
 }
 
@@ -88,6 +101,9 @@
 		if ok && wake.Before(m.now) {
 			m.now = wake
 		}
+		if len(m.answers) > 0 && m.answers[0].answerAt.Before(m.now) {
+			m.now = m.answers[0].answerAt
+		}
 		if !m.now.Before(small) {
 			m.sendSmall()
 			small = m.after(m.smallPerSecond)
@@ -96,7 +112,12 @@
 			m.openLarge()
 			large = m.after(m.largePerSecond)
 		}
+		for len(m.answers) > 0 && !m.answers[0].answerAt.After(m.now) {
+			m.answer(m.answers[0].id)
+			m.answers = m.answers[1:]
+		}
 		m.expire()
+		m.endUnfinishable()
 		for id, ok := m.scheduler.Next(m.now); ok; id, ok = m.scheduler.Next(m.now) {
 			m.sendPiece(id)
 		}
@@ -135,9 +156,32 @@
 		m.refused++
 		return
 	}
-	m.transfers[m.nextID] = &transfer{Class: c, left: n, bytes: n}
-	m.scheduler.Open(m.now, m.nextID, c, n)
-	m.ask(m.nextID)
+	m.transfers[m.nextID] = &transfer{Class: c, left: n, bytes: n, answerAt: m.now.Add(m.work), id: m.nextID}
+	m.scheduler.Expect(m.now, m.nextID, c, m.meanLarge)
+	m.answers = append(m.answers, m.transfers[m.nextID])
+}
+
+// answer starts to send the body of a request whose upstream has answered.
+func (m *simulation) answer(id uint64) {
+	t := m.transfers[id]
+	if t == nil {
+		return // its caller has given up
+	}
+	if m.sentBeforeEveryNth > 0 && id%uint64(m.sentBeforeEveryNth) == 0 && t.left > SmallBytes {
+		m.scheduler.Small(m.now, SmallBytes)
+		m.link.send(m.now, SmallBytes)
+		t.left -= SmallBytes
+		m.scheduler.Begin(id)
+	}
+	m.scheduler.SetLeft(id, t.left)
+	m.ask(id)
+}
+
+// endUnfinishable ends the bodies that cannot be finished by their deadline.
+func (m *simulation) endUnfinishable() {
+	for id, ok := m.scheduler.Unfinishable(m.now); ok; id, ok = m.scheduler.Unfinishable(m.now) {
+		m.end(id)
+	}
 }
 
 func (m *simulation) ask(id uint64) {
@@ -175,14 +219,24 @@
 func (m *simulation) expire() {
 	for id, t := range m.transfers {
 		if m.now.After(t.Deadline) {
-			delete(m.transfers, id)
-			m.scheduler.Close(id)
-			m.failed++
-			m.wasted += float64(t.bytes - t.left)
+			m.heldFailed++
+			m.end(id)
 		}
 	}
 }
 
+// end closes a body that has not been sent completely.
+func (m *simulation) end(id uint64) {
+	t := m.transfers[id]
+	delete(m.transfers, id)
+	m.scheduler.Close(id)
+	m.failed++
+	m.wasted += float64(t.bytes - t.left)
+	if t.left < t.bytes {
+		m.begunFailed++
+	}
+}
+
 // downloads offers downloads of 90 KB and small calls of 1 KB that together demand a share
 // of a link of 18 Mbit/s.
 func downloads(share float64) load {
@@ -315,3 +369,31 @@
 	atLeast(t, "less urgent bodies", got.lessUrgent, 60)
 	atLeast(t, "bodies by their target", float64(got.onTime)/float64(got.offered), 0.55)
 }
+
+// Guards against bodies of which a part has been sent and that are then starved until their
+// deadline by newcomers, and against late ones that are held although they cannot arrive.
+func TestBegunBodiesAreFinished(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		share  float64
+		onTime float64 // of the offered bodies
+	}{{"100%", 1, 0.86}, {"130%", 1.3, 0.66}, {"160%", 1.6, 0.5}} {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				l := downloads(tt.share)
+				l.target, l.deadline = 800*time.Millisecond, 5*time.Second
+				l.work, l.sentBeforeEveryNth = 100*time.Millisecond, 4
+				got := newSimulation(l, seed).run(time.Minute)
+				t.Logf("offered %d, refused %d, on time %d, late %d, failed %d (begun %d, held %d), goodput %.0f, small %s", got.offered, got.refused,
+					got.onTime, got.late, got.failed, got.begunFailed, got.heldFailed, got.goodput, got.maxSmall)
+				link := l.trueMbps * 1e6 / 8 * wireShare
+				small := l.smallPerSecond * float64(l.smallBytes+messageBytes)
+				atMost(t, "bodies that were begun and cut", got.begunFailed, 1)
+				atMost(t, "bodies that were held until their deadline", got.heldFailed, 1)
+				atLeast(t, "bodies by their target", float64(got.onTime)/float64(got.offered), tt.onTime)
+				atLeast(t, "bytes of complete bodies", got.goodput, 0.92*min(got.offeredBytes, link-small))
+				atMost(t, "wait of a small message", got.maxSmall, 26*time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/link/scheduler.go
+++ b/internal/link/scheduler.go
@@ -41,6 +41,12 @@
 	// stallTime is how long a body may ask for nothing before it no longer counts as
 	// ahead of others: its peer does not read, or its sender is slow.
 	stallTime = 250 * time.Millisecond
+	// headStart is how much earlier the target of a body must be for it to pass one that has
+	// begun. A body of 540 KB takes 240 ms at 18 Mbit/s.
+	headStart = 250 * time.Millisecond
+	// beginMargin is how much time before its deadline a body must leave when it begins, for
+	// small messages and timers that come late.
+	beginMargin = 50 * time.Millisecond
 )
 
 // Class is the urgency of a body.
@@ -58,9 +64,11 @@
 	id uint64
 	// left is the number of bytes, as far as known, that have not been granted.
 	left int64
+	// sized is set if left is known exactly, not expected from other bodies.
+	sized bool
 	// want is the size of the piece that waits, or zero.
 	want int
-	// begun is set once a piece has been granted.
+	// begun is set once a piece has been granted, or if a part was sent before.
 	begun bool
 	// granted is the time of the latest grant, or when the body was opened.
 	granted time.Time
@@ -106,13 +114,26 @@
 
 // Open adds a body of about n bytes. A negative n means that the size is unknown.
 func (s *Scheduler) Open(now time.Time, id uint64, c Class, n int64) {
+	s.flows[id] = &flow{Class: c, id: id, left: max(n, 0), sized: n >= 0, granted: now}
+}
+
+// Expect adds a body that is expected to have n bytes. SetLeft states its size once it is
+// known.
+func (s *Scheduler) Expect(now time.Time, id uint64, c Class, n int64) {
 	s.flows[id] = &flow{Class: c, id: id, left: max(n, 0), granted: now}
 }
 
+// Begin records that a part of a body has already been sent in another way.
+func (s *Scheduler) Begin(id uint64) {
+	if f := s.flows[id]; f != nil {
+		f.begun = true
+	}
+}
+
 // SetLeft sets how many bytes of a body are still to be sent.
 func (s *Scheduler) SetLeft(id uint64, n int64) {
 	if f := s.flows[id]; f != nil {
-		f.left = max(n, 0)
+		f.left, f.sized = max(n, 0), true
 	}
 }
 
@@ -128,11 +149,15 @@
 	}
 }
 
-// Withdraw takes back the piece of a body that waits.
-func (s *Scheduler) Withdraw(id uint64) {
-	if f := s.flows[id]; f != nil {
-		f.want = 0
+// Withdraw takes back the piece of a body that waits, and returns its size.
+func (s *Scheduler) Withdraw(id uint64) int {
+	f := s.flows[id]
+	if f == nil {
+		return 0
 	}
+	n := f.want
+	f.want = 0
+	return n
 }
 
 // Return takes back a granted piece of n bytes that is not sent.
@@ -241,23 +266,58 @@
 	if a != b {
 		return b
 	}
-	return cmp.Or(f.due(a).Compare(g.due(a)), cmp.Compare(f.id, g.id)) < 0
+	return cmp.Or(s.due(f, a).Compare(s.due(g, b)), cmp.Compare(f.id, g.id)) < 0
 }
 
-// isLate reports whether f cannot meet its target, even alone on the link.
+// isLate reports whether f has not begun and cannot meet its target, even alone on the
+// link. Such bodies come after all others of their order.
 func (s *Scheduler) isLate(f *flow, now time.Time) bool {
-	return !f.begun && !f.Target.IsZero() && now.Add(seconds(float64(f.left)/s.rate)).After(f.Target)
+	return !f.begun && !f.Target.IsZero() && now.Add(s.timeAlone(f)).After(f.Target)
 }
 
+// timeAlone returns how long the rest of f takes alone on the link.
+func (s *Scheduler) timeAlone(f *flow) time.Duration { return seconds(float64(f.left) / s.rate) }
+
 // due returns the time by which bodies of the same order are sorted.
-func (f *flow) due(late bool) time.Time {
+func (s *Scheduler) due(f *flow, late bool) time.Time {
+	t := f.Target
+	if !f.Deadline.IsZero() && (late || t.IsZero()) {
+		t = f.Deadline
+	}
 	switch {
-	case late && !f.Deadline.IsZero(), f.Target.IsZero() && !f.Deadline.IsZero():
-		return f.Deadline
-	case f.Target.IsZero():
+	case t.IsZero() && f.begun:
+		return time.Unix(math.MaxInt32-1, 0)
+	case t.IsZero():
 		return time.Unix(math.MaxInt32, 0)
+	case f.begun:
+		return t.Add(-headStart)
+	}
+	return t
+}
+
+// Unfinishable returns a body whose piece waits and that cannot be sent by its deadline any
+// more, even before all others: a part of it would be worth nothing. Bodies of unknown size
+// are not returned, nor is one alone on the link, since the setting may be wrong.
+func (s *Scheduler) Unfinishable(now time.Time) (uint64, bool) {
+	if len(s.flows) == 1 {
+		return 0, false
+	}
+	for id, f := range s.flows {
+		if f.want > 0 && s.unfinishable(f, now) {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+func (s *Scheduler) unfinishable(f *flow, now time.Time) bool {
+	if !f.sized || f.Deadline.IsZero() {
+		return false
+	}
+	if f.begun {
+		return now.Add(s.timeAlone(f)).After(f.Deadline)
 	}
-	return f.Target
+	return now.Add(beginMargin + seconds((s.backlog+float64(f.left))/s.largeRate(now))).After(f.Deadline)
 }
 
 // advance drains the modeled queue until now.
--- a/internal/link/scheduler_test.go
+++ b/internal/link/scheduler_test.go
@@ -236,3 +236,84 @@
 	atLeast(t, "bytes in a second", float64(sent), 0.99*s.rate)
 	atMost(t, "queue", s.Backlog(now), queueTime+time.Millisecond)
 }
+
+// Guards against a body of which a part has been sent and that is passed by others of its
+// rank, by many late ones or by each that is slightly more urgent.
+func TestBegunBodyIsNotPassed(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		target, other time.Duration
+		otherOrder    int
+		want          string
+	}{
+		{"past its target", -time.Second, 10 * time.Millisecond, 2, "1 1 2 2"},
+		{"slightly more urgent", time.Second, 800 * time.Millisecond, 2, "1 1 2 2"},
+		{"far more urgent", time.Second, 500 * time.Millisecond, 2, "2 2 1 1"},
+		{"more urgent rank", -time.Second, time.Second, 1, "2 2 1 1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, now := NewScheduler(18), at(10*time.Second)
+			n := int64(2 * s.PieceBytes())
+			s.Open(now, 1, Class{Order: 2, Target: now.Add(tt.target), Deadline: now.Add(3 * time.Second)}, n)
+			s.Begin(1)
+			s.Open(now, 2, Class{Order: tt.otherOrder, Target: now.Add(tt.other), Deadline: now.Add(2 * time.Second)}, n)
+			if got := order(s, now, map[uint64]int{1: 2, 2: 2}); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a request that is admitted although the bodies that have begun take the
+// link until its deadline.
+func TestAdmitCountsBegunBodies(t *testing.T) {
+	s, now := NewScheduler(18), at(10*time.Second)
+	for id := range uint64(4) {
+		s.Open(now, id, Class{Order: 1, Target: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}, 540_000)
+		s.Begin(id)
+	}
+	c := Class{Order: 1, Target: now.Add(800 * time.Millisecond), Deadline: now.Add(time.Second)}
+	if e, ok := s.Admit(now, c, 90_000); ok {
+		t.Errorf("got the body admitted with a delay of %s, want it refused: the others take 1.04 s", e.Delay)
+	}
+}
+
+// Guards against bodies that are sent in part or held although they cannot arrive by their
+// deadline, and against the end of one that can, or that is alone on a link whose rate may
+// be set wrong.
+func TestUnfinishable(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		left        int64
+		begun       bool
+		estimated   bool
+		alone, want bool
+	}{
+		{"fits", 90_000, false, false, false, false},
+		{"does not fit", 250_000, false, false, false, true},
+		{"begun and fits closely", 200_000, true, false, false, false},
+		{"begun and does not fit", 250_000, true, false, false, true},
+		{"not begun and fits closely", 200_000, false, false, false, true},
+		{"of estimated size", 250_000, false, true, false, false},
+		{"alone", 250_000, false, false, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, c := NewScheduler(18), Class{Order: 1, Target: at(0), Deadline: at(100 * time.Millisecond)}
+			if tt.estimated {
+				s.Expect(start, 1, c, tt.left)
+			} else {
+				s.Open(start, 1, c, tt.left)
+			}
+			if tt.begun {
+				s.Begin(1)
+			}
+			s.Ask(1, s.PieceBytes())
+			if !tt.alone {
+				s.Open(start, 2, Class{Order: 1}, 1000)
+			}
+			if _, got := s.Unfinishable(start); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/node/link_test.go
+++ b/internal/node/link_test.go
@@ -4,13 +4,16 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 // newThinMesh returns a fleet on links of 8.1 Mbit/s whose upstream at the node "owner"
@@ -104,7 +107,7 @@
 		m := newThinMesh(t, 100<<10)
 		m.do("HTTP/1.1", "entry", "GET", "/big", nil)
 		time.Sleep(2 * expireInterval)
-		for _, name := range []string{`link_bytes{kind="small"}`, `link_bytes{kind="large"}`, "link_refusals", "link_bodies", "link_pieces_waiting", "link_backlog_micros", "link_read_ahead_bytes"} {
+		for _, name := range []string{`link_bytes{kind="small"}`, `link_bytes{kind="large"}`, "link_refusals", "link_ended", "link_bodies", "link_pieces_waiting", "link_backlog_micros", "link_read_ahead_bytes"} {
 			if m.nodes["owner"].metrics.registry.Get(name) == nil {
 				t.Errorf("metric %s: got none", name)
 			}
@@ -114,3 +117,68 @@
 		}
 	})
 }
+
+// Guards against downloads that are cut off by the stop of their entry node beside an
+// overloaded link of the owner node: the stop cancels what is still in flight at its end.
+// Each is complete, or gets an error in place of the whole response.
+func TestDownloadsThroughDrainingNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.linkMbps, m.stopLimit = 18, 1600*time.Millisecond // less than the deadline of the route
+		for _, n := range []string{"owner", "entry", "draining"} {
+			m.start(n)
+		}
+		time.Sleep(time.Second)
+		random := rand.New(rand.NewPCG(1, 1))
+		var mu sync.Mutex
+		m.serve("owner", "up", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			mu.Lock()
+			n := min(int(90_000*(0.2+0.8*random.ExpFloat64())), 540_000)
+			mu.Unlock()
+			w.Write(make([]byte, n)) // of unknown length
+		}))
+		var g sync.WaitGroup
+		download := func(node string, results *[]result) {
+			g.Go(func() {
+				r := m.do("HTTP/1.1", node, "GET", "/big", nil, "Gooseberrypick-Deadline", "5s")
+				mu.Lock()
+				defer mu.Unlock()
+				*results = append(*results, r)
+			})
+		}
+		var beside, through []result
+		for i := range 260 { // 130% of the link for 7.8 s
+			time.Sleep(30 * time.Millisecond)
+			download("entry", &beside)
+			if i == 100 {
+				g.Go(func() { m.stops["draining"]() })
+			}
+			if i > 100 && i <= 111 {
+				download("draining", &through)
+			}
+		}
+		g.Wait()
+		complete, notRun, other := 0, 0, 0
+		for _, r := range append(through, beside...) {
+			switch {
+			case r.err != nil:
+				t.Errorf("got status %d, %d bytes and %v, want a complete response or an error response", r.status, len(r.body), r.err)
+			case r.complete():
+				complete++
+			case r.problem.Execution == errkind.NotRun:
+				notRun++
+			default:
+				other++
+			}
+		}
+		t.Logf("%d complete, %d refused as not run, %d other errors", complete, notRun, other)
+		for _, r := range through {
+			if !r.complete() && r.problem.Execution != errkind.NotRun {
+				t.Errorf("through the draining node: got %v %v, want it complete or not run", r.problem, r.err)
+			}
+		}
+		if complete < 100 {
+			t.Errorf("got %d complete responses, want at least 100", complete)
+		}
+	})
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -161,6 +161,7 @@
 		"link_bytes{kind=\"small\"}": s.SmallBytes,
 		"link_bytes{kind=\"large\"}": s.LargeBytes,
 		"link_refusals":              s.Refusals,
+		"link_ended":                 s.Ended,
 		"link_bodies":                int64(s.Bodies),
 		"link_pieces_waiting":        int64(s.Waiting),
 		"link_backlog_micros":        s.Backlog.Microseconds(),
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -39,7 +39,7 @@
 	reusable bool
 	// bodyDone is closed once no more of the body will be sent.
 	bodyDone chan struct{}
-	// bodyErr is the error of a request body that could not be read to its end.
+	// bodyErr is the error of a request body that could not be read or sent to its end.
 	bodyErr atomic.Pointer[error]
 
 	status        int
@@ -116,8 +116,16 @@
 				x.stream.Close() // the upstream must not treat a cut-off body as complete
 				return
 			}
-			if n > 0 && f.Acquire(x.stream.Context(), n) != nil {
-				return // the request has ended
+			if n > 0 {
+				err := f.Acquire(x.stream.Context(), n)
+				if errors.Is(err, link.ErrTooLate) {
+					err = errkind.Wrap(err, errkind.DeadlineExceeded, "request body waited for the link")
+					x.bodyErr.Store(&err)
+					x.stream.Close()
+				}
+				if err != nil {
+					return // the request has ended
+				}
 			}
 			if x.stream.MsgSend(&wire.ForwardRequest{Chunk: b[:n], End: end}, wire.Encoding{}) != nil || end {
 				return
@@ -259,6 +267,9 @@
 // cause returns the error of the request body if that caused err, and err otherwise.
 func (x *exchange) cause(err error) error {
 	if p := x.bodyErr.Load(); p != nil {
+		if errors.Is(*p, link.ErrTooLate) {
+			return *p
+		}
 		return errors.Wrap(*p, "read request body")
 	}
 	return err
@@ -269,6 +280,9 @@
 	switch {
 	case x.bodyErr.Load() != nil:
 		k = errkind.Canceled
+		if errors.Is(*x.bodyErr.Load(), link.ErrTooLate) {
+			k = errkind.DeadlineExceeded
+		}
 	case x.mayHaveRun:
 		k = errkind.UpstreamFailed
 	}
--- a/internal/peer/outlet.go
+++ b/internal/peer/outlet.go
@@ -118,6 +118,10 @@
 	// length is the stated length of the response, or -1.
 	length int64
 	sent   int64
+	// relayed is set if another node has sent the response over its link already.
+	relayed bool
+	// ahead is the response as far as it has been read ahead, or nil.
+	ahead *readAhead
 }
 
 // admit returns a delivery for the response to r, or refuses r if a large response is
@@ -147,6 +151,7 @@
 	}
 	switch {
 	case d.length < 0:
+		return
 	case d.length <= link.SmallBytes:
 		d.flow.Close()
 		d.flow = nil
@@ -155,6 +160,20 @@
 	default:
 		d.flow.SetLeft(d.length)
 	}
+	if d.relayed {
+		d.flow.Begin()
+	}
+}
+
+// paceHead returns once the head of a response of unknown length may be sent, if a large
+// one is expected. The head of such a response reaches the caller before the body, and
+// the caller gets nothing if the body then does not arrive by the deadline. That of another
+// is sent at once.
+func (d *delivery) paceHead(ctx context.Context) error {
+	if d == nil || d.flow == nil || d.length >= 0 {
+		return nil
+	}
+	return d.acquire(ctx, 1)
 }
 
 // pace returns once n bytes of the response may be sent. Of a response of unknown length,
@@ -170,11 +189,27 @@
 	}
 	if d.flow == nil {
 		d.flow = d.outlet.c.Link.Open(d.class, -1)
+		d.flow.Begin()
 	}
-	if err := d.flow.Acquire(ctx, n); err != nil {
-		return errkind.Wrap(err, call.ContextErrorKind(ctx, errkind.Canceled), "response waited for the link").WithExecution(errkind.Unknown)
+	return d.acquire(ctx, n)
+}
+
+// acquire returns once the next n bytes of a large response may be sent.
+func (d *delivery) acquire(ctx context.Context, n int) error {
+	if d.length < 0 && d.ahead != nil {
+		if rest, ok := d.ahead.rest(); ok {
+			d.flow.SetLeft(rest + int64(n))
+		}
+	}
+	err := d.flow.Acquire(ctx, n)
+	if err == nil {
+		return nil
 	}
-	return nil
+	k := call.ContextErrorKind(ctx, errkind.Canceled)
+	if errors.Is(err, link.ErrTooLate) {
+		k = errkind.DeadlineExceeded
+	}
+	return errkind.Wrap(err, k, "response waited for the link").WithExecution(errkind.Unknown)
 }
 
 // complete records that the whole response has been sent.
@@ -236,10 +271,15 @@
 	}
 	n := *a
 	if isLarge(a) {
-		n.Body = newReadAhead(a.Body, t.outlet.budget, cancel)
+		d.ahead = newReadAhead(a.Body, t.outlet.budget, cancel)
+		n.Body = d.ahead
 	}
 	n.Body = &pacedBody{ReadCloser: n.Body, ctx: ctx, delivery: d, status: a.Head.Status, piece: t.outlet.c.Link.PieceBytes(0), close: func() { cancel(); d.close() }}
 	d.start(a)
+	if err := d.paceHead(ctx); err != nil {
+		n.Body.Close()
+		return nil, err
+	}
 	n.Load = func() *wire.Load { return t.outlet.load(a.Load()) }
 	return &n, nil
 }
@@ -249,7 +289,7 @@
 	if o.c.Link == nil {
 		return a
 	}
-	d := &delivery{outlet: o, request: r, class: c}
+	d := &delivery{outlet: o, request: r, class: c, relayed: true}
 	d.start(a)
 	n := *a
 	n.Body = &pacedBody{ReadCloser: a.Body, ctx: ctx, delivery: d, piece: o.c.Link.PieceBytes(0), close: d.close}
--- a/internal/peer/readahead.go
+++ b/internal/peer/readahead.go
@@ -134,6 +134,17 @@
 	return n, nil
 }
 
+// rest returns the number of bytes that Read has not returned, if all have been read ahead.
+func (r *readAhead) rest() (int64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := int64(0)
+	for _, b := range r.blocks {
+		n += int64(len(b))
+	}
+	return n, r.err != nil
+}
+
 // drop removes the first block. The caller holds the lock.
 func (r *readAhead) drop() {
 	if r.blocks[0] = nil; r.unpaid > 0 {
--- a/internal/peer/responder.go
+++ b/internal/peer/responder.go
@@ -48,10 +48,14 @@
 		d.start(a)
 		piece, whole = x.outlet.c.Link.PieceBytes(piece), link.SmallBytes
 		if isLarge(a) {
-			body = newReadAhead(body, x.outlet.budget, x.cancel)
+			d.ahead = newReadAhead(body, x.outlet.budget, x.cancel)
+			body = d.ahead
 		}
 	}
 	defer body.Close()
+	if err := x.delivery.paceHead(x.ctx); err != nil {
+		return x.refuse(err)
+	}
 	m := &wire.ForwardResponse{Head: &a.Head}
 	read := body.Read
 	if n := a.Head.ContentLength; n < 0 || n > whole {
--- a/internal/peer/shared_link_test.go
+++ b/internal/peer/shared_link_test.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberrypick/gooseberrypick/internal/link"
 	"github.com/gooseberrypick/gooseberrypick/internal/standin"
 	"github.com/gooseberrypick/gooseberrypick/internal/wire"
+	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
 const (
@@ -205,3 +206,64 @@
 		}
 	})
 }
+
+// Guards against a response that another node has sent already and that then waits behind
+// bodies that have not begun, since it is past its target.
+func TestRelayedResponseIsNotStarved(t *testing.T) {
+	for _, length := range []int64{-1, 200_000} {
+		synctest.Test(t, func(t *testing.T) {
+			o, now := NewOutlet(OutletConfig{Link: link.New(sharedMbps)}), time.Now()
+			var g sync.WaitGroup
+			for range 20 {
+				f := o.c.Link.Open(link.Class{Order: 1, Target: now.Add(5 * time.Second), Deadline: now.Add(8 * time.Second)}, 100_000)
+				g.Go(func() {
+					defer f.Close()
+					for left := 100_000; left > 0; left -= min(left, o.c.Link.PieceBytes(0)) {
+						f.Acquire(t.Context(), min(left, o.c.Link.PieceBytes(0)))
+					}
+				})
+			}
+			synctest.Wait() // all have a piece that waits
+			c := link.Class{Order: 1, Target: now.Add(-time.Second), Deadline: now.Add(3 * time.Second)}
+			a := o.paceToCaller(t.Context(), c, &call.Request{}, newResponse("r", length, newUpstreamBody(t.Context(), 200_000)))
+			n, err := io.Copy(io.Discard, a.Body)
+			a.Body.Close()
+			if took := time.Since(now); n != 200_000 || err != nil || took > 200*time.Millisecond {
+				t.Errorf("length %d: got %d bytes and %v after %s, want 200,000 within 200 ms", length, n, err, took)
+			}
+			g.Wait()
+		})
+	}
+}
+
+// Guards against an upload that stops in the middle without an end, for the owner node
+// and for the entry node, when it can no longer be sent by its deadline.
+func TestUploadThatIsTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := startServerWith(t, standin.NewNetwork(), func(_ context.Context, r *call.Request) (*call.Response, error) {
+			if err := r.OnAdmitted(); err != nil {
+				return nil, err
+			}
+			_, err := io.Copy(io.Discard, r.Stream)
+			return nil, err
+		}, sharedMbps)
+		other := c.c.Outlet.c.Link.Open(link.Class{Order: 0}, 5_000_000)
+		defer other.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		go func() {
+			for other.Acquire(ctx, c.c.Outlet.c.Link.PieceBytes(0)) == nil && ctx.Err() == nil {
+			}
+		}()
+		start := time.Now()
+		_, err := c.Call(ctx, "owner:3", &call.Request{Stream: io.NopCloser(zeros(3_000_000)), RequestHead: wire.RequestHead{
+			RequestID: "r", Method: "PUT", Rank: "rr", Remaining: 2 * time.Second, ContentLength: 3_000_000,
+		}})
+		if got := errkind.From(err); got.Kind != errkind.DeadlineExceeded || got.Execution != errkind.Unknown || !errors.Is(err, link.ErrTooLate) {
+			t.Errorf("got %v (%s, %s), want it too late, with an unknown outcome", err, got.Kind, got.Execution)
+		}
+		if took := time.Since(start); took > 1500*time.Millisecond {
+			t.Errorf("got the error after %s, want it before the deadline", took)
+		}
+	})
+}
