Leave time for the response in the deadline of a draining node

Cause: A request that arrived while its entry node drained got a deadline equal to the time at which the stop cancels what is in flight. The owner node admitted responses that ended just then, and the stop cut them off.

Change: The deadline is half a second or a tenth of the time that is left, whichever is smaller, before the cancellation. The owner node refuses what it cannot deliver until then.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -58,6 +58,11 @@
 	MaxPipelined = 1024
 	// pipelinedPoll is the interval at which WaitPipelined looks.
 	pipelinedPoll = 10 * time.Millisecond
+	// A request that arrives while the node drains must be answered 1/stopMarginShare of
+	// the time before CancelRequests, but at most maxStopMargin before it: the node that
+	// runs it then refuses what it cannot deliver, and the response can still be written.
+	stopMarginShare = 10
+	maxStopMargin   = 500 * time.Millisecond
 	// discardTime is how long the body of a refused request may take to arrive, so
 	// that the connection can be reused.
 	discardTime = time.Second
@@ -139,7 +144,8 @@
 
 // StartDraining asks callers with each response to use another connection, so that few
 // connections are open when the server shuts down: a request that arrives while an idle
-// connection is being closed is lost. The deadline of new requests is at most end.
+// connection is being closed is lost. The deadline of new requests is a margin before end,
+// when CancelRequests is called.
 func (h *Handler) StartDraining(end time.Time) { h.drainEnd.Store(&end) }
 
 // errStopping is the cause with which CancelRequests cancels requests.
@@ -282,7 +288,8 @@
 // serve handles a valid request within d of its start.
 func (x *exchange) serve(d time.Duration) {
 	if end := x.drainEnd.Load(); end != nil {
-		d = min(d, end.Sub(x.start))
+		left := end.Sub(x.start)
+		d = min(d, left-min(left/stopMarginShare, maxStopMargin))
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.start.Add(d))
 	defer cancel()
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -41,8 +41,9 @@
 	return r.Route(ctx, m, q)
 }
 
-// serve runs a handler on l until the test ends.
-func serve(t *testing.T, l net.Listener, limit int, c Config) {
+// newTable returns the table with the routes of the tests.
+func newTable(t *testing.T) *table.Table {
+	t.Helper()
 	k := customer.NewConfig("pichler").
 		WithService(customer.Service{Name: "levels", Slots: 1, Connections: 1}).
 		WithRank(customer.Rank{Name: "urgent", Order: 1, Target: time.Second})
@@ -53,6 +54,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return b
+}
+
+// serve runs a handler on l until the test ends.
+func serve(t *testing.T, l net.Listener, limit int, c Config) {
+	b := newTable(t)
 	c.Table, c.Log = func() *table.Table { return b }, logr.Discard()
 	h := New(c)
 	s := NewServer(h)
