Close gaps in the lease holders and in the order of shares

A late report of a stopped process removed the node's running process from the lease holders, so the next grantor would not wait for its shares. A control that was suspended between the decision and the proposal of a removal could append it when it led again in a later term, in which the node had shares. A node whose account was removed and added again between two calls used the reply to the earlier call, and held half of the rate while the ledger counted nothing. A node that stopped was offered shares again, which stayed reserved until the end of its lease.

Change: A Leaving report counts only if the ledger used it. Changes of the lease holders are appended only in the term in which they were decided (Group.ProposeIn). An account that is added to a Holder ignores the replies to all earlier calls and is in the next renewal. The ledger releases the holdings of a node that leaves, and calls for tokens of such a node say so.

--- a/internal/control/lease_holders.go
+++ b/internal/control/lease_holders.go
@@ -113,7 +113,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, holdersTimeout)
 		defer cancel()
-		err = g.source.proposeAsLeader(ctx, b)
+		err = g.source.proposeAsLeader(ctx, term, b)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -24,8 +24,8 @@
 	ReadBarrier(ctx context.Context) error
 	// leadership returns the term of the group, and whether this control leads it.
 	leadership() (term uint64, leads bool)
-	// proposeAsLeader appends a command to the log of this control only if it leads.
-	proposeAsLeader(ctx context.Context, command []byte) error
+	// proposeAsLeader appends a command to the log of this control only if it leads in term.
+	proposeAsLeader(ctx context.Context, term uint64, command []byte) error
 }
 
 // leadership implements quotaSource.
@@ -35,9 +35,10 @@
 }
 
 // proposeAsLeader implements quotaSource. Unlike propose, it never forwards the command: a
-// change of the lease holders that reached a later leader could contradict its grants.
-func (c *configStore) proposeAsLeader(ctx context.Context, command []byte) error {
-	v, err := c.group.Propose(ctx, command)
+// change of the lease holders that reached a later leader could contradict its grants. The
+// same holds for a later term of this control.
+func (c *configStore) proposeAsLeader(ctx context.Context, term uint64, command []byte) error {
+	v, err := c.group.ProposeIn(ctx, term, command)
 	if err != nil {
 		return err
 	}
@@ -105,13 +106,15 @@
 	now := g.clock()
 	g.refresh(now, term)
 	r := q.Report()
-	if r.Leaving {
-		g.holders.left(r.Node)
-	} else {
+	r.Known = g.holders.mayHold(r.Node)
+	a := decide(g.ledger, now, r)
+	switch {
+	case !r.Leaving:
 		g.holders.reported(now, r.Node)
+	case !a.Stale && !a.Resync: // a late report of an earlier process says nothing about this one
+		g.holders.left(r.Node)
 	}
-	r.Known = g.holders.mayHold(r.Node)
-	return wire.NewShareResponse(decide(g.ledger, now, r)), nil
+	return wire.NewShareResponse(a), nil
 }
 
 // refresh brings the ledger up to date with the term, the newest version and the time. The caller holds mu.
--- a/internal/control/quota_test.go
+++ b/internal/control/quota_test.go
@@ -27,6 +27,8 @@
 	barriers int
 	// during is called while a barrier runs; it may be nil.
 	during func()
+	// beforeAppend is called before a command is appended to the log; it may be nil.
+	beforeAppend func()
 }
 
 func (s *quotaTestSource) leadership() (uint64, bool) {
@@ -51,8 +53,11 @@
 	return nil
 }
 
-func (s *quotaTestSource) proposeAsLeader(_ context.Context, command []byte) error {
-	if _, leads := s.leadership(); !leads {
+func (s *quotaTestSource) proposeAsLeader(_ context.Context, term uint64, command []byte) error {
+	if s.beforeAppend != nil {
+		s.beforeAppend()
+	}
+	if t, leads := s.leadership(); !leads || t != term {
 		return errkind.New(errkind.NotLeader, "not the leader")
 	}
 	_, err := s.Apply(1, command).(versions.Result).Outcome()
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -75,7 +75,9 @@
 	for k, v := range limits {
 		a := h.accounts[k]
 		if a == nil {
-			a = &held{counted: now, bucket: Bucket{at: now}}
+			// The account may have been removed a moment ago. Replies to earlier calls about
+			// it must not be used after a later one, so none of them is.
+			a = &held{counted: now, bucket: Bucket{at: now}, seq: h.seq, changed: true}
 			h.accounts[k] = a
 		}
 		a.rate, a.burst = v.Rate, v.Burst
@@ -278,7 +280,7 @@
 func (h *Holder) Want(now time.Duration, account string, n int) Report {
 	h.Expire(now)
 	h.seq++
-	r := Report{Node: h.node, Incarnation: h.incarnation, Seq: h.seq, Epoch: h.epoch}
+	r := Report{Node: h.node, Incarnation: h.incarnation, Seq: h.seq, Epoch: h.epoch, Leaving: h.left}
 	if a := h.accounts[account]; a != nil {
 		h.Demand(now, account)
 		i := a.report(account)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -218,6 +218,10 @@
 			l.finish(now)
 		}
 	}
+	if r.Leaving {
+		l.release(now, r.Node)
+		return g
+	}
 	for k, a := range l.accounts {
 		h := a.holdings[r.Node]
 		if h == nil || h.seq > r.Seq {
@@ -280,7 +284,7 @@
 func (l *Ledger) offer(now time.Duration, r Report, a *account, h *holding) (GrantItem, bool) {
 	l.plan(now, a)
 	t := h.target
-	if !r.Known {
+	if !r.Known || r.Leaving {
 		t = Share{}
 	}
 	if a.limit.Rate <= 0 {
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -78,7 +78,9 @@
 type proposal struct {
 	state atomic.Int32
 	term  uint64
-	done  chan result
+	// onlyIn is the term in which the command may be appended; 0 means any.
+	onlyIn uint64
+	done   chan result
 }
 
 func newProposal() *proposal { return &proposal{done: make(chan result, 1)} }
@@ -220,6 +222,10 @@
 		p.finish(nil, errkind.New(errkind.QueueFull, "the log holds %d bytes and waits for a snapshot", e.node.LogBytes()))
 		return
 	}
+	if t := e.node.Status(now).Term; p.onlyIn != 0 && p.onlyIn != t {
+		p.finish(nil, errkind.New(errkind.NotLeader, "the command was decided in term %d, and term %d has begun", p.onlyIn, t))
+		return
+	}
 	index, term, err := e.node.Propose(now, command)
 	if err != nil {
 		p.finish(nil, e.withLeaderName(err))
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -237,10 +237,17 @@
 // errors are of kind OutcomeUnknown, unless the entry is known to have been
 // overwritten.
 func (g *Group) Propose(ctx context.Context, command []byte) (any, error) {
+	return g.ProposeIn(ctx, 0, command)
+}
+
+// ProposeIn is like Propose, but appends the command only in the given term, if it is not
+// 0. It is for commands that depend on what a leader has learned in its term.
+func (g *Group) ProposeIn(ctx context.Context, term uint64, command []byte) (any, error) {
 	if len(command) > maxCommandBytes {
 		return nil, errkind.New(errkind.TooLarge, "command of %d bytes exceeds %d", len(command), maxCommandBytes)
 	}
 	p := newProposal()
+	p.onlyIn = term
 	if err := g.call(ctx, func(e *engine, now time.Duration) { e.propose(now, p, command) }); err != nil {
 		return nil, err
 	}
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -168,3 +168,26 @@
 		c.propose("z")
 	})
 }
+
+// Guards against a command that a leader decided in an earlier term and appends in a later
+// one, after it was suspended.
+func TestProposeInAnotherTerm(t *testing.T) {
+	run(t, 1, func(t *testing.T, c *cluster) {
+		c.start("a")
+		c.stop("a") // the restart begins another term
+		c.start("a")
+		c.propose("x")
+		g := c.leader()
+		term := g.Status().Term
+		if _, err := g.ProposeIn(t.Context(), term, []byte("y")); err != nil {
+			t.Errorf("in the present term: %v", err)
+		}
+		if term < 2 {
+			t.Fatalf("got term %d, want an earlier one", term)
+		}
+		_, err := g.ProposeIn(t.Context(), term-1, []byte("z"))
+		equal(t, "in an earlier term", errkind.Of(err), errkind.NotLeader)
+		_, err = g.ProposeIn(t.Context(), term+1, []byte("z"))
+		equal(t, "in a later term", errkind.Of(err), errkind.NotLeader)
+	})
+}
