Do not exclude a busy node and do not decide on few upstreams

Cause: A node with 40% of the failures was left out of the evidence also where it had most of the requests. If callers used mostly one of four or more nodes, the failures of a bad version were not counted. A new leader that knew only one new upstream gave it all requests, and one that knew only an old one after the step rolled back, in both cases before the other nodes had reported; all controls may have been restarted.

Change: The node is left out only if its part of the failures is also twice its part of the requests. Both decisions wait for 1.5 s of reports if the rollout began under another leader.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -115,7 +115,8 @@
 	usualEnd = 1800 * time.Millisecond
 	// minCanaryRequests is the number of requests that a step needs.
 	minCanaryRequests = 20
-	// reportRound is the time in which all reachable nodes report to a new leader.
+	// reportRound is the time in which all reachable nodes report to a new leader. Before,
+	// one that has just restarted may not know all upstreams either.
 	reportRound = 1500 * time.Millisecond
 	// Capacity of the new upstreams, as a part of the old ones', that a step needs in
 	// time, and at the last moment.
@@ -136,6 +137,9 @@
 		return i.finish(v)
 	}
 	if i.OldUpstreams == 0 && i.NewUpstreams > 0 && i.Evidence.oldRequests() == 0 {
+		if i.Counting < reportRound && i.Counting < i.Elapsed { // the rollout began under another leader
+			return Decision{Action: Wait, Reason: "nodes report to a new leader"}
+		}
 		return Decision{Action: SetShare, Share: fullShare, Reason: "no old upstream serves"}
 	}
 	if i.Elapsed >= i.Within {
@@ -157,10 +161,10 @@
 func (i Input) finish(v verdict) Decision {
 	last := i.Elapsed >= i.Within-lastCall
 	switch {
-	case i.NewUpstreams == 0 && i.OldUpstreams > 0:
-		return Decision{Action: RollBack, Reason: "no new upstream serves any more"}
 	case i.Counting < reportRound:
 		return Decision{Action: Wait, Reason: "nodes report to a new leader"}
+	case i.NewUpstreams == 0 && i.OldUpstreams > 0:
+		return Decision{Action: RollBack, Reason: "no new upstream serves any more"}
 	case i.Pending > 0:
 		return Decision{Action: Wait, Reason: "nodes finish requests at old upstreams", Detail: fmt.Sprintf("%d nodes", i.Pending)}
 	case i.Missing > 0 && !last:
--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -16,10 +16,13 @@
 	// version that turns bad late is not hidden by its good past.
 	recentTime = 2 * time.Second
 	// A node whose part of the new version's failures is above loneNodeShare is left out
-	// if at least minNodes report: it is more likely to be cut off from the upstreams.
-	loneNodeShare = 0.4
-	minNodes      = 4
-	minNodeFails  = 4
+	// if at least minNodes report: it is more likely to be cut off from the upstreams. Its
+	// part must also be loneNodeExcess times its part of the new version's requests.
+	// Otherwise a bad version is not noticed where the callers use mostly one node.
+	loneNodeShare  = 0.4
+	loneNodeExcess = 2
+	minNodes       = 4
+	minNodeFails   = 4
 	// longestQuantile is the quantile of the old version's times that counts as the time
 	// that requests in flight take.
 	longestQuantile = 0.998
@@ -128,15 +131,15 @@
 	}
 }
 
-// failures returns the failures of the new version.
-func (c counts) failures() float64 {
-	f := 0.0
+// next returns the requests and failures of the new version.
+func (c counts) next() (requests, failures float64) {
 	for k, n := range c {
 		if k.isNew {
-			f += n.Failures
+			requests += n.Requests
+			failures += n.Failures
 		}
 	}
-	return f
+	return requests, failures
 }
 
 // Evidence returns the sums over all nodes, without a node that has most of the failures.
@@ -162,15 +165,17 @@
 	if len(t.nodes) < minNodes {
 		return ""
 	}
-	worst, most, sum := "", 0.0, 0.0
+	worst, most, requests := "", 0.0, 0.0
+	allRequests, allFailures := 0.0, 0.0
 	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
-		f := t.nodes[name].sum.failures()
-		sum += f
+		n, f := t.nodes[name].sum.next()
+		allRequests += n
+		allFailures += f
 		if f > most {
-			worst, most = name, f
+			worst, most, requests = name, f, n
 		}
 	}
-	if most < minNodeFails || most < loneNodeShare*sum {
+	if most < minNodeFails || most < loneNodeShare*allFailures || most*allRequests < loneNodeExcess*requests*allFailures {
 		return ""
 	}
 	return worst
--- a/internal/rollout/tally_test.go
+++ b/internal/rollout/tally_test.go
@@ -104,3 +104,19 @@
 		t.Errorf("got %.3f for no failures, want 1", got)
 	}
 }
+
+// Guards against a bad version that completes because the callers use mostly one node: its
+// failures are not those of a node that is cut off from the upstreams.
+func TestTallyBusyNode(t *testing.T) {
+	a, now := NewTally(playTarget, false), time.Unix(1000, 0)
+	for i, n := range []string{"a", "b", "c", "d", "e"} {
+		k := uint64(1)
+		if i == 0 {
+			k = 90
+		}
+		q, r := report(1, 1, k, k)
+		q.Node = n
+		a.Add(now, q, r)
+	}
+	assertCount(t, "with the busy node", total(a.Evidence(now).New["r"]), 94, 94)
+}
