Hold back unnamed versions also if they are the majority

Cause: The version of most upstreams counted as the main one, new upstreams included. More new upstreams than old ones, or old ones lost while the new ones started, made the new version the main one before an order named it: 62 to 81 of 100 requests went there.

Change: The main version is that of most serving upstreams that were seen at least the holding time ago; only without such upstreams do all count.

Result: TestUnnamedVersionInMajority failed before and passes, as do the other tests of the router.

--- a/internal/router/version.go
+++ b/internal/router/version.go
@@ -121,13 +121,21 @@
 	return v.withoutHeld(now, ordinary), v.canaries(now, next)
 }
 
-// withoutHeld removes the upstreams of other versions than that of most of l which were
-// first seen less than the holding time ago.
+// withoutHeld removes the upstreams of other versions than the main one which were first
+// seen less than the holding time ago. The main version is that of most serving upstreams
+// that were seen earlier, and of most of l if there are none. New upstreams do not count,
+// since they may outnumber the others before the order that names them arrives.
 func (v *upstreamVersions) withoutHeld(now time.Time, l []registry.Candidate) []registry.Candidate {
 	if !mixed(l) {
 		return l
 	}
-	main := mainVersion(l)
+	earlier := slices.DeleteFunc(slices.Clone(l), func(c registry.Candidate) bool {
+		return c.Upstream.State != wire.Serving || now.Before(v.firstSeen[candidateName(c)].at.Add(holdingTime))
+	})
+	if len(earlier) == 0 {
+		earlier = l
+	}
+	main := mainVersion(earlier)
 	return slices.DeleteFunc(slices.Clone(l), func(c registry.Candidate) bool {
 		end := v.firstSeen[candidateName(c)].at.Add(holdingTime)
 		held := c.Upstream.Version != main && now.Before(end)
--- a/internal/router/version_test.go
+++ b/internal/router/version_test.go
@@ -279,3 +279,30 @@
 		}
 	}
 }
+
+// Guards against requests that reach a version which no order has named because its
+// upstreams outnumber the others: some of these may have failed, or fewer were started.
+func TestUnnamedVersionInMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionedService()
+		f.set("v1", 3)
+		f.send(t, 10)
+		time.Sleep(time.Minute)
+		f.set("v1", 3, "v2", 4)
+		assertCounts(t, "more upstreams of another version", f.send(t, 100), "v1", 100)
+		f.set("v1", 1, "v2", 4)
+		assertCounts(t, "after some were lost", f.send(t, 100), "v1", 100)
+		time.Sleep(holdingTime)
+		if got := f.send(t, 100); got["v2"] == 0 {
+			t.Errorf("got %v, want requests at v2 after the holding time", got)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionedService()
+		f.set("v1", 3)
+		f.send(t, 10)
+		time.Sleep(time.Minute)
+		f.set("v2", 3)
+		assertCounts(t, "all were replaced", f.send(t, 100), "v2", 100)
+	})
+}
