Wait for the requests of nodes that stop before a rollout completes

Cause: A node that stops removes its record from the registry first and then finishes its requests. The controller looked only at nodes with a record, so a rollout completed, and the old upstreams stopped, while such a node still had requests there.

--- a/internal/control/rollout_controller.go
+++ b/internal/control/rollout_controller.go
@@ -268,11 +268,13 @@
 		i.Appeared = now.Sub(r.appeared)
 	}
 	for _, n := range k.registry.Records() {
-		s, ok := r.nodes[n.Node]
-		switch {
-		case !ok || now.Sub(s.at) > reportAge:
+		if s, ok := r.nodes[n.Node]; !ok || now.Sub(s.at) > reportAge {
 			i.Missing++
-		case s.step < o.Step || s.oldInFlight > 0:
+		}
+	}
+	// A node that stops has left the registry, and reports until its requests have ended.
+	for _, s := range r.nodes {
+		if now.Sub(s.at) <= reportAge && (s.step < o.Step || s.oldInFlight > 0) {
 			i.Pending++
 		}
 	}
--- a/internal/control/rollout_controller_test.go
+++ b/internal/control/rollout_controller_test.go
@@ -188,6 +188,17 @@
 		p.runUntil(11 * time.Second)
 		p.assert("after its lease", customer.RolloutComplete, true)
 	})
+	t.Run("with a request of a node that stops", func(t *testing.T) {
+		p := newRolloutPlay(t)
+		p.busy["n1"] = true
+		p.runUntil(10 * time.Second)
+		p.registry.Put(p.now, []wire.NodeRecord{{Node: "n1", Incarnation: 1, Sequence: 1, Gone: true}})
+		p.runUntil(11 * time.Second)
+		p.assert("busy", customer.RolloutRunning, true)
+		p.silent["n1"] = true // it has stopped
+		p.runUntil(13 * time.Second)
+		p.assert("stopped", customer.RolloutComplete, true)
+	})
 }
 
 // Guards against a service that refuses requests because an order names the version that
