Check accounts, keys and limits in the soak test

Change: the configuration lists three accounts: one without a limit, one whose keys each version replaces in part, and one that sends far above its limit to all nodes. Findings are a withdrawn or unknown key that reaches an upstream, a key or a wrong account name at an upstream, a refused valid key, and a window of 5 s above the limit with its tolerance. Rollouts are left out, since only the platform's interface orders them.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -8,10 +8,14 @@
 // upstreams and operators can observe. Only processes that the soak started are
 // signaled, by process ID.
 //
+// The configuration has accounts: one without a limit, one whose keys each version
+// replaces in part, and one that sends far more than its limit to all nodes. Rollouts
+// are not covered, since operators order them through the platform's interface only.
+//
 // # Usage
 //
 // go test runs one seed. More can be run by hand, for example fifty starting with
 // seed 100, four at a time:
 //
-//	go test ./internal/soak -run TestSoak -seeds 50 -from 100 -parallel 4 -timeout 60m
+//	go test ./internal/soak -run TestSoak -seeds 50 -from 100 -faults 8s -parallel 4 -timeout 60m
 package soak
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -30,6 +30,19 @@
 	portBlock           = 64
 )
 
+// Accounts of the configuration, and the limit of one of them.
+const (
+	steadyAccount   = "steady"   // has one key and no limit
+	rotatingAccount = "rotating" // has other keys in each version
+	limitedAccount  = "limited"
+
+	limitRate     = 40 // requests per second
+	limitBurst    = 20
+	limitWindow   = 5 * time.Second
+	limitShare    = 0.1
+	limitRequests = 20
+)
+
 // Fleet is a small system of controls and nodes, each in a process of its own, with
 // one upstream per node in this process.
 type Fleet struct {
@@ -81,8 +94,9 @@
 		}
 		controlAddresses = append(controlAddresses, fmt.Sprintf("%q", addr))
 		text := fmt.Sprintf(`{"Name": "control-%d", "AvailabilityZone": "a", "Listen": %q, "PeerListen": %q, "AdminListen": %q, "Members": [%s],
-			"DataFolder": "control-%d", "ElectionTimeout": "500ms", "StopLimit": "5s"}`,
-			i+1, address(3*i), address(3*i+1), address(3*i+2), strings.Join(members, ", "), i+1)
+			"DataFolder": "control-%d", "ElectionTimeout": "500ms", "StopLimit": "5s",
+			"LimitTolerance": {"Window": "%s", "Share": %v, "Requests": %d}}`,
+			i+1, address(3*i), address(3*i+1), address(3*i+2), strings.Join(members, ", "), i+1, limitWindow, limitShare, limitRequests)
 		f.operators = append(f.operators, address(3*i))
 		p, err := f.process("control", fmt.Sprint("control-", i+1), binary, text)
 		if err != nil {
