Make the limit check of the soak test sensitive

Cause: in a trial whose controls granted 400 requests above the limit, the check saw at most 179 requests in 5 s where it allows 262: excess was sent without a pause, so the token buckets never filled, and faults kept the rate below the limit.

Change: the limit is 20 per second with a burst of 10 (141 in 5 s with the tolerance), 16 instead of 8 callers send excess, and they pause for 2 s before each 5 s.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -36,8 +36,8 @@
 	rotatingAccount = "rotating" // has other keys in each version
 	limitedAccount  = "limited"
 
-	limitRate     = 40 // requests per second
-	limitBurst    = 20
+	limitRate     = 20 // requests per second
+	limitBurst    = 10
 	limitWindow   = 5 * time.Second
 	limitShare    = 0.1
 	limitRequests = 20
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,7 +45,8 @@
 	largeBytes      = 100 << 10
 	// withdrawalTimeout bounds the time until a withdrawn key is refused.
 	withdrawalTimeout = 2 * time.Second
-	excessCallers     = 2 * nodes
+	excessCallers     = 4 * nodes
+	excessPause       = 2 * time.Second
 )
 
 // Keys of the accounts. Each version of the configuration has the newest two keys of
@@ -363,11 +364,16 @@
 	}
 }
 
-// sendExcess sends far more requests to a node than the limit of the account allows.
+// sendExcess sends far more requests to a node than the limit of the account allows,
+// with pauses in which the token buckets fill.
 func (s *soak) sendExcess(i int) {
 	c := newCaller()
 	defer c.CloseIdleConnections()
+	start := time.Now()
 	for n := 0; s.pause(20 * time.Millisecond); n++ {
+		if time.Since(start)%(excessPause+limitWindow) < excessPause {
+			continue
+		}
 		s.send(c, request{id: fmt.Sprint("excess-", i, "-", n), method: http.MethodGet, path: "/read", node: i % nodes, key: limitedKey, account: limitedAccount})
 	}
 }
