State the order of begun bodies in the package comment

Cause: The package comment of link still gave the order before bodies that have begun came first, and an example that called Open where it meant Admit.

No behavior changes.

--- a/internal/link/doc.go
+++ b/internal/link/doc.go
@@ -12,14 +12,15 @@
 //
 //	l := link.New(18)
 //	l.Small(len(message))                  // sent at once, but counted
-//	f, err := l.Open(time.Now(), class, expectedBytes)
+//	f, err := l.Admit(class, expectedBytes)
 //	if err != nil {
 //		return err // a *link.BusyError: it cannot arrive before its deadline
 //	}
 //	defer f.Close()
+//	f.SetLeft(bytes)                       // once the size is known
 //	for each piece of at most l.PieceBytes() {
 //		if err := f.Acquire(ctx, len(piece)); err != nil {
-//			return err
+//			return err // ErrTooLate: it can no longer arrive before its deadline
 //		}
 //		send(piece)
 //	}
@@ -34,8 +35,9 @@
 //
 // A piece is granted to the most urgent rank first. Within a rank, bodies that can still
 // meet their target come first, by their target, and then the others, by their deadline.
-// A body that has begun keeps its place among the former, since a part of a body is worth
-// nothing. One byte in behindShare goes to less urgent ranks, so that none starves.
+// A part of a body is worth nothing. A body that has begun therefore keeps its place among
+// the former and is passed only by one whose target is headStart earlier, and a body that
+// can no longer be sent by its deadline is ended. One byte in behindShare goes to less urgent ranks, so that none starves.
 //
 // A grant is accounted by bytes and time, not held until the bytes are sent. A peer that
 // does not read therefore holds nothing that others need: it delays only its own body.
--- a/internal/link/estimate.go
+++ b/internal/link/estimate.go
@@ -105,7 +105,7 @@
 		}
 		switch l := s.isLate(f, now); {
 		case f.Order > g.Order:
-		case f.Order < g.Order, late && !l, late == l && !s.due(f, l).After(s.due(g, l)):
+		case f.Order < g.Order, late && !l, late == l && !f.due(l).After(g.due(l)):
 			n += float64(f.left)
 		}
 	}
--- a/internal/link/scheduler.go
+++ b/internal/link/scheduler.go
@@ -266,7 +266,7 @@
 	if a != b {
 		return b
 	}
-	return cmp.Or(s.due(f, a).Compare(s.due(g, b)), cmp.Compare(f.id, g.id)) < 0
+	return cmp.Or(f.due(a).Compare(g.due(b)), cmp.Compare(f.id, g.id)) < 0
 }
 
 // isLate reports whether f has not begun and cannot meet its target, even alone on the
@@ -279,7 +279,7 @@
 func (s *Scheduler) timeAlone(f *flow) time.Duration { return seconds(float64(f.left) / s.rate) }
 
 // due returns the time by which bodies of the same order are sorted.
-func (s *Scheduler) due(f *flow, late bool) time.Time {
+func (f *flow) due(late bool) time.Time {
 	t := f.Target
 	if !f.Deadline.IsZero() && (late || t.IsZero()) {
 		t = f.Deadline
