Use the size of a response as soon as it has been read ahead

Cause: The size of a response of unknown length was looked up only when a piece asked for the link. Mostly the read-ahead ended just after the head had asked, so the schedule and the estimates kept the mean size while the response waited, and admitted more than the link could carry.

Change: The read-ahead tells the link the size when it ends.

--- a/internal/peer/outlet.go
+++ b/internal/peer/outlet.go
@@ -269,13 +269,13 @@
 		d.close()
 		return nil, err
 	}
+	d.start(a)
 	n := *a
 	if isLarge(a) {
-		d.ahead = newReadAhead(a.Body, t.outlet.budget, cancel)
+		d.ahead = newReadAhead(a.Body, t.outlet.budget, cancel, d.flow)
 		n.Body = d.ahead
 	}
 	n.Body = &pacedBody{ReadCloser: n.Body, ctx: ctx, delivery: d, status: a.Head.Status, piece: t.outlet.c.Link.PieceBytes(0), close: func() { cancel(); d.close() }}
-	d.start(a)
 	if err := d.paceHead(ctx); err != nil {
 		n.Body.Close()
 		return nil, err
--- a/internal/peer/readahead.go
+++ b/internal/peer/readahead.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/gooseberrypick/gooseberrypick/internal/call"
+	"github.com/gooseberrypick/gooseberrypick/internal/link"
 )
 
 const (
@@ -43,6 +44,8 @@
 	body   io.ReadCloser
 	budget *aheadBudget
 	cancel func()
+	// flow is told the size of what Read has not returned once all has been read ahead.
+	flow *link.Flow
 
 	mu     sync.Mutex
 	change *sync.Cond
@@ -53,9 +56,10 @@
 }
 
 // newReadAhead starts to read body. cancel ends the request whose response it is; it is
-// called before body is closed, so that the upstream is not blamed for the end.
-func newReadAhead(body io.ReadCloser, b *aheadBudget, cancel func()) *readAhead {
-	r := &readAhead{body: body, budget: b, cancel: cancel}
+// called before body is closed, so that the upstream is not blamed for the end. f is the
+// place of the response on the link, or nil.
+func newReadAhead(body io.ReadCloser, b *aheadBudget, cancel func(), f *link.Flow) *readAhead {
+	r := &readAhead{body: body, budget: b, cancel: cancel, flow: f}
 	r.change = sync.NewCond(&r.mu)
 	b.responses.Add(1)
 	go func() {
@@ -86,6 +90,7 @@
 	}
 	if err != nil {
 		r.err = err
+		r.flow.SetLeft(r.unread())
 		r.change.Broadcast()
 	}
 	return err == nil && !r.closed
@@ -138,11 +143,16 @@
 func (r *readAhead) rest() (int64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.unread(), r.err != nil
+}
+
+// unread returns the number of bytes in memory. The caller holds the lock.
+func (r *readAhead) unread() int64 {
 	n := int64(0)
 	for _, b := range r.blocks {
 		n += int64(len(b))
 	}
-	return n, r.err != nil
+	return n
 }
 
 // drop removes the first block. The caller holds the lock.
