Roll back a version that answers no request

Cause: Refusals for lack of capacity (503, 429) and requests that did not run are not counted. A version that refuses everything left no evidence, and at the last moment for the step it got all requests.

Change: At the last moment a version is rolled back if at least 20 requests were to be expected by its share, none was counted, and its upstreams and the counting are at least 4 s old.

Result: TestNoAnswerOfNewVersion failed before and passes.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -184,6 +184,8 @@
 		return Decision{Action: Wait, Reason: "too few new upstreams serve", Detail: fmt.Sprintf("%d of %d slots", i.NewSlots, i.OldSlots)}
 	case v.doubtful && last:
 		return Decision{Action: RollBack, Reason: "doubtful at the last moment for the step", Detail: v.detail}
+	case last && i.unanswered():
+		return Decision{Action: RollBack, Reason: "the new version answers no request"}
 	case v.suspicious && !last:
 		return Decision{Action: Wait, Reason: "suspicious", Detail: v.detail}
 	case !last && i.Evidence.newRequests() < minCanaryRequests:
@@ -198,6 +200,14 @@
 	return Decision{Action: SetShare, Share: fullShare, Reason: "no difference between the versions", Detail: v.detail}
 }
 
+// unanswered reports whether nothing was counted at the new version although its share has
+// been in force for seconds. Refusals for lack of capacity are not counted, so a version
+// that refuses everything leaves no other trace.
+func (i Input) unanswered() bool {
+	expected := i.Evidence.oldRequests() * float64(i.Share) / fullShare
+	return i.Evidence.newRequests() == 0 && expected >= minCanaryRequests && min(i.Appeared, i.Counting) >= warmUp
+}
+
 // stepAt returns when the step to all requests should begin, with the ramp.
 func (i Input) stepAt() time.Duration {
 	return max(i.Within/3, i.Within-i.drain()-settleTime-rampTime)
--- a/internal/rollout/takeover_test.go
+++ b/internal/rollout/takeover_test.go
@@ -20,3 +20,20 @@
 		})
 	}
 }
+
+// Guards against a step to a version that has answered no request: refusals for lack of
+// capacity are not counted, so a version that refuses everything leaves no evidence.
+func TestNoAnswerOfNewVersion(t *testing.T) {
+	i := Input{
+		Within: 12 * time.Second, Elapsed: 11 * time.Second, Counting: 11 * time.Second, Appeared: 9 * time.Second, Share: 250, Canaries: 3,
+		OldUpstreams: 9, NewUpstreams: 9, OldSlots: 81, NewSlots: 81,
+		Evidence: Evidence{Old: Counts{"r": same(9, spread(300, 8, 0, 0))}, New: Counts{}, Recent: Counts{}},
+	}
+	if got := Decide(i); got.Action != RollBack {
+		t.Errorf("got %+v, want to roll back", got)
+	}
+	i.Appeared = time.Second
+	if got := Decide(i); got.Action != SetShare {
+		t.Errorf("new upstreams that appeared a moment ago: got %+v, want the step", got)
+	}
+}
