Keep the stated size of a response while it is read ahead

Cause: The end of the read-ahead set what was left of a response to the bytes in memory. A piece that had been taken from there and waited for the link was missing, up to a fifth of a response of 90 KB. The estimates were too short, and responses were admitted that could not be sent by their deadline.

Change: The read-ahead sets the size only of responses of unknown length, and a piece that waits is counted in addition.

--- a/internal/link/scheduler.go
+++ b/internal/link/scheduler.go
@@ -130,10 +130,10 @@
 	}
 }
 
-// SetLeft sets how many bytes of a body are still to be sent.
+// SetLeft sets how many bytes of a body are still to be sent, besides a piece that waits.
 func (s *Scheduler) SetLeft(id uint64, n int64) {
 	if f := s.flows[id]; f != nil {
-		f.left, f.sized = max(n, 0), true
+		f.left, f.sized = max(n, 0)+int64(f.want), true
 	}
 }
 
--- a/internal/peer/outlet.go
+++ b/internal/peer/outlet.go
@@ -165,6 +165,15 @@
 	}
 }
 
+// unsizedFlow returns the place on the link of a response of unknown length, and otherwise
+// nil: a stated length is already known there.
+func (d *delivery) unsizedFlow() *link.Flow {
+	if d.length >= 0 {
+		return nil
+	}
+	return d.flow
+}
+
 // paceHead returns once the head of a response of unknown length may be sent, if a large
 // one is expected. The head of such a response reaches the caller before the body, and
 // the caller gets nothing if the body then does not arrive by the deadline. That of another
@@ -272,7 +281,7 @@
 	d.start(a)
 	n := *a
 	if isLarge(a) {
-		d.ahead = newReadAhead(a.Body, t.outlet.budget, cancel, d.flow)
+		d.ahead = newReadAhead(a.Body, t.outlet.budget, cancel, d.unsizedFlow())
 		n.Body = d.ahead
 	}
 	n.Body = &pacedBody{ReadCloser: n.Body, ctx: ctx, delivery: d, status: a.Head.Status, piece: t.outlet.c.Link.PieceBytes(0), close: func() { cancel(); d.close() }}
--- a/internal/peer/responder.go
+++ b/internal/peer/responder.go
@@ -48,7 +48,7 @@
 		d.start(a)
 		piece, whole = x.outlet.c.Link.PieceBytes(piece), link.SmallBytes
 		if isLarge(a) {
-			d.ahead = newReadAhead(body, x.outlet.budget, x.cancel, d.flow)
+			d.ahead = newReadAhead(body, x.outlet.budget, x.cancel, d.unsizedFlow())
 			body = d.ahead
 		}
 	}
