--- a/internal/abuse/doc.go
+++ b/internal/abuse/doc.go
@@ -1,4 +1,4 @@
-// Package abuse tests what callers that nobody controls can do to the processes of a
+// Package abuse tests what untrusted callers can do to the processes of a
 // system. It starts the system's own programs on loopback addresses with lowered limits,
 // sends them what no ordinary peer sends, and then checks that each process lives, that
 // its memory and open descriptors stayed under a bound, and that it still answers one
--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/flood_test.go
@@ -14,20 +14,20 @@
 )
 
 const (
-	// crowdSize is the number of connections of a crowd: the fewest with which the heads
-	// of short lines exceed the bound on a node without limits for them.
-	crowdSize = 400
-	// pressure is how long a crowd sends. A connection that is no longer read ends
+	// connectionCount is the number of connections of each case: the fewest with which the
+	// heads of short lines exceed the bound on a node without limits for them.
+	connectionCount = 400
+	// pressure is how long each of them sends. A connection that is no longer read ends
 	// earlier.
 	pressure = time.Second
 	// sentBytes bounds what one connection sends, where it sends without end.
 	sentBytes = 1 << 20
 )
 
-// crowd opens n connections to address, sends the bytes of first and then those of next
+// flood opens n connections to address, sends the bytes of first and then those of next
 // until sentBytes, pressure or a fault ends it, and leaves the connections open until the
 // test ends. It never reads.
-func crowd(t *testing.T, n int, address, first, next string) {
+func flood(t *testing.T, n int, address, first, next string) {
 	t.Helper()
 	end := time.Now().Add(pressure)
 	var g sync.WaitGroup
@@ -110,7 +110,7 @@
 	for _, tt := range callers {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSystem(t)
-			crowd(t, crowdSize, s.callers, tt.first, tt.next)
+			flood(t, connectionCount, s.callers, tt.first, tt.next)
 			s.wantHealthy(t, s.node)
 		})
 	}
@@ -145,7 +145,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t)
 			for _, b := range tt.sent {
-				crowd(t, crowdSize, tt.address(s), b, "")
+				flood(t, connectionCount, tt.address(s), b, "")
 			}
 			s.wantHealthy(t, s.node)
 		})
@@ -165,7 +165,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t)
 			for _, b := range tt.sent {
-				crowd(t, crowdSize, tt.address(s), b, "")
+				flood(t, connectionCount, tt.address(s), b, "")
 			}
 			s.wantHealthy(t, s.control)
 		})
--- a/internal/abuse/system_test.go
+++ b/internal/abuse/system_test.go
@@ -24,9 +24,9 @@
 
 const (
 	// memoryMb is MemoryMb in the settings of both processes and the bound of their peak.
-	// A node VM has 184 MB for 4,096 connections of callers; the crowds here are about an
+	// A node VM has 184 MB for 4,096 connections of callers; the numbers here are about an
 	// eighth of that. A process takes about 25 MB before any load, so 64 MB leave 39 MB
-	// for the crowd, where an eighth of the 124 MB that ordinary load leaves on a node VM
+	// for them, where an eighth of the 124 MB that ordinary load leaves on a node VM
 	// is 16 MB, and the rest allows for garbage that has not been collected yet.
 	memoryMb = 64
 	// descriptors is the limit of open descriptors of both processes, an eighth of the
@@ -34,7 +34,7 @@
 	descriptors = 512
 	// descriptorMargin must stay free, so that a process can still open connections.
 	descriptorMargin = 32
-	// callerConnections is an eighth of the default, above the size of a crowd.
+	// callerConnections is an eighth of the default, above connectionCount.
 	callerConnections = 4096 / 8
 	// waitTimeout only keeps a broken test from hanging.
 	waitTimeout  = 20 * time.Second
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -1,6 +1,6 @@
 // Package budget bounds the memory that the connections of a process hold together.
 //
-// It is meant for connections of peers that nobody controls: up to some thousands, of
+// It is meant for connections of untrusted peers: up to some thousands, of
 // which ordinary ones hold a few kilobytes each and others as much as they can. A holder
 // states what its connection holds. When the budget runs short, unprotected holders are
 // closed: first those that hold most, in steps of a factor of two, and among these the
@@ -48,19 +48,19 @@
 	number    uint64
 	bytes     int64
 	protected bool
-	giveWay   func()
+	shed      func()
 }
 
-// Open returns a holder of nothing. giveWay is called at most once, in a goroutine of its
-// own, if the holder has to give way to others.
-func (b *Budget) Open(giveWay func()) *Holder {
+// Open returns a holder of nothing. shed is called at most once, in a goroutine of its
+// own, if memory has to be freed for others.
+func (b *Budget) Open(shed func()) *Holder {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.opened++
-	return &Holder{b: b, number: b.opened, giveWay: giveWay}
+	return &Holder{b: b, number: b.opened, shed: shed}
 }
 
-// Set states that h holds n bytes. If the budget does not allow that, others give way; if
+// Set states that h holds n bytes. If the budget does not allow that, others are closed; if
 // h is the first that has to, it holds nothing more than before and Set returns false.
 func (h *Holder) Set(n int64) bool {
 	b := h.b
@@ -74,13 +74,13 @@
 		}
 		b.counts.Closed++
 		b.set(v, 0)
-		go v.giveWay()
+		go v.shed()
 	}
 	b.set(h, n)
 	return true
 }
 
-// TrySet is like Set for what h can do without: nobody gives way, and half of the budget
+// TrySet is like Set for what h can do without: no other holder is closed, and half of the budget
 // is left for Set.
 func (h *Holder) TrySet(n int64) bool {
 	b := h.b
@@ -93,7 +93,7 @@
 	return true
 }
 
-// Protect sets whether h never gives way to others.
+// Protect sets whether h is never closed for others.
 func (h *Holder) Protect(protected bool) {
 	h.b.mu.Lock()
 	defer h.b.mu.Unlock()
@@ -113,7 +113,7 @@
 	}
 }
 
-// victim returns the holder that has to give way first if h holds n bytes, or nil.
+// victim returns the holder that is closed first if h holds n bytes, or nil.
 func (b *Budget) victim(h *Holder, n int64) *Holder {
 	var v *Holder
 	most := 0
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -7,13 +7,13 @@
 
 // Guards against the wrong connection being closed: one whose request has been passed on,
 // an older one, or one that holds little.
-func TestWhoGivesWay(t *testing.T) {
+func TestClosedHolder(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
 		held      []int64
 		protected int // index, or -1
 		asks      int64
-		want      int // index of the holder that gives way, -1 for the one that asks
+		want      int // index of the holder that is closed, -1 for the one that asks
 	}{
 		{"the one that holds most", []int64{40, 10, 40}, -1, 15, 2},
 		{"the newest of about the same size", []int64{40, 33, 20}, -1, 15, 1},
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -98,7 +98,7 @@
 	first            [1]byte
 
 	// holder counts what the connection holds; counted is whether it holds anything, and
-	// protected whether it never gives way to others.
+	// protected whether it is never closed for others.
 	holder             *budget.Holder
 	counted, protected bool
 	// headRead is set from the end of a head until its response is complete.
@@ -132,7 +132,7 @@
 func newConn(c net.Conn, l *listener) *conn {
 	k := &conn{Conn: c, l: l, lastBytes: time.Now()}
 	k.cond = sync.NewCond(&k.mu)
-	k.holder = l.h.c.Budget.Open(k.giveWay)
+	k.holder = l.h.c.Budget.Open(k.shed)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.startPhase(l.h.limits().firstByteTimeout)
--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// mayHold reports whether the connection may hold n more bytes. Nobody gives way, since
+// mayHold reports whether the connection may hold n more bytes. No other connection is closed, since
 // the caller can wait instead.
 func (c *conn) mayHold(n int64) bool {
 	k := wire.CountedBytes(c.cost() + n)
@@ -97,11 +97,11 @@
 	return c.holder.TrySet(k)
 }
 
-// giveWay closes the connection because others need its memory.
-func (c *conn) giveWay() {
+// shed closes the connection because others need its memory.
+func (c *conn) shed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.l.h.refusals.count(reasonGaveWay)
+	c.l.h.refusals.count(reasonShed)
 	c.shutdown()
 }
 
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -20,12 +20,12 @@
 	reasonHeaderTime  refusalReason = "header_time"
 	reasonBodyBytes   refusalReason = "body_bytes"
 	reasonBudget      refusalReason = "budget"
-	reasonGaveWay     refusalReason = "gave_way"
+	reasonShed        refusalReason = "shed"
 	reasonConnections refusalReason = "connections"
 	reasonEvicted     refusalReason = "evicted"
 )
 
-var refusalReasons = []refusalReason{reasonHeaderLines, reasonHeaderBytes, reasonHeaderTime, reasonBodyBytes, reasonBudget, reasonGaveWay, reasonConnections, reasonEvicted}
+var refusalReasons = []refusalReason{reasonHeaderLines, reasonHeaderBytes, reasonHeaderTime, reasonBodyBytes, reasonBudget, reasonShed, reasonConnections, reasonEvicted}
 
 // refusalLogInterval bounds the log lines about refused heads.
 const refusalLogInterval = 100 * time.Millisecond
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -2,9 +2,9 @@
 //
 // It is meant for VMs of 184 MB and more. A process takes about 25 MB before any load.
 // Ordinary load takes up to 60 MB of the smallest VM, most of which is for goroutines and
-// buffers of connections that hold nothing else. The connections of peers that nobody
-// controls get a quarter of what a process leaves, and bodies that wait a fifth. The rest
-// is for ordinary load, and for garbage that has not been collected.
+// buffers of connections that hold nothing else. The connections of untrusted peers
+// get a quarter of what a process leaves, and bodies that wait a fifth. The rest is for
+// ordinary load, and for garbage that has not been collected.
 //
 // # Usage
 //
