Run the tests with untrusted callers apart from other load

Cause: go test ./... ran them beside the other packages, although they measure memory and descriptors of whole processes.

The package comment says so.

--- a/internal/abuse/doc.go
+++ b/internal/abuse/doc.go
@@ -5,7 +5,8 @@
 // ordinary request.
 //
 // The tests run one after the other and check no times and no share of served requests,
-// so their result does not depend on the speed of the machine.
+// so their result does not depend on the speed of the machine. Run the package apart from
+// other load, as CI does.
 //
 // # Usage
 //
