--- /dev/null
+++ b/review/_cases/stop.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// stopWhileWorkIsLong stops a node with SIGTERM and sends it requests shortly after. Their
+// work ends within GraceS. None may be broken off while its worker is at work.
+func stopWhileWorkIsLong(s *system, trouble bool) (bool, error) {
+	const requests, gap = 12, 50 * time.Millisecond
+	work := 4800 * time.Millisecond
+	services := []string{"catalogo", "escaner", "escaner"}
+	if err := s.start(services, 1000, configuration([]string{"catalogo", "escaner"}, route("/scans/", "non_idempotent", "escaner", 10*time.Second))); err != nil {
+		return false, err
+	}
+	w, other, err := s.startPair(work)
+	if err != nil {
+		return false, err
+	}
+	stopped := time.Now()
+	if trouble {
+		s.signal("sidecar-1", syscall.SIGTERM)
+	}
+	var l sync.WaitGroup
+	answers := make([]answer, requests)
+	for i := range requests {
+		l.Go(func() {
+			time.Sleep(gap * time.Duration(i+1) / 3)
+			answers[i] = s.send(1, request{id: fmt.Sprintf("confirm-%d", i), method: http.MethodPost, path: "/scans/swap", deadline: 9 * time.Second, body: 1000})
+		})
+	}
+	l.Wait()
+	broken := false
+	for i, a := range answers {
+		id := fmt.Sprintf("confirm-%d", i)
+		end := a.sent.Add(a.took).Sub(stopped)
+		how := w.ending(id) + other.ending(id)
+		if a.stamped || !strings.HasPrefix(how, droppedAtWork) {
+			continue // answered or stopped by the worker, or not run
+		}
+		if end < grace*5/6 {
+			s.log("LOST broken: %s, sent %.3f s after SIGTERM, was broken off at %.3f s, before the last sixth of GraceS; at the worker: %s; the client got: %s",
+				id, a.sent.Sub(stopped).Seconds(), end.Seconds(), how, a)
+			broken = true
+		}
+	}
+	return broken, nil
+}
