--- a/review/_cases/core.go
+++ b/review/_cases/core.go
@@ -29,19 +29,10 @@
 func loseDisksAfterReturn(s *system, trouble bool) (bool, error) {
 	services := []string{"catalogo"}
 	config := configuration(services, route("/reads/", "idempotent", "catalogo", 2*time.Second))
-	for i := range coreMachines {
-		if err := s.startCore(i+1, true); err != nil {
-			return false, err
-		}
-	}
-	if err := s.putConfig(config, 20*time.Second); err != nil {
+	leader, err := s.formCore(config)
+	if err != nil {
 		return false, err
 	}
-	time.Sleep(2 * stabilityWindow)
-	leader := s.leader()
-	if leader == 0 {
-		return false, fmt.Errorf("no control leads")
-	}
 	var followers []int
 	for i := range coreMachines {
 		if i+1 != leader {
@@ -51,7 +42,6 @@
 	gone, off := followers[0], followers[3]
 	live := []int{1, 2, 3, 4, 5}
 	if trouble {
-		var err error
 		if live, err = s.disturbCore(gone, off); err != nil {
 			return false, err
 		}
@@ -64,43 +54,71 @@
 	return !s.readBack(live, 3, 2*recoverBound), nil
 }
 
-// disturbCore takes the power of one machine and replaces another one. It returns the core
-// machines once CatchUpS has passed for both.
-func (s *system) disturbCore(gone, off int) ([]int, error) {
-	s.signal(coreName(off), syscall.SIGKILL)
-	start := time.Now()
-	time.Sleep(1200 * time.Millisecond)
-	s.signal(coreName(gone), syscall.SIGKILL)
-	s.awaitExit(coreName(gone), time.Second)
-	hole, err := net.Listen("tcp", s.coreAddress(gone, firstInner))
+// formCore starts the core, puts the first configuration and returns the leader once the
+// core has been stable.
+func (s *system) formCore(config map[string]any) (leader int, err error) {
+	for i := range coreMachines {
+		if err := s.startCore(i+1, true); err != nil {
+			return 0, err
+		}
+	}
+	if err := s.putConfig(config, 20*time.Second); err != nil {
+		return 0, err
+	}
+	time.Sleep(2 * stabilityWindow)
+	if leader = s.leader(); leader == 0 {
+		return 0, fmt.Errorf("no control leads")
+	}
+	return leader, nil
+}
+
+// removeMachine removes a machine of the core for good. From then on its address answers
+// nothing, and resets nothing.
+func (s *system) removeMachine(i int) error {
+	s.signal(coreName(i), syscall.SIGKILL)
+	s.awaitExit(coreName(i), time.Second)
+	hole, err := net.Listen("tcp", s.coreAddress(i, firstInner))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s.log("machine %d is gone for good: its address does not respond", gone)
+	s.log("machine %d is gone for good: its address does not respond", i)
 	go func() {
-		for { // a machine that is gone answers nothing, and resets nothing
+		for {
 			if _, err := hole.Accept(); err != nil {
 				return
 			}
 		}
 	}()
+	return nil
+}
+
+// disturbCore takes the power of one machine and replaces another one. It returns the core
+// machines once CatchUpS has passed for both.
+func (s *system) disturbCore(gone, off int) ([]int, error) {
+	s.signal(coreName(off), syscall.SIGKILL)
+	start := time.Now()
+	time.Sleep(1200 * time.Millisecond)
+	if err := s.removeMachine(gone); err != nil {
+		return nil, err
+	}
 	time.Sleep(time.Second)
 	const successor = coreMachines + 1
 	if err := s.startCore(successor, false); err != nil {
 		return nil, err
 	}
 	time.Sleep(time.Until(start.Add(outage)))
-	if err := s.startCore(off, false); err != nil {
-		return nil, err
-	}
-	time.Sleep(catchUp)
-	s.log("CatchUpS has passed: machine %d is back, and machine %d has taken the place of machine %d", off, successor, gone)
 	live := []int{successor}
 	for i := range coreMachines {
 		if i+1 != gone {
 			live = append(live, i+1)
 		}
 	}
+	s.seeds = [3]int(live[:3]) // more than SeedLagS after the replacement
+	if err := s.startCore(off, false); err != nil {
+		return nil, err
+	}
+	time.Sleep(catchUp)
+	s.log("CatchUpS has passed: machine %d is back, and machine %d has taken the place of machine %d", off, successor, gone)
 	return live, nil
 }
 
--- a/review/_cases/stop.go
+++ b/review/_cases/stop.go
@@ -12,16 +12,25 @@
 // stopWhileWorkIsLong stops a node with SIGTERM and sends it requests shortly after. Their
 // work ends within GraceS. None may be broken off while its worker is at work.
 func stopWhileWorkIsLong(s *system, trouble bool) (bool, error) {
-	const requests, gap = 12, 50 * time.Millisecond
+	const requests, gap = 24, 7 * time.Millisecond
 	work := 4800 * time.Millisecond
-	services := []string{"catalogo", "escaner", "escaner"}
+	services := []string{"catalogo", "escaner", "escaner", "escaner", "escaner"}
 	if err := s.start(services, 1000, configuration([]string{"catalogo", "escaner"}, route("/scans/", "non_idempotent", "escaner", 10*time.Second))); err != nil {
 		return false, err
 	}
-	w, other, err := s.startPair(work)
+	var workers []*worker
+	for i := 4; i <= 5; i++ {
+		w, err := s.newWorker(fmt.Sprintf("i-%d", i), "escaner", i, work)
+		if err != nil {
+			return false, err
+		}
+		workers = append(workers, w)
+	}
+	first, second, err := s.startPair(work)
 	if err != nil {
 		return false, err
 	}
+	workers = append(workers, first, second)
 	stopped := time.Now()
 	if trouble {
 		s.signal("sidecar-1", syscall.SIGTERM)
@@ -30,7 +39,7 @@
 	answers := make([]answer, requests)
 	for i := range requests {
 		l.Go(func() {
-			time.Sleep(gap * time.Duration(i+1) / 3)
+			time.Sleep(gap * time.Duration(i+1))
 			answers[i] = s.send(1, request{id: fmt.Sprintf("confirm-%d", i), method: http.MethodPost, path: "/scans/swap", deadline: 9 * time.Second, body: 1000})
 		})
 	}
@@ -39,7 +48,10 @@
 	for i, a := range answers {
 		id := fmt.Sprintf("confirm-%d", i)
 		end := a.sent.Add(a.took).Sub(stopped)
-		how := w.ending(id) + other.ending(id)
+		how := ""
+		for _, w := range workers {
+			how += w.ending(id)
+		}
 		if a.stamped || !strings.HasPrefix(how, droppedAtWork) {
 			continue // answered or stopped by the worker, or not run
 		}
--- a/review/_cases/system.go
+++ b/review/_cases/system.go
@@ -58,6 +58,8 @@
 	folder string
 	subnet string // the first three numbers of all addresses
 	mu     sync.Mutex
+	// seeds are the core machines that the settings name, as the operator's list shows them.
+	seeds  [3]int
 	procs  map[string]*exec.Cmd
 	exited map[string]chan struct{}
 }
@@ -67,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{record: r, folder: d, procs: map[string]*exec.Cmd{}, exited: map[string]chan struct{}{}}
+	s := &system{record: r, folder: d, seeds: [3]int{1, 2, 3}, procs: map[string]*exec.Cmd{}, exited: map[string]chan struct{}{}}
 	for range 50 {
 		s.subnet = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		l, err := net.Listen("tcp", s.coreAddress(1, controlPort))
@@ -89,7 +91,7 @@
 	return fields{
 		"Node": name, "Zone": zone, "Ip": ip,
 		"InternalPortRange": []any{firstInner, lastInner},
-		"Seeds":             []any{s.coreAddress(1, controlPort), s.coreAddress(2, controlPort), s.coreAddress(3, controlPort)},
+		"Seeds":             []any{s.coreAddress(s.seeds[0], controlPort), s.coreAddress(s.seeds[1], controlPort), s.coreAddress(s.seeds[2], controlPort)},
 		"Bounds":            map[string]any{"GraceS": int(grace.Seconds())},
 		"Tolerate":          map[string]any{"Machines": 2},
 	}
@@ -209,7 +211,7 @@
 	}
 	end := time.Now().Add(limit)
 	for i := 0; time.Now().Before(end); i++ {
-		a := s.coreAddress(1+i%coreMachines, controlPort)
+		a := s.coreAddress(1+i%(coreMachines+2), controlPort) // two may be successors
 		status, body, err := call(http.MethodPut, "http://"+a+"/api/config", b, time.Second)
 		if status == http.StatusOK {
 			s.log("operator: PUT /api/config version %v to %s: 200", config["Version"], a)
--- a/review/_cases/worker.go
+++ b/review/_cases/worker.go
@@ -32,6 +32,9 @@
 	ended   map[string]string
 }
 
+// workStep is how often a worker looks whether its work is done or its deadline has passed.
+const workStep = 10 * time.Millisecond
+
 // droppedAtWork begins the ending of a request whose connection was closed while its worker
 // was at work.
 const droppedAtWork = "dropped at work"
@@ -149,13 +152,15 @@
 		w.end(id, fmt.Sprintf("the body broke off after %d bytes: %v", n, err))
 		return
 	}
-	t := time.NewTimer(max(0, min(w.work, deadline-time.Since(now))))
+	t := time.NewTicker(workStep)
 	defer t.Stop()
-	select {
-	case <-r.Context().Done():
-		w.end(id, droppedAtWork+": the connection was closed")
-		return
-	case <-t.C:
+	for time.Since(now) < min(w.work, deadline) {
+		select {
+		case <-r.Context().Done():
+			w.end(id, droppedAtWork+": the connection was closed")
+			return
+		case <-t.C:
+		}
 	}
 	a.Header().Set("X-Server-Stamp", w.id+"."+id)
 	status := http.StatusOK
