--- a/review/11/run.sh
+++ b/review/13/run.sh
@@ -6,4 +6,4 @@
 for p in target/gooseberrypick target/review-3/standin3; do
   [ -x "$p" ] || { echo "$p is missing: run the build of deploy/system.toml and review/build-3.sh"; exit 2; }
 done
-exec target/review-3/standin3 zones-in-turn "$PWD" "$PWD/review/11/record.txt"
+exec target/review-3/standin3 left-late "$PWD" "$PWD/review/13/record.txt"
