Upstream: log what a withdrawal names and what is announced then

Change: one line for each withdrawal, with the incarnation that it names and what was announced at that moment. The line for an announcement has incarnation and sequence.

--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -194,7 +194,8 @@
 		a.log.Info("upstream removed", "upstream", replaced, "reason", "its address belongs to "+name)
 	}
 	if !known || !o.equalExceptSequence(n) {
-		a.log.Info("upstream announced", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address)
+		a.log.Info("upstream announced", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address,
+			"incarnation", n.Incarnation, "sequence", n.Sequence)
 		a.subscriber.Set(a.List())
 	}
 	return nil
@@ -242,6 +243,8 @@
 func (a *Announcements) Withdraw(name string, incarnation int64) {
 	a.mu.Lock()
 	o, ok := a.byName[name]
+	a.log.Info("upstream withdraws", "upstream", name, "incarnation", incarnation,
+		"announced", ok, "announcedIncarnation", o.Incarnation, "announcedSequence", o.Sequence)
 	if incarnation == 0 {
 		incarnation = o.Incarnation
 	}
