Upstream: remember an upstream beyond the removal of its announcement

Cause: a node deleted all that it knew of an upstream with its announcement. After an expiry a withdrawal without a start time was recorded for no incarnation, and late heartbeats had nothing older or newer to be compared with.

Withdraw and Expire decide and notify under one lock; before, a renewal between the two could be lost.

Why it works: nothing that orders messages is forgotten by a removal.

Three tests that removed an upstream by Remove, which is gone, now withdraw it.

--- a/internal/node/execution_test.go
+++ b/internal/node/execution_test.go
@@ -215,7 +215,7 @@
 		{"deadline", func(*mesh, func()) {}, errkind.DeadlineExceeded},
 		{"caller gone", func(_ *mesh, cancel func()) { cancel() }, ""},
 		{"upstream leaves", func(m *mesh, _ func()) { m.announce("owner", "levels-1", wire.Leaving) }, errkind.Leaving},
-		{"upstream withdrawn", func(m *mesh, _ func()) { m.nodes["owner"].announcements.Remove("levels-1", "test") }, errkind.Leaving},
+		{"upstream withdrawn", func(m *mesh, _ func()) { m.nodes["owner"].announcements.Withdraw("levels-1", 0) }, errkind.Leaving},
 	} {
 		for _, node := range []string{"owner", "entry"} {
 			t.Run(tt.name+" at "+node, func(t *testing.T) {
--- a/internal/node/explain_test.go
+++ b/internal/node/explain_test.go
@@ -108,7 +108,7 @@
 		})
 		g.Wait()
 		send("failed", "/fails")
-		m.nodes["owner"].announcements.Remove("levels-1", "test")
+		m.nodes["owner"].announcements.Withdraw("levels-1", 0)
 		time.Sleep(time.Second)
 		send("gone", "/")
 		for id, want := range map[string]string{
--- a/internal/node/observe_test.go
+++ b/internal/node/observe_test.go
@@ -79,7 +79,7 @@
 		for i, path := range []string{"/", "/fails", "/keyed"} {
 			m.do("HTTP/1.1", "entry", "GET", path, nil, upstream.HeaderRequestID, fmt.Sprint("id-", i))
 		}
-		m.nodes["owner"].announcements.Remove("levels-1", "test")
+		m.nodes["owner"].announcements.Withdraw("levels-1", 0)
 		m.do("HTTP/1.1", "owner", "GET", "/", nil, upstream.HeaderRequestID, "id-3")
 		for id, want := range map[string]string{
 			"id-0": "choose upstream: least expected time in zone, send request: slot free",
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -42,9 +40,9 @@
 	State       wire.UpstreamState
 	// Version is the software version of the upstream. It may be empty.
 	Version string `json:",omitempty"`
-	// Incarnation increases with each start of an upstream and Sequence with each of
-	// its announcements, so that late announcements are detected. Both are zero in
-	// the default API, which does not transmit them.
+	// Incarnation is the start of the upstream in milliseconds since 1970, and Sequence
+	// increases with each of its announcements, so that late announcements are detected.
+	// Both are zero in the default API, which does not transmit them.
 	Incarnation int64  `json:"-"`
 	Sequence    uint64 `json:"-"`
 }
@@ -83,18 +81,10 @@
 type Announcements struct {
 	log        logr.Logger
 	subscriber Subscriber
-	mu         sync.Mutex
 	// notifyMu serializes the calls of the subscriber's Set, in the order of changes.
 	notifyMu sync.Mutex
-	byName   map[string]Announced
-	// withdrawn holds the incarnations of upstreams that withdrew, oldest first, so
-	// that a late announcement does not add one again.
-	withdrawn []withdrawal
-}
-
-type withdrawal struct {
-	name        string
-	incarnation int64
+	mu       sync.Mutex // guards history
+	history  *history
 }
 
 // Subscriber is notified of changes to the announced upstreams.
@@ -108,7 +98,7 @@
 
 // NewAnnouncements returns an empty Announcements that notifies t.
 func NewAnnouncements(l logr.Logger, t Subscriber) *Announcements {
-	return &Announcements{log: l, subscriber: t, byName: map[string]Announced{}}
+	return &Announcements{log: l, subscriber: t, history: newHistory()}
 }
 
 // Handler returns the HTTP API with which upstreams are announced, listed and
@@ -169,27 +159,23 @@
 // Put stores a valid announcement and notifies the subscriber of any change. It ignores
 // outdated announcements.
 func (a *Announcements) Put(now time.Time, name string, n Announcement) error {
+	if len(name) > wire.MaxNameBytes {
+		return errkind.New(errkind.BadRequest, "name of %d bytes; expected at most %d", len(name), wire.MaxNameBytes)
+	}
 	a.notifyMu.Lock()
 	defer a.notifyMu.Unlock()
 	a.mu.Lock()
-	o, known := a.byName[name]
-	if reason := a.outdatedReason(name, n); reason != "" {
-		a.mu.Unlock()
+	o, known := a.history.get(name)
+	replaced, ignored, err := a.history.put(now, name, n)
+	a.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if ignored != "" {
 		a.log.Info("announcement ignored", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address,
-			"incarnation", n.Incarnation, "sequence", n.Sequence, "reason", reason)
+			"incarnation", n.Incarnation, "sequence", n.Sequence, "reason", ignored)
 		return nil
 	}
-	if !known && len(a.byName) >= maxUpstreams {
-		a.mu.Unlock()
-		return errkind.New(errkind.TooLarge, "%d upstreams are announced already", maxUpstreams)
-	}
-	replaced := a.dropAddress(name, n)
-	e := Announced{Name: name, Announcement: n, Since: now, expires: now.Add(RenewWithin)}
-	if known && o.State == n.State && o.Address == n.Address && o.Incarnation == n.Incarnation && o.Version == n.Version {
-		e.Since = o.Since
-	}
-	a.byName[name] = e
-	a.mu.Unlock()
 	if replaced != "" {
 		a.log.Info("upstream removed", "upstream", replaced, "reason", "its address belongs to "+name)
 	}
@@ -201,87 +187,43 @@
 	return nil
 }
 
-// outdatedReason returns why an announcement is outdated, or an empty string if it is
-// not. The caller holds the lock.
-func (a *Announcements) outdatedReason(name string, n Announcement) string {
-	if o, ok := a.byName[name]; ok && !n.supersedes(o.Announcement) {
-		return "a newer announcement of the upstream is known"
-	}
-	if n.Incarnation == 0 {
-		return ""
-	}
-	for _, e := range a.withdrawn {
-		if e.name == name && n.Incarnation <= e.incarnation {
-			return "the upstream has withdrawn"
-		}
-	}
-	for k, o := range a.byName {
-		if k != name && o.Address == n.Address && o.Incarnation > n.Incarnation {
-			return "upstream " + k + " started later at the same address"
-		}
-	}
-	return ""
-}
-
-// dropAddress removes another upstream that was announced with the address of n, and
-// returns its name. The caller holds the lock.
-func (a *Announcements) dropAddress(name string, n Announcement) string {
-	if n.Incarnation == 0 {
-		return ""
-	}
-	for k, o := range a.byName {
-		if k != name && o.Address == n.Address {
-			delete(a.byName, k)
-			return k
-		}
-	}
-	return ""
-}
-
-// Withdraw records that an upstream withdrew in the given incarnation, and removes
-// it unless a later incarnation is known.
+// Withdraw records that an upstream withdrew in the given incarnation, or in one that is
+// not known if it is zero, and removes it unless a later incarnation is known.
 func (a *Announcements) Withdraw(name string, incarnation int64) {
-	a.mu.Lock()
-	o, ok := a.byName[name]
-	a.log.Info("upstream withdraws", "upstream", name, "incarnation", incarnation,
-		"announced", ok, "announcedIncarnation", o.Incarnation, "announcedSequence", o.Sequence)
-	if incarnation == 0 {
-		incarnation = o.Incarnation
-	}
-	if a.withdrawn = append(a.withdrawn, withdrawal{name, incarnation}); len(a.withdrawn) > maxUpstreams {
-		a.withdrawn = a.withdrawn[1:]
+	if len(name) > wire.MaxNameBytes {
+		return // never announced
 	}
+	a.notifyMu.Lock()
+	defer a.notifyMu.Unlock()
+	a.mu.Lock()
+	o, known := a.history.get(name)
+	removed := a.history.withdraw(time.Now(), name, incarnation)
 	a.mu.Unlock()
-	if ok && o.Incarnation <= incarnation {
-		a.Remove(name, "withdrawn")
+	a.log.Info("upstream withdraws", "upstream", name, "incarnation", incarnation,
+		"announced", known, "announcedIncarnation", o.Incarnation, "announcedSequence", o.Sequence)
+	if removed {
+		a.log.Info("upstream removed", "upstream", name, "reason", "withdrawn")
+		a.subscriber.Set(a.List())
 	}
 }
 
 func (a *Announcements) delete(w http.ResponseWriter, r *http.Request) {
-	a.Remove(r.PathValue("name"), "withdrawn")
+	a.Withdraw(r.PathValue("name"), 0)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Remove removes an upstream and notifies the subscriber.
-func (a *Announcements) Remove(name, reason string) {
+// Expire removes the upstreams that did not renew in time.
+func (a *Announcements) Expire(now time.Time) {
 	a.notifyMu.Lock()
 	defer a.notifyMu.Unlock()
 	a.mu.Lock()
-	_, ok := a.byName[name]
-	delete(a.byName, name)
+	l := a.history.expire(now)
 	a.mu.Unlock()
-	if ok {
-		a.log.Info("upstream removed", "upstream", name, "reason", reason)
-		a.subscriber.Set(a.List())
+	for _, n := range l {
+		a.log.Info("upstream removed", "upstream", n, "reason", "not renewed in time")
 	}
-}
-
-// Expire removes the upstreams that did not renew in time.
-func (a *Announcements) Expire(now time.Time) {
-	for _, e := range a.List() {
-		if now.After(e.expires) {
-			a.Remove(e.Name, "not renewed in time")
-		}
+	if len(l) > 0 {
+		a.subscriber.Set(a.List())
 	}
 }
 
@@ -289,12 +231,7 @@
 func (a *Announcements) List() []Announced {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l := make([]Announced, 0, len(a.byName))
-	for _, e := range a.byName {
-		l = append(l, e)
-	}
-	slices.SortFunc(l, func(x, y Announced) int { return strings.Compare(x.Name, y.Name) })
-	return l
+	return a.history.announced()
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
