Upstream: a late withdrawal does not end a new start for good

Cause: such a withdrawal was taken for that of the process announced at that moment, and a withdrawal is final.

Change: it removes the upstream and all that started before it arrived; a process that is still heard more than 10 s later has not withdrawn, and returns. If it was first heard more than 10 s before, no earlier process can have sent the withdrawal, which is final.

Why it works: a process that has withdrawn sends nothing more, and what it sent arrives within 10 s. What is ignored meanwhile is kept for the order of later messages.

--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -104,7 +104,8 @@
 }
 
 // Guards against other nodes that do not learn of an upstream which serves: one whose
-// heartbeats were late, or one that started again.
+// heartbeats were late, one that started again, and one that a late withdrawal of its
+// earlier start has removed.
 func TestOtherNodesAndUpstreamsThatServe(t *testing.T) {
 	for name, c := range map[string]struct {
 		run func(v vm, born int64, sequence uint64) (int64, uint64)
@@ -120,6 +121,13 @@
 			time.Sleep(2 * time.Second)
 			return time.Now().UnixMilli(), 1
 		}, time.Second},
+		"removed by a late withdrawal of the earlier start": {func(v vm, _ int64, _ uint64) (int64, uint64) {
+			n := time.Now().UnixMilli()
+			s := v.renew("u", n, 1, 3*time.Second)
+			v.withdraw("u", 0)
+			time.Sleep(100 * time.Millisecond)
+			return n, s
+		}, 12 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/upstream/history.go
+++ b/internal/upstream/history.go
@@ -30,8 +30,11 @@
 //     If it is still heard then, the clock of the VM was set back.
 //   - Within an incarnation, the highest sequence counts, also after it has expired.
 //   - An incarnation that has withdrawn does not return.
-//   - A withdrawal that names no incarnation is that of the known one, or of one that
-//     started before it arrived and was not heard yet.
+//   - A withdrawal that names no incarnation may be that of an earlier one, and be late.
+//     It removes the upstream and all incarnations that started before it arrived. One
+//     that is still heard maxDelay later has not withdrawn, and returns. If the known
+//     incarnation was first heard more than maxDelay before, the withdrawal cannot be
+//     that of an earlier one, and is final.
 //
 // Without incarnations, as in the default API, late messages cannot be detected.
 //
@@ -48,9 +51,10 @@
 	Announced
 	// listed is set while the upstream is announced: not expired, not withdrawn.
 	listed bool
-	// lastHeard is when the last message that counted arrived.
-	lastHeard time.Time
-	// withdrawn is set when the incarnation has withdrawn.
+	// firstHeard is when the first message of the incarnation arrived, lastHeard when the
+	// last message that counted did.
+	firstHeard, lastHeard time.Time
+	// withdrawn is set when the incarnation has withdrawn for certain.
 	withdrawn bool
 	// withdrawal is when a withdrawal that names no incarnation arrived; zero if none did.
 	withdrawal time.Time
@@ -93,7 +97,7 @@
 	}
 	e := h.entry(name)
 	if n.Incarnation != e.Incarnation {
-		e.withdrawn = false
+		e.firstHeard, e.withdrawn = now, false
 	}
 	e.lastHeard = now
 	e.Announced = Announced{Name: name, Announcement: n, Since: now, expires: now.Add(RenewWithin)}
@@ -162,10 +166,10 @@
 	switch {
 	case incarnation == 0:
 		e.withdrawal = now
-		e.withdrawn = e.Incarnation != 0
+		e.withdrawn = e.withdrawn || e.Incarnation != 0 && now.Sub(e.firstHeard) > maxDelay
 	case incarnation != e.Incarnation:
 		e.Announcement = Announcement{Incarnation: incarnation}
-		e.withdrawn = true
+		e.firstHeard, e.withdrawn = now, true
 	default:
 		e.withdrawn = true
 	}
