Announce: state the start and the order of announcements in the default API

What callers would see: an upstream on pkg/announce has left and gets work again for 5 s, if an announcement of before is delivered late, such as by a node that was suspended; a late withdrawal ends a new start.

Cause: the default API did not transmit incarnation and sequence, so that a node had nothing to tell late messages by.

Change: pkg/announce states both in the query, which nodes of earlier versions ignore, and sends nothing after Withdraw. Announcements without them are taken as before. Upstreams of this API may share an address, so the rule that an address has one upstream now depends on a field of the announcement, which the platform's interface sets.

--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -19,7 +19,7 @@
 	v.t.Helper()
 	if err := v.nodes["n1"].announcements.Put(time.Now(), name, upstream.Announcement{
 		Service: "levels", Address: "10.0.0.1:80", Slots: 4, Connections: 8, State: state,
-		Incarnation: incarnation, Sequence: sequence,
+		Incarnation: incarnation, Sequence: sequence, ExclusiveAddress: true,
 	}); err != nil {
 		v.t.Fatal(err)
 	}
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,6 +21,10 @@
 	RenewWithin = 5 * time.Second
 	// maxAnnouncementBytes bounds the body of an announcement.
 	maxAnnouncementBytes = 16 << 10
+	// maxClockLead is how far the clock of an upstream may be ahead of this VM's. One
+	// announcement from further in the future would outdate all later starts at its
+	// address.
+	maxClockLead = time.Hour
 	// maxConnections bounds the connections, and thus the slots, of one upstream: no
 	// address accepts more from one VM.
 	maxConnections = 1 << 16
@@ -42,9 +47,13 @@
 	Version string `json:",omitempty"`
 	// Incarnation is the start of the upstream in milliseconds since 1970, and Sequence
 	// increases with each of its announcements, so that late announcements are detected.
-	// Both are zero in the default API, which does not transmit them.
+	// Both are zero if they are not known. The default API transmits them in the query,
+	// which nodes of earlier versions ignore.
 	Incarnation int64  `json:"-"`
 	Sequence    uint64 `json:"-"`
+	// ExclusiveAddress is set if no other upstream has the address at the same time, so
+	// that an announcement replaces the upstream that had the address before.
+	ExclusiveAddress bool `json:"-"`
 }
 
 // supersedes reports whether n replaces o, and is not an older announcement.
@@ -55,6 +64,11 @@
 	return n.Incarnation == 0 || n.Sequence > o.Sequence
 }
 
+// excludes reports whether n and o are of upstreams that cannot run at the same time.
+func (n Announcement) excludes(o Announcement) bool {
+	return n.ExclusiveAddress && n.Address == o.Address
+}
+
 // equalExceptSequence reports whether n and o differ at most in Sequence, so that
 // subscribers need not be notified.
 func (n Announcement) equalExceptSequence(o Announcement) bool {
@@ -119,7 +133,11 @@
 		writeError(w, errkind.Wrap(err, errkind.BadRequest, "announcement is not the expected JSON object"))
 		return
 	}
-	if err := n.Validate(); err != nil {
+	var err error
+	if n.Incarnation, n.Sequence, err = order(time.Now(), r); err == nil {
+		err = n.Validate()
+	}
+	if err != nil {
 		writeError(w, err)
 		return
 	}
@@ -208,10 +226,38 @@
 }
 
 func (a *Announcements) delete(w http.ResponseWriter, r *http.Request) {
-	a.Withdraw(r.PathValue("name"), 0)
+	i, _, err := order(time.Now(), r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	a.Withdraw(r.PathValue("name"), i)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// order returns the incarnation and the sequence in the query of a request, zero if they
+// are missing.
+func order(now time.Time, r *http.Request) (incarnation int64, sequence uint64, err error) {
+	q := r.URL.Query()
+	if v := q.Get("Incarnation"); v != "" {
+		incarnation, err = strconv.ParseInt(v, 10, 64)
+		if err != nil || !ValidIncarnation(now, incarnation) {
+			return 0, 0, errkind.New(errkind.BadRequest, "Incarnation %q; expected the start in milliseconds since 1970", v)
+		}
+	}
+	if v := q.Get("Sequence"); v != "" {
+		if sequence, err = strconv.ParseUint(v, 10, 64); err != nil {
+			return 0, 0, errkind.New(errkind.BadRequest, "Sequence %q; expected a number from 0 on", v)
+		}
+	}
+	return incarnation, sequence, nil
+}
+
+// ValidIncarnation reports whether i can be the start of an upstream on this VM.
+func ValidIncarnation(now time.Time, i int64) bool {
+	return i > 0 && time.UnixMilli(i).Sub(now) <= maxClockLead
+}
+
 // Expire removes the upstreams that did not renew in time.
 func (a *Announcements) Expire(now time.Time) {
 	a.notifyMu.Lock()
--- a/internal/upstream/history.go
+++ b/internal/upstream/history.go
@@ -131,7 +131,7 @@
 		}
 	}
 	for k, o := range h.byName {
-		if k != name && o.Address == n.Address && o.outdates(now, n.Incarnation) {
+		if k != name && n.excludes(o.Announcement) && o.outdates(now, n.Incarnation) {
 			return "upstream " + k + " started later at the same address"
 		}
 	}
@@ -141,11 +141,8 @@
 // dropAddress removes another upstream that was announced with the address of n, and
 // returns its name.
 func (h *history) dropAddress(name string, n Announcement) string {
-	if n.Incarnation == 0 {
-		return ""
-	}
 	for k, o := range h.byName {
-		if k != name && o.listed && o.Address == n.Address {
+		if k != name && o.listed && n.excludes(o.Announcement) {
 			h.list(o, false)
 			return k
 		}
--- a/internal/upstream/history_test.go
+++ b/internal/upstream/history_test.go
@@ -29,7 +29,7 @@
 func (p *process) announcement(state wire.UpstreamState, seq uint64) Announcement {
 	return Announcement{
 		Service: "levels", Address: p.address, Slots: 4, Connections: 4, State: state,
-		Incarnation: p.born.UnixMilli(), Sequence: seq,
+		Incarnation: p.born.UnixMilli(), Sequence: seq, ExclusiveAddress: true,
 	}
 }
 
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -20,6 +20,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -52,9 +53,14 @@
 
 // Announcer announces an upstream and renews the announcement.
 type Announcer struct {
-	c     Config
-	mu    sync.Mutex
-	state string
+	c Config
+	// incarnation is the start of the upstream, by which the node tells late
+	// announcements of an earlier start from those of this one.
+	incarnation int64
+	mu          sync.Mutex
+	state       string
+	sequence    uint64
+	withdrawn   bool
 }
 
 // New returns an Announcer for an upstream in state Serving.
@@ -65,7 +71,7 @@
 	if c.Client == nil {
 		c.Client = &http.Client{Timeout: callTimeout}
 	}
-	return &Announcer{c: c, state: "Serving"}
+	return &Announcer{c: c, incarnation: time.Now().UnixMilli(), state: "Serving"}
 }
 
 type announcement struct {
@@ -79,9 +85,10 @@
 
 type renewal struct{ RenewWithin string }
 
-// Run announces the upstream and renews the announcement until ctx is done.
+// Run announces the upstream and renews the announcement until ctx is done or the
+// upstream withdraws.
 func (a *Announcer) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !a.hasWithdrawn() {
 		wait := retryInterval
 		if d, err := a.Announce(ctx); err != nil {
 			a.c.Failed(err)
@@ -97,6 +104,12 @@
 	}
 }
 
+func (a *Announcer) hasWithdrawn() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.withdrawn
+}
+
 // Announce announces the current state once and returns the time within which the
 // announcement must be renewed.
 func (a *Announcer) Announce(ctx context.Context) (time.Duration, error) {
@@ -106,8 +119,13 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode announcement")
 	}
+	if a.withdrawn {
+		return 0, errors.New("the upstream has withdrawn; a new start needs a new Announcer")
+	}
+	a.sequence++
+	q := url.Values{"Sequence": {strconv.FormatUint(a.sequence, 10)}}
 	var r renewal
-	if err := a.call(ctx, http.MethodPut, b, &r); err != nil {
+	if err := a.call(ctx, http.MethodPut, q, b, &r); err != nil {
 		return 0, err
 	}
 	d, err := time.ParseDuration(r.RenewWithin)
@@ -129,19 +147,25 @@
 	return err
 }
 
-// Withdraw removes the announcement.
+// Withdraw removes the announcement. Nothing is announced from then on. It may be called
+// again after an error.
 func (a *Announcer) Withdraw(ctx context.Context) error {
-	return a.call(ctx, http.MethodDelete, nil, nil)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.withdrawn = true
+	return a.call(ctx, http.MethodDelete, url.Values{}, nil, nil)
 }
 
-func (a *Announcer) call(ctx context.Context, method string, body []byte, answer any) error {
-	u := fmt.Sprintf("http://%s/v1/upstreams/%s", a.c.Node, url.PathEscape(a.c.Name))
-	q, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+// call sends a request with the incarnation and the given query.
+func (a *Announcer) call(ctx context.Context, method string, q url.Values, body []byte, answer any) error {
+	q.Set("Incarnation", strconv.FormatInt(a.incarnation, 10))
+	u := fmt.Sprintf("http://%s/v1/upstreams/%s?%s", a.c.Node, url.PathEscape(a.c.Name), q.Encode())
+	h, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "announce")
 	}
-	q.Header.Set("Content-Type", "application/json")
-	r, err := a.c.Client.Do(q)
+	h.Header.Set("Content-Type", "application/json")
+	r, err := a.c.Client.Do(h)
 	if err != nil {
 		return errors.Wrap(err, "announce")
 	}
