Node: a restarted node does not take back an upstream that has left

After its restart a late heartbeat announced the upstream again; requests reached it for 4 s, and those at work when it exited were lost.

Cause: which upstreams leave was known to the memory of the process only.

Change: a node's record also states what it remembers of the last 10 s. Controls keep it, and send it with the welcome to the next process of the node, which holds announcements back until then. Other nodes do not get it.

Why it works: messages arrive within 10 s, and whatever they may bring back is either restored or was not acknowledged. TestMessagesInAnyOrder restarts the node at random.

Not covered: a kill before the record has left the process.

--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -48,6 +48,7 @@
 }
 
 func (b *packedBucket) fill(l []wire.NodeRecord, revision uint64) error {
+	l = withoutDepartures(l)
 	b.records, b.packed = l, nil
 	if encodedBytes(l) >= minCompressBytes {
 		d, err := wire.Marshal(l)
--- a/internal/control/invalid_messages_test.go
+++ b/internal/control/invalid_messages_test.go
@@ -38,6 +38,7 @@
 		{"too many digests", []any{hello(wire.NodeRecord{Node: "raw"}, 257)}, "257 digests"},
 		{"other node", report(wire.NodeRecord{Node: "n"}), "report contains the record of node"},
 		{"too many upstreams", report(wire.NodeRecord{Node: "raw", Upstreams: make([]wire.Upstream, wire.MaxUpstreams+1)}), "65 upstreams"},
+		{"too many departures", report(wire.NodeRecord{Node: "raw", Departed: make([]wire.Departure, wire.MaxDepartures+1)}), "17 departures"},
 		{"large record", report(wire.NodeRecord{Node: "raw", Upstreams: slices.Repeat([]wire.Upstream{{Name: long}}, 40)}), "record of 12403 bytes for node raw"},
 		{"empty message", []any{good, &wire.NodeMessage{}}, "node sent an empty message"},
 		{"compare with one digest", []any{good, &wire.NodeMessage{Compare: &wire.Compare{Buckets: []uint64{1}}}}, "1 digests"},
--- a/internal/control/reconnect_test.go
+++ b/internal/control/reconnect_test.go
@@ -15,7 +15,7 @@
 
 // openNodeStream opens the stream of a node and sends its hello, without a client that
 // reads from it.
-func (w *testCluster) openNodeStream(name, control string) drpc.Stream {
+func (w *testCluster) openNodeStream(name, control string, incarnation uint64) drpc.Stream {
 	w.Helper()
 	c, err := wire.Dial(w.Context(), w.net.dialer(name), control)
 	if err != nil {
@@ -25,7 +25,7 @@
 	if err != nil {
 		w.Fatal(err)
 	}
-	h := &wire.Hello{Record: wire.NodeRecord{Node: name, Incarnation: 1, Sequence: 1}}
+	h := &wire.Hello{Record: wire.NodeRecord{Node: name, Incarnation: incarnation, Sequence: 1}}
 	if err := s.MsgSend(&wire.NodeMessage{Hello: h}, wire.Encoding{}); err != nil {
 		w.Fatal(err)
 	}
@@ -54,7 +54,7 @@
 			runCluster(t, []string{"a"}, func(w *testCluster) {
 				w.accept(largeCustomer(300))
 				for i := range 2 * maxConcurrentSnapshots {
-					w.openNodeStream(fmt.Sprint("stuck", i), "a")
+					w.openNodeStream(fmt.Sprint("stuck", i), "a", 1)
 				}
 				time.Sleep(time.Second)
 				n := w.startNode("n", "a")
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -223,7 +223,9 @@
 
 // serve sends the welcome, then endpoints and configuration until the stream ends.
 func (s *Streams) serve(ctx context.Context, n *nodeStream, h *wire.Hello) error {
-	w := &wire.Welcome{Lineage: s.source.Lineage(), Control: s.control, Lease: NodeLease, Controls: s.controls()}
+	w := &wire.Welcome{
+		Lineage: s.source.Lineage(), Control: s.control, Lease: NodeLease, Controls: s.controls(), Departed: h.Record.Departed,
+	}
 	if err := n.send(&wire.ControlMessage{Welcome: w}); err != nil {
 		return err
 	}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -135,6 +135,7 @@
 		lastHeard: time.Now(),
 		report:    wire.NodeReport{Node: h.Record.Node, AvailabilityZone: h.Record.AvailabilityZone, Version: h.Version, Control: s.control},
 	}
+	h.Record = s.withDepartures(h.Record)
 	s.add(n, h.Record)
 	defer s.remove(n)
 	go func() {
@@ -193,6 +194,15 @@
 	}
 }
 
+// withDepartures returns the first record of a process, with what the process before it
+// under the same name remembered. The node itself states it from its next record on.
+func (s *Streams) withDepartures(r wire.NodeRecord) wire.NodeRecord {
+	if o, ok := s.registry.Record(r.Node); ok && o.Incarnation != r.Incarnation && len(r.Departed) == 0 {
+		r.Departed = o.Departed
+	}
+	return r
+}
+
 func (s *Streams) add(n *nodeStream, r wire.NodeRecord) {
 	s.mu.Lock()
 	o := s.nodes[n.name]
@@ -259,7 +269,7 @@
 	s.mu.Unlock()
 	for rest := l; len(rest) > 0; {
 		k := recordsPerMessage(rest)
-		b, err := wire.Marshal(&wire.ControlMessage{Endpoints: &wire.Endpoints{Records: rest[:k]}})
+		b, err := wire.Marshal(&wire.ControlMessage{Endpoints: &wire.Endpoints{Records: withoutDepartures(rest[:k])}})
 		if err != nil {
 			s.log.Error(err, "encode endpoints")
 			return l
@@ -281,6 +291,15 @@
 	return len(l)
 }
 
+// withoutDepartures returns l as it is sent to nodes.
+func withoutDepartures(l []wire.NodeRecord) []wire.NodeRecord {
+	k := make([]wire.NodeRecord, len(l))
+	for i, r := range l {
+		k[i] = r.WithoutDepartures()
+	}
+	return k
+}
+
 func encodedBytes(l []wire.NodeRecord) int {
 	n := 0
 	for _, r := range l {
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -79,6 +79,9 @@
 	MaxBackoff time.Duration
 	// OnApplied is called after a new table is in force; it may be nil.
 	OnApplied func(*table.Table)
+	// Restore is called after each connection to a control, with what the process that ran
+	// before under the node's name remembered; it may be nil.
+	Restore func([]wire.Departure)
 	// Ranks returns the counts by rank; it may be nil.
 	Ranks func() []wire.RankStats
 }
@@ -156,10 +159,11 @@
 }
 
 // SetUpstreams publishes the node's own upstreams. The node itself uses them at once,
-// other nodes as soon as a control has propagated them.
-func (n *Client) SetUpstreams(l []wire.Upstream) {
+// other nodes as soon as a control has propagated them. The departures are kept by the
+// controls for the case that the node is restarted.
+func (n *Client) SetUpstreams(l []wire.Upstream, departed ...wire.Departure) {
 	n.publish(func(r *wire.NodeRecord) {
-		r.Upstreams = nil
+		r.Upstreams, r.Departed = nil, nil
 		for _, u := range l {
 			o := r.Upstreams
 			r.Upstreams = append(slices.Clone(o), u)
@@ -168,6 +172,14 @@
 				r.Upstreams = o
 			}
 		}
+		for _, d := range departed {
+			o := r.Departed
+			r.Departed = append(slices.Clone(o), d)
+			if err := r.Check(); err != nil { // the upstreams come first
+				r.Departed = o
+				return
+			}
+		}
 	})
 }
 
--- a/internal/distribution/session.go
+++ b/internal/distribution/session.go
@@ -53,6 +53,9 @@
 		return err
 	}
 	n.setKnownControls(w.Controls)
+	if n.c.Restore != nil {
+		n.c.Restore(w.Departed)
+	}
 	n.c.Log.Info("connected to control", "control", w.Control, "address", address, "version", n.Table().Version())
 	n.control.Store(address)
 	go func() {
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -148,3 +148,45 @@
 		})
 	}
 }
+
+// Guards against a node that was restarted and takes back, on late heartbeats, an upstream
+// whose leaving the process before it acknowledged; and one that keeps out an upstream
+// which serves.
+func TestRestartedNodeAndUpstreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		before func(v vm, born int64, sequence uint64)
+		want   bool // whether the next heartbeat of the upstream makes it known
+	}{
+		"serving":   {func(vm, int64, uint64) {}, true},
+		"withdrawn": {func(v vm, _ int64, _ uint64) { v.withdraw("u", 0) }, false},
+		"withdrawn after the expiry": {func(v vm, _ int64, _ uint64) {
+			time.Sleep(upstream.RenewWithin + time.Second)
+			v.withdraw("u", 0)
+		}, false},
+		"draining": {func(v vm, born int64, sequence uint64) { v.put("u", born, sequence+5, wire.Leaving) }, false},
+		"address taken by another that has left": {func(v vm, _ int64, _ uint64) {
+			v.put("u2", time.Now().UnixMilli(), 1, wire.Serving)
+			v.withdraw("u2", 0)
+		}, false},
+		"expired": {func(vm, int64, uint64) { time.Sleep(upstream.RenewWithin + time.Second) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := vm{newMesh(t, "n1", "n2")}
+				born := time.Now().UnixMilli()
+				sequence := v.renew("u", born, 1, time.Minute)
+				c.before(v, born, sequence)
+				if err := v.stops["n1"](); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(500 * time.Millisecond)
+				v.start("n1")
+				v.put("u", born, sequence, wire.Serving) // before the node is connected
+				time.Sleep(time.Second)
+				v.put("u", born, sequence+1, wire.Serving)
+				time.Sleep(time.Second)
+				equal(t, "known to another node", v.knows("u"), c.want)
+			})
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,6 +159,7 @@
 		Seed:             uint64(now.UnixNano()),
 		MaxBackoff:       c.Settings.ReconnectLimit,
 		OnApplied:        n.applied,
+		Restore:          func(l []wire.Departure) { n.announcements.Restore(time.Now(), l) },
 		Ranks:            n.ranks.Sample,
 	})
 	n.budget = budget.New(memory.ConnectionBytes(n.memoryMb()))
@@ -173,6 +174,7 @@
 		TailExponent: c.Settings.UrgentReserve,
 	})
 	n.announcements = upstream.NewAnnouncements(c.Log.WithName("upstream"), n)
+	n.announcements.Hold()
 	n.outlet = peer.NewOutlet(peer.OutletConfig{Link: link.New(c.Settings.LinkMbps), Rank: n.rank})
 	n.peers = peer.NewClient(peer.ClientConfig{Dial: peerDialer, TCPUserTimeout: wire.LinkTCPUserTimeout(c.Settings.LinkMbps), Outlet: n.outlet})
 	n.peerServer = peer.NewServer(peer.ServerConfig{Transport: n.local, LinkMbps: c.Settings.LinkMbps, Outlet: n.outlet})
@@ -311,7 +313,7 @@
 			Slots: a.Slots, Connections: a.Connections, Since: a.Since, Version: a.Version,
 		})
 	}
-	n.distribution.SetUpstreams(u)
+	n.distribution.SetUpstreams(u, n.announcements.Departures(time.Now())...)
 }
 
 // WaitIdle implements upstream.Subscriber. It also waits for the responses that the
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -113,7 +113,10 @@
 
 func (c *Control) welcome(s drpc.Stream, m chan *wire.ControlMessage, r wire.NodeRecord) error {
 	c.mu.Lock()
-	m <- &wire.ControlMessage{Welcome: &wire.Welcome{Lineage: lineage, Control: "standin", Lease: lease}}
+	if len(r.Departed) == 0 {
+		r.Departed = c.records[r.Node].Departed
+	}
+	m <- &wire.ControlMessage{Welcome: &wire.Welcome{Lineage: lineage, Control: "standin", Lease: lease, Departed: r.Departed}}
 	k, err := c.snapshot()
 	m <- k
 	m <- &wire.ControlMessage{Endpoints: &wire.Endpoints{Records: c.list()}}
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -28,6 +28,8 @@
 	// maxConnections bounds the connections, and thus the slots, of one upstream: no
 	// address accepts more from one VM.
 	maxConnections = 1 << 16
+	// maxHeld bounds the messages that are held back until Restore.
+	maxHeld = 256
 	// maxUpstreams bounds the upstreams of one node.
 	maxUpstreams = 64
 	// idleWaitLimit bounds how long the response to a Leaving announcement waits for
@@ -97,8 +99,12 @@
 	subscriber Subscriber
 	// notifyMu serializes the calls of the subscriber's Set, in the order of changes.
 	notifyMu sync.Mutex
-	mu       sync.Mutex // guards history
+	mu       sync.Mutex // guards everything below
 	history  *history
+	// held are the messages that wait for Restore, in the order of their arrival. They
+	// are not held if holding is false.
+	holding bool
+	held    []func()
 }
 
 // Subscriber is notified of changes to the announced upstreams.
@@ -115,17 +121,66 @@
 	return &Announcements{log: l, subscriber: t, history: newHistory()}
 }
 
+// Hold keeps messages back until Restore is called. A node that has just started does not
+// know yet what the process before it remembered.
+func (a *Announcements) Hold() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holding = true
+}
+
+// hold keeps f back until Restore is called, and reports whether it did. Of too many
+// messages it drops the oldest; upstreams renew their announcements.
+func (a *Announcements) hold(f func()) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.holding {
+		return false
+	}
+	if a.held = append(a.held, f); len(a.held) > maxHeld {
+		a.held = a.held[1:]
+	}
+	return true
+}
+
+// Restore ends Hold: it adds what the process before this one remembered, and handles the
+// messages that arrived meanwhile. Later calls have no effect.
+func (a *Announcements) Restore(now time.Time, l []wire.Departure) {
+	a.mu.Lock()
+	if !a.holding {
+		a.mu.Unlock()
+		return
+	}
+	a.history.restore(now, l)
+	held := a.held
+	a.holding, a.held = false, nil
+	a.mu.Unlock()
+	for _, d := range l {
+		a.log.Info("departed upstream restored", "upstream", d.Name, "incarnation", d.Incarnation, "sequence", d.Sequence, "withdrawn", d.Withdrawn)
+	}
+	for _, f := range held {
+		f()
+	}
+}
+
+// Departures returns what a process that replaces this one has to remember.
+func (a *Announcements) Departures(now time.Time) []wire.Departure {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.history.departures(now)
+}
+
 // Handler returns the HTTP API with which upstreams are announced, listed and
 // withdrawn.
 func (a *Announcements) Handler() http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("PUT /v1/upstreams/{name}", a.put)
-	m.HandleFunc("DELETE /v1/upstreams/{name}", a.delete)
+	m.HandleFunc("PUT /v1/upstreams/{name}", a.handlePut)
+	m.HandleFunc("DELETE /v1/upstreams/{name}", a.handleDelete)
 	m.HandleFunc("GET /v1/upstreams", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, a.List()) })
 	return m
 }
 
-func (a *Announcements) put(w http.ResponseWriter, r *http.Request) {
+func (a *Announcements) handlePut(w http.ResponseWriter, r *http.Request) {
 	var n Announcement
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
 	d.DisallowUnknownFields()
@@ -180,26 +235,32 @@
 	if len(name) > wire.MaxNameBytes {
 		return errkind.New(errkind.BadRequest, "name of %d bytes; expected at most %d", len(name), wire.MaxNameBytes)
 	}
+	if a.hold(func() { _ = a.put(now, name, n) }) {
+		return nil
+	}
+	return a.put(now, name, n)
+}
+
+func (a *Announcements) put(now time.Time, name string, n Announcement) error {
 	a.notifyMu.Lock()
 	defer a.notifyMu.Unlock()
 	a.mu.Lock()
-	o, known := a.history.get(name)
-	replaced, ignored, err := a.history.put(now, name, n)
+	o, err := a.history.put(now, name, n)
 	a.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if ignored != "" {
+	case o.ignored != "":
 		a.log.Info("announcement ignored", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address,
-			"incarnation", n.Incarnation, "sequence", n.Sequence, "reason", ignored)
-		return nil
-	}
-	if replaced != "" {
-		a.log.Info("upstream removed", "upstream", replaced, "reason", "its address belongs to "+name)
-	}
-	if !known || !o.equalExceptSequence(n) {
+			"incarnation", n.Incarnation, "sequence", n.Sequence, "reason", o.ignored)
+	case o.changed:
 		a.log.Info("upstream announced", "upstream", name, "service", n.Service, "state", n.State, "address", n.Address,
 			"incarnation", n.Incarnation, "sequence", n.Sequence)
+	}
+	if o.replaced != "" {
+		a.log.Info("upstream removed", "upstream", o.replaced, "reason", "its address belongs to "+name)
+	}
+	if o.changed {
 		a.subscriber.Set(a.List())
 	}
 	return nil
@@ -211,21 +272,28 @@
 	if len(name) > wire.MaxNameBytes {
 		return // never announced
 	}
+	now := time.Now()
+	if !a.hold(func() { a.withdraw(now, name, incarnation) }) {
+		a.withdraw(now, name, incarnation)
+	}
+}
+
+func (a *Announcements) withdraw(now time.Time, name string, incarnation int64) {
 	a.notifyMu.Lock()
 	defer a.notifyMu.Unlock()
 	a.mu.Lock()
 	o, known := a.history.get(name)
-	removed := a.history.withdraw(time.Now(), name, incarnation)
+	removed := a.history.withdraw(now, name, incarnation)
 	a.mu.Unlock()
 	a.log.Info("upstream withdraws", "upstream", name, "incarnation", incarnation,
 		"announced", known, "announcedIncarnation", o.Incarnation, "announcedSequence", o.Sequence)
 	if removed {
 		a.log.Info("upstream removed", "upstream", name, "reason", "withdrawn")
-		a.subscriber.Set(a.List())
 	}
+	a.subscriber.Set(a.List()) // also if none was announced: the departures have changed
 }
 
-func (a *Announcements) delete(w http.ResponseWriter, r *http.Request) {
+func (a *Announcements) handleDelete(w http.ResponseWriter, r *http.Request) {
 	i, _, err := order(time.Now(), r)
 	if err != nil {
 		writeError(w, err)
--- a/internal/upstream/history.go
+++ b/internal/upstream/history.go
@@ -1,10 +1,12 @@
 package upstream
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/gooseberrypick/gooseberrypick/internal/wire"
 	"github.com/gooseberrypick/gooseberrypick/pkg/errkind"
 )
 
@@ -84,16 +86,25 @@
 	return e.Announced, true
 }
 
-// put stores an announcement and lists the upstream, unless it is ignored for the
-// returned reason. It also returns the name of the upstream that had the address before,
-// or an empty string.
-func (h *history) put(now time.Time, name string, n Announcement) (replaced, ignored string, err error) {
+// outcome is what became of an announcement.
+type outcome struct {
+	// ignored is why the upstream is not announced by it, empty if it is.
+	ignored string
+	// changed is set if the announced upstreams or the departures have changed.
+	changed bool
+	// replaced is the upstream that had the address before, empty if none had.
+	replaced string
+}
+
+// put stores an announcement and lists the upstream, unless it is outdated or the upstream
+// may have withdrawn.
+func (h *history) put(now time.Time, name string, n Announcement) (outcome, error) {
 	if reason := h.outdated(now, name, n); reason != "" {
-		return "", reason, nil
+		return outcome{ignored: reason}, nil
 	}
 	o, known := h.get(name)
 	if !known && h.listed >= maxUpstreams {
-		return "", "", errkind.New(errkind.TooLarge, "%d upstreams are announced already", maxUpstreams)
+		return outcome{}, errkind.New(errkind.TooLarge, "%d upstreams are announced already", maxUpstreams)
 	}
 	e := h.entry(name)
 	if n.Incarnation != e.Incarnation {
@@ -102,13 +113,13 @@
 	e.lastHeard = now
 	e.Announced = Announced{Name: name, Announcement: n, Since: now, expires: now.Add(RenewWithin)}
 	if e.mayHaveWithdrawn(now) {
-		return "", "the upstream may have withdrawn", nil
+		return outcome{ignored: "the upstream may have withdrawn", changed: true}, nil
 	}
 	if known && o.State == n.State && o.Address == n.Address && o.Incarnation == n.Incarnation && o.Version == n.Version {
 		e.Since = o.Since
 	}
 	h.list(e, true)
-	return h.dropAddress(name, n), "", nil
+	return outcome{changed: !known || !o.equalExceptSequence(n), replaced: h.dropAddress(name, n)}, nil
 }
 
 // outdated returns why an announcement is outdated, or an empty string if it is not.
@@ -249,3 +260,52 @@
 	slices.SortFunc(l, func(x, y Announced) int { return strings.Compare(x.Name, y.Name) })
 	return l
 }
+
+// departures returns what a process that replaces this one has to remember, as long as
+// messages can still be on their way: upstreams that leave or are not announced, and those
+// that have just started, perhaps again. The newest ones come first.
+func (h *history) departures(now time.Time) []wire.Departure {
+	var l []wire.Departure
+	for k, e := range h.byName {
+		serves := e.listed && e.State != wire.Leaving
+		if now.Sub(e.lastHeard) > maxDelay || serves && now.Sub(e.firstHeard) > maxDelay {
+			continue
+		}
+		l = append(l, wire.Departure{
+			Name: k, Address: e.Address, Incarnation: e.Incarnation, Sequence: e.Sequence, Withdrawn: e.withdrawn,
+			FirstHeard: unixMilli(e.firstHeard), LastHeard: unixMilli(e.lastHeard), Withdrawal: unixMilli(e.withdrawal),
+		})
+	}
+	slices.SortFunc(l, func(x, y wire.Departure) int {
+		return cmp.Or(cmp.Compare(y.LastHeard, x.LastHeard), cmp.Compare(x.Name, y.Name))
+	})
+	return l[:min(len(l), wire.MaxDepartures)]
+}
+
+// restore adds what the process before this one remembered.
+func (h *history) restore(now time.Time, l []wire.Departure) {
+	for _, d := range l {
+		if now.Sub(time.UnixMilli(d.LastHeard)) > maxDelay || h.byName[d.Name] != nil {
+			continue
+		}
+		e := h.entry(d.Name)
+		e.Announcement = Announcement{Address: d.Address, Incarnation: d.Incarnation, Sequence: d.Sequence}
+		e.firstHeard, e.lastHeard, e.withdrawal = fromUnixMilli(d.FirstHeard), fromUnixMilli(d.LastHeard), fromUnixMilli(d.Withdrawal)
+		e.withdrawn = d.Withdrawn
+	}
+}
+
+// unixMilli returns t in milliseconds since 1970, or zero if t is zero.
+func unixMilli(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromUnixMilli(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
--- a/internal/upstream/history_test.go
+++ b/internal/upstream/history_test.go
@@ -115,6 +115,14 @@
 	now     time.Time
 	heard   []*process
 	unnamed map[string]time.Time // by name, when the last withdrawal that names no incarnation arrived
+	// kept is what the controls keep for the next process of the node.
+	kept []wire.Departure
+}
+
+// restart replaces the process of the node by one that knows what the controls kept.
+func (y *player) restart() {
+	y.h = newHistory()
+	y.h.restore(y.now, y.kept)
 }
 
 func (y *player) serves(p *process) bool {
@@ -125,7 +133,9 @@
 func (y *player) deliver(m message) {
 	for y.now.Add(100 * time.Millisecond).Before(m.arrives) {
 		y.now = y.now.Add(100 * time.Millisecond)
-		y.h.expire(y.now)
+		if len(y.h.expire(y.now)) > 0 {
+			y.kept = y.h.departures(y.now)
+		}
 	}
 	y.now = m.arrives
 	if !slices.Contains(y.heard, m.from) {
@@ -140,12 +150,17 @@
 			y.unnamed[p.name] = y.now
 		}
 		y.h.withdraw(y.now, p.name, incarnation)
+		y.kept = y.h.departures(y.now)
 		p.leaves = true
 		return
 	}
-	if _, _, err := y.h.put(y.now, p.name, p.announcement(m.state, m.seq)); err != nil {
+	o, err := y.h.put(y.now, p.name, p.announcement(m.state, m.seq))
+	if err != nil {
 		y.t.Fatal(err)
 	}
+	if o.changed {
+		y.kept = y.h.departures(y.now)
+	}
 	p.leaves = p.leaves || m.state == wire.Leaving
 	inOrder := m.seq > p.newest
 	p.newest = max(p.newest, m.seq)
@@ -163,17 +178,21 @@
 		}
 	}
 	w, ok := y.unnamed[p.name]
-	return !ok || w.Before(p.born) || y.now.Sub(w) > maxDelay
+	return !ok || w.UnixMilli() < p.born.UnixMilli() || y.now.Sub(w) > maxDelay
 }
 
-// Guards against an order of heartbeats, withdrawals, expiry and new starts that brings
-// back an upstream which has left, or keeps out one that serves.
+// Guards against an order of heartbeats, withdrawals, expiry, new starts and restarts of the
+// node that brings back an upstream which has left, or keeps out one that serves.
 func TestMessagesInAnyOrder(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for seed := range uint64(2000) {
 		s := newSchedule(seed, start)
 		y := &player{t: t, h: newHistory(), now: start, unnamed: map[string]time.Time{}}
+		restarts := seed%2 == 1
 		for _, m := range s.messages {
+			if restarts && s.r.IntN(20) == 0 {
+				y.restart()
+			}
 			y.deliver(m)
 			for _, p := range y.heard {
 				if p.leaves && y.serves(p) {
@@ -192,7 +211,7 @@
 func TestHistoryIsBounded(t *testing.T) {
 	h, now := newHistory(), time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	p := &process{name: "real", address: "10.0.0.1:80", born: now}
-	if _, _, err := h.put(now, p.name, p.announcement(wire.Serving, 1)); err != nil {
+	if _, err := h.put(now, p.name, p.announcement(wire.Serving, 1)); err != nil {
 		t.Fatal(err)
 	}
 	h.withdraw(now, p.name, p.born.UnixMilli())
@@ -203,7 +222,7 @@
 	if got := len(h.byName); got > maxHistory {
 		t.Errorf("got %d remembered names, want at most %d", got, maxHistory)
 	}
-	if _, got, _ := h.put(now, p.name, p.announcement(wire.Serving, 2)); got == "" {
+	if o, _ := h.put(now, p.name, p.announcement(wire.Serving, 2)); o.ignored == "" {
 		t.Error("a late announcement of an upstream that has withdrawn was accepted")
 	}
 	now = now.Add(historyAge + time.Second)
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -30,6 +30,22 @@
 	Version string `cbor:"7,keyasint,omitempty"`
 }
 
+// Departure is what a node remembers of an upstream that leaves, is not announced any more
+// or has just started. A node that was restarted gets it back from its control. Times are
+// in milliseconds since 1970, by the clock of the VM; zero means none.
+type Departure struct {
+	Name        string `cbor:"1,keyasint"`
+	Address     string `cbor:"2,keyasint,omitempty"`
+	Incarnation int64  `cbor:"3,keyasint,omitempty"`
+	Sequence    uint64 `cbor:"4,keyasint,omitempty"`
+	FirstHeard  int64  `cbor:"5,keyasint,omitempty"`
+	LastHeard   int64  `cbor:"6,keyasint,omitempty"`
+	// Withdrawn is set if the incarnation has withdrawn for certain. Withdrawal is when a
+	// withdrawal that names no incarnation arrived.
+	Withdrawn  bool  `cbor:"7,keyasint,omitempty"`
+	Withdrawal int64 `cbor:"8,keyasint,omitempty"`
+}
+
 // NodeRecord is the registry entry of one node. Only the node itself increments
 // (Incarnation, Sequence); of two records the one with the higher pair is newer.
 type NodeRecord struct {
@@ -42,6 +58,14 @@
 	Upstreams        []Upstream `cbor:"7,keyasint,omitempty"`
 	// Home is the control that holds the node's lease.
 	Home string `cbor:"8,keyasint,omitempty"`
+	// Departed is kept by the controls, and not sent to other nodes.
+	Departed []Departure `cbor:"9,keyasint,omitempty"`
+}
+
+// WithoutDepartures returns r as it is sent to other nodes.
+func (r NodeRecord) WithoutDepartures() NodeRecord {
+	r.Departed = nil
+	return r
 }
 
 // Limits of a node's record. 37,000 records of the maximum size would exceed the memory
@@ -49,13 +73,16 @@
 const (
 	MaxNameBytes   = 256
 	MaxUpstreams   = 64
+	MaxDepartures  = 16
 	MaxRecordBytes = 8 << 10
 )
 
-// Upper bounds of the encoded size of a record and of an upstream, without strings.
+// Upper bounds of the encoded size of a record, an upstream and a departure, without
+// strings.
 const (
-	recordOverhead   = 40
-	upstreamOverhead = 52
+	recordOverhead    = 40
+	upstreamOverhead  = 52
+	departureOverhead = 68
 )
 
 // EncodedBytes returns an upper bound of the encoded size of r.
@@ -64,6 +91,9 @@
 	for _, u := range r.Upstreams {
 		n += upstreamOverhead + len(u.Name) + len(u.Service) + len(u.State) + len(u.Version)
 	}
+	for _, d := range r.Departed {
+		n += departureOverhead + len(d.Name) + len(d.Address)
+	}
 	return n
 }
 
@@ -80,6 +110,9 @@
 	if n := len(r.Upstreams); n > MaxUpstreams {
 		return errkind.New(errkind.BadRequest, "%d upstreams in the record of node %s, at most %d are allowed", n, r.Node, MaxUpstreams)
 	}
+	if n := len(r.Departed); n > MaxDepartures {
+		return errkind.New(errkind.BadRequest, "%d departures in the record of node %s, at most %d are allowed", n, r.Node, MaxDepartures)
+	}
 	if n := r.EncodedBytes(); n > MaxRecordBytes {
 		return errkind.New(errkind.BadRequest, "record of %d bytes for node %s, at most %d are allowed", n, r.Node, MaxRecordBytes)
 	}
@@ -187,6 +220,8 @@
 	Lease   time.Duration `cbor:"3,keyasint"`
 	// Controls are the addresses of all controls.
 	Controls []string `cbor:"4,keyasint,omitempty"`
+	// Departed is what the process that ran before under the node's name remembered.
+	Departed []Departure `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigChunk is a part of one encoded ConfigUpdate. The last chunk has Last set.
