Caller: match a request to its route with encoded slashes kept

Cause: the route was matched by the decoded path, so that the request got the execution of /swap/search/ (Idempotent), while the upstream got the path as it was sent.

Change: routePath decodes everything but encoded slashes, in both places where requests are matched.

Why it works: the path that selects the route and the one that is passed on now have the same segments. Other encodings match as before.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -207,7 +207,7 @@
 	}
 	t := h.c.Table()
 	x.version = t.Version()
-	m, ok := t.Match(r.Host, r.Method, r.URL.Path)
+	m, ok := t.Match(r.Host, r.Method, routePath(r.URL))
 	if !ok {
 		x.fail(noRoute(t, r))
 		return
@@ -269,7 +269,7 @@
 	if h.drain.Load() != nil || h.pipelined.Load() >= MaxPipelined || !r.ProtoAtLeast(1, 1) || r.Close || r.Header.Get("Expect") != "" {
 		return false
 	}
-	m, ok := h.c.Table().Match(r.Host, r.Method, r.URL.Path)
+	m, ok := h.c.Table().Match(r.Host, r.Method, routePath(r.URL))
 	return ok && m.Route.Execution == customer.Idempotent
 }
 
