Upstream: no late body reaches an upstream that leaves

Cause: a request that holds a slot waits for the first part of its body, and nothing looked at the state of the upstream after that.

Change: worker.awaitBody reads the first part before anything is sent, in one place for both paths, and gives up 250 ms after the upstream began to leave.

Why it works: the head is sent together with the first part, so that nothing has reached the upstream when the request is refused as not-run.

--- a/internal/peer/chunks.go
+++ b/internal/peer/chunks.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -44,8 +43,8 @@
 	return &chunkReader{stream: s, chunks: make(chan chunk, maxChunksAhead), closed: make(chan struct{})}
 }
 
-// admit allows the entry node to send the body and waits for the first chunk.
-func (c *chunkReader) admit(ctx context.Context) error {
+// admit allows the entry node to send the body.
+func (c *chunkReader) admit() error {
 	if err := send(c.stream, &wire.ForwardResponse{Admitted: true}); err != nil {
 		return err
 	}
@@ -66,14 +65,6 @@
 			}
 		}
 	}()
-	select {
-	case c.next = <-c.chunks:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	if c.next.err != nil && !call.IsEOF(c.next.err) {
-		return c.next.err
-	}
 	return nil
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -162,7 +162,7 @@
 	c.onChunk, c.onEnd = t.received, t.release
 	defer c.Close()
 	r.Stream, x.requestBody = c, c
-	r.OnAdmitted = func() error { t.start(); return c.admit(ctx) }
+	r.OnAdmitted = func() error { t.start(); return c.admit() }
 	a, err := p.c.Transport.Call(ctx, r)
 	if err != nil {
 		return x.refuse(err)
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -30,6 +30,7 @@
 	waiting   map[uint64]chan error
 	nextID    uint64
 	closed    bool
+	sending   *sending
 	// timer calls wake when a slot that the queue kept free may be used.
 	timer *time.Timer
 }
@@ -37,7 +38,7 @@
 func newWorker(c Config, n Announced) *worker {
 	w := &worker{
 		c: c, client: NewClient(n.Address, c.Dial, c.Dialect), service: n.Service, address: n.Address,
-		announced: n, waiting: map[uint64]chan error{},
+		announced: n, waiting: map[uint64]chan error{}, sending: newSending(),
 	}
 	w.limiter = limit.New(limit.Config{Slots: n.Slots, ExactSlots: c.Dialect != nil && c.Dialect.ExactSlots})
 	w.queue = queue.New(queue.Config{TailExponent: c.TailExponent})
@@ -54,6 +55,7 @@
 	w.announced = n
 	w.table = nil // forces applyConfig
 	w.client.SetKeepAlive(n.State == wire.Serving)
+	w.sending.set(n.State == wire.Serving)
 	if n.State != wire.Serving {
 		w.refuseWaiting(now)
 	}
@@ -134,6 +136,7 @@
 	defer w.mu.Unlock()
 	w.closed = true
 	w.announced.State = wire.Leaving
+	w.sending.set(false)
 	w.refuseWaiting(time.Now())
 	w.timer.Stop()
 	w.client.SetKeepAlive(false)
@@ -158,6 +161,12 @@
 			return nil, errkind.Wrap(err, call.ContextErrorKind(ctx, errkind.Canceled), "entry node did not send the body").WithExecution(errkind.NotRun)
 		}
 	}
+	if r.Stream != nil {
+		if err := w.awaitBody(ctx, r); err != nil {
+			w.release(id, s, limit.Canceled)
+			return nil, err
+		}
+	}
 	if ctx.Err() != nil {
 		w.release(id, s, limit.Canceled)
 		return nil, errkind.New(call.ContextErrorKind(ctx, errkind.Canceled), "request ended before it was sent to the upstream").WithExecution(errkind.NotRun)
