Upstream: a withdrawal counts for the known start, whatever the clock says

What callers would see: an upstream withdraws within 10 s of its start without naming it, and its start lies ahead of the clock of its VM, which was set back meanwhile. A late heartbeat would announce it again.

Cause: whether such a withdrawal can be that of an incarnation was decided by the clock alone, also for the incarnation that was known when it arrived.

Change: the latest incarnation that can have sent it is remembered: the known one or one that had started by then, whichever is later. Controls keep it with the rest.

--- a/internal/upstream/history.go
+++ b/internal/upstream/history.go
@@ -38,7 +38,8 @@
 //     incarnation was first heard more than maxDelay before, the withdrawal cannot be
 //     that of an earlier one, and is final.
 //
-// Without incarnations, as in the default API, late messages cannot be detected.
+// Without incarnations, late messages cannot be detected. What a history remembers of the
+// last maxDelay outlives the process, by way of the controls: see departures and restore.
 //
 // A history is not safe for concurrent use.
 type history struct {
@@ -59,7 +60,10 @@
 	// withdrawn is set when the incarnation has withdrawn for certain.
 	withdrawn bool
 	// withdrawal is when a withdrawal that names no incarnation arrived; zero if none did.
-	withdrawal time.Time
+	// latestSender is the latest incarnation that can have sent it: the one known then or
+	// one that had started by then.
+	withdrawal   time.Time
+	latestSender int64
 }
 
 // outdates reports whether the incarnation of e is later than i and messages of i can
@@ -71,8 +75,7 @@
 // mayHaveWithdrawn reports whether the incarnation of e may be the one of a withdrawal
 // that named none, and has not been heard long enough after it to rule that out.
 func (e *entry) mayHaveWithdrawn(now time.Time) bool {
-	return e.Incarnation != 0 && !e.withdrawal.IsZero() && now.Sub(e.withdrawal) <= maxDelay &&
-		e.Incarnation <= e.withdrawal.UnixMilli()
+	return e.Incarnation != 0 && !e.withdrawal.IsZero() && now.Sub(e.withdrawal) <= maxDelay && e.Incarnation <= e.latestSender
 }
 
 func newHistory() *history { return &history{byName: map[string]*entry{}} }
@@ -173,7 +176,7 @@
 	}
 	switch {
 	case incarnation == 0:
-		e.withdrawal = now
+		e.withdrawal, e.latestSender = now, max(now.UnixMilli(), e.Incarnation)
 		e.withdrawn = e.withdrawn || e.Incarnation != 0 && now.Sub(e.firstHeard) > maxDelay
 	case incarnation != e.Incarnation:
 		e.Announcement = Announcement{Incarnation: incarnation}
@@ -273,7 +276,8 @@
 		}
 		l = append(l, wire.Departure{
 			Name: k, Address: e.Address, Incarnation: e.Incarnation, Sequence: e.Sequence, Withdrawn: e.withdrawn,
-			FirstHeard: unixMilli(e.firstHeard), LastHeard: unixMilli(e.lastHeard), Withdrawal: unixMilli(e.withdrawal),
+			FirstHeard: unixMilli(e.firstHeard), LastHeard: unixMilli(e.lastHeard),
+			Withdrawal: unixMilli(e.withdrawal), LatestSender: e.latestSender,
 		})
 	}
 	slices.SortFunc(l, func(x, y wire.Departure) int {
@@ -291,7 +295,7 @@
 		e := h.entry(d.Name)
 		e.Announcement = Announcement{Address: d.Address, Incarnation: d.Incarnation, Sequence: d.Sequence}
 		e.firstHeard, e.lastHeard, e.withdrawal = fromUnixMilli(d.FirstHeard), fromUnixMilli(d.LastHeard), fromUnixMilli(d.Withdrawal)
-		e.withdrawn = d.Withdrawn
+		e.withdrawn, e.latestSender = d.Withdrawn, d.LatestSender
 	}
 }
 
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -41,9 +41,11 @@
 	FirstHeard  int64  `cbor:"5,keyasint,omitempty"`
 	LastHeard   int64  `cbor:"6,keyasint,omitempty"`
 	// Withdrawn is set if the incarnation has withdrawn for certain. Withdrawal is when a
-	// withdrawal that names no incarnation arrived.
-	Withdrawn  bool  `cbor:"7,keyasint,omitempty"`
-	Withdrawal int64 `cbor:"8,keyasint,omitempty"`
+	// withdrawal that names no incarnation arrived, and LatestSender the latest incarnation
+	// that can have sent it.
+	Withdrawn    bool  `cbor:"7,keyasint,omitempty"`
+	Withdrawal   int64 `cbor:"8,keyasint,omitempty"`
+	LatestSender int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // NodeRecord is the registry entry of one node. Only the node itself increments
@@ -82,7 +84,7 @@
 const (
 	recordOverhead    = 40
 	upstreamOverhead  = 52
-	departureOverhead = 68
+	departureOverhead = 78
 )
 
 // EncodedBytes returns an upper bound of the encoded size of r.
