Node: publish what was restored after a restart

Cause: the second process got what the first one remembered, but published nothing itself. When it connected to another control, its record replaced the one that the first control had completed. The stand-in control completed each record and hid this.

Change: a node publishes what it has restored. The stand-in completes only the first record of a process, as controls do.

--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -176,13 +176,15 @@
 				born := time.Now().UnixMilli()
 				sequence := v.renew("u", born, 1, time.Minute)
 				c.before(v, born, sequence)
-				if err := v.stops["n1"](); err != nil {
-					t.Error(err)
+				for range 2 {
+					if err := v.stops["n1"](); err != nil {
+						t.Error(err)
+					}
+					time.Sleep(500 * time.Millisecond)
+					v.start("n1")
+					v.put("u", born, sequence, wire.Serving) // before the node is connected
+					time.Sleep(500 * time.Millisecond)
 				}
-				time.Sleep(500 * time.Millisecond)
-				v.start("n1")
-				v.put("u", born, sequence, wire.Serving) // before the node is connected
-				time.Sleep(time.Second)
 				v.put("u", born, sequence+1, wire.Serving)
 				time.Sleep(time.Second)
 				equal(t, "known to another node", v.knows("u"), c.want)
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -113,8 +113,8 @@
 
 func (c *Control) welcome(s drpc.Stream, m chan *wire.ControlMessage, r wire.NodeRecord) error {
 	c.mu.Lock()
-	if len(r.Departed) == 0 {
-		r.Departed = c.records[r.Node].Departed
+	if o := c.records[r.Node]; o.Incarnation != r.Incarnation && len(r.Departed) == 0 {
+		r.Departed = o.Departed
 	}
 	m <- &wire.ControlMessage{Welcome: &wire.Welcome{Lineage: lineage, Control: "standin", Lease: lease, Departed: r.Departed}}
 	k, err := c.snapshot()
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -161,6 +161,11 @@
 	for _, f := range held {
 		f()
 	}
+	if len(l) > 0 { // the next process has to know it too
+		a.notifyMu.Lock()
+		defer a.notifyMu.Unlock()
+		a.subscriber.Set(a.List())
+	}
 }
 
 // Departures returns what a process that replaces this one has to remember.
